--- /dev/null
+++ b/rhubarbhall/core/appends.py
@@ -0,0 +1,99 @@
+"""Appends records until each one has been read back."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import events
+from rhubarbhall.core.records import seal
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.core.records import Envelope, Record
+    from rhubarbhall.types import RecordId, Seconds
+
+#: Longest time between repeats of one append.
+MAX_RETRY_S = 5.0
+
+
+@dataclass(slots=True)
+class _Pending:
+    envelope: Envelope
+    record: Record
+    first_sent_at: Seconds
+    repeat_at: Seconds
+    delay_s: Seconds
+
+
+class Appender:
+    """Repeats an append under the same id until its verdict is known.
+
+    The answer of an append proves nothing: it may be lost after the record
+    took effect, and a record that was taken may be void. Only reading it back
+    settles it.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._pending_by_id: dict[RecordId, _Pending] = {}
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.Submit: self._on_submit,
+            events.AppendDue: self._on_append_due,
+            events.RecordApplied: self._on_record_applied,
+            events.DirectoryLoaded: self._on_directory_loaded,
+            events.Fenced: self._on_fenced,
+        }
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
+        interval = self._context.timing.append_retry_s / 2
+        self._context.timers.every(interval, events.AppendDue(), first=now)
+        yield from ()
+
+    def _on_submit(self, now: Seconds, event: events.Submit) -> Iterator[Command]:
+        envelope = seal(event.record_id, event.record)
+        delay = self._context.timing.append_retry_s
+        self._pending_by_id[event.record_id] = _Pending(
+            envelope, event.record, now, now + delay, delay
+        )
+        yield events.Append(envelope)
+
+    def _on_append_due(self, now: Seconds, event: Event) -> Iterator[Command]:
+        for pending in self._pending_by_id.values():
+            if now >= pending.repeat_at:
+                pending.delay_s = min(2 * pending.delay_s, MAX_RETRY_S)
+                pending.repeat_at = now + pending.delay_s
+                yield events.Append(pending.envelope)
+
+    def _on_record_applied(
+        self, now: Seconds, event: events.RecordApplied
+    ) -> Iterator[Event]:
+        applied = event.applied
+        pending = self._pending_by_id.pop(applied.record_id, None)
+        if pending is not None:
+            yield events.Settled(
+                applied.record_id, applied.record, applied.void, pending.first_sent_at
+            )
+
+    def _on_directory_loaded(self, now: Seconds, event: Event) -> Iterator[Event]:
+        """Settle what the snapshot covers; its verdict cannot be known any more."""
+        seen = self._context.directory.seen_ids
+        for record_id in [each for each in self._pending_by_id if each in seen]:
+            pending = self._pending_by_id.pop(record_id)
+            yield events.Settled(
+                record_id,
+                pending.record,
+                "covered by a snapshot",
+                pending.first_sent_at,
+            )
+
+    def _on_fenced(self, now: Seconds, event: Event) -> Iterator[Event]:
+        self._pending_by_id.clear()
+        yield from ()
--- /dev/null
+++ b/rhubarbhall/core/balancing.py
@@ -0,0 +1,173 @@
+"""Where requests of services without keys go."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import policies
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.intent import Service
+    from rhubarbhall.core.requests import Response
+    from rhubarbhall.types import MemberId, Seconds, ServiceName
+
+DEFAULT_POLICY = "two-choices"
+#: Time over which a new member's share grows to its full size.
+SLOW_START_S = 10.0
+#: Smallest share of a new member.
+SLOW_START_FLOOR = 0.1
+#: Failures in a row after which a member is left out for a while.
+EJECT_AFTER = 3
+#: How long a member is left out the first time.
+EJECT_S = 2.0
+MAX_EJECT_S = 30.0
+#: Share of the members that may be left out at once.
+MAX_EJECTED_SHARE = 0.5
+#: Requests in flight at one member, as a share of its slots, from which on
+#: members farther away are looked at as well.
+SPILL_SHARE = 0.9
+
+
+@dataclass(slots=True)
+class _Standing:
+    """How a member has fared from here."""
+
+    seen_at: Seconds
+    in_flight: int = 0
+    failures: int = 0
+    ejected_until: Seconds = float("-inf")
+    ejections: int = 0
+
+
+class Balancer:
+    """Chooses members by the requests in flight that this daemon sees itself.
+
+    Parameters
+    ----------
+    context : Context
+        Directory and place of this daemon.
+    policy : str
+        Name of the balancing policy.
+    """
+
+    def __init__(self, context: Context, policy: str = DEFAULT_POLICY) -> None:
+        self._context = context
+        self._policy = policies.balancing.create(policy)
+        self._standing_by_member: dict[MemberId, _Standing] = {}
+        self._members_by_service: dict[ServiceName, tuple[int, list[MemberId]]] = {}
+
+    def choose(
+        self, now: Seconds, service: Service, exclude: frozenset[MemberId]
+    ) -> MemberId | None:
+        """Return a member for a request, or none when there is no other.
+
+        The nearest members go first; those farther away get the request only
+        when all nearer ones are full.
+        """
+        eligible = [
+            each for each in self._eligible(service.name) if each not in exclude
+        ]
+        allowed = self._without_ejected(now, eligible)
+        for ring in self._by_distance(allowed):
+            roomy = [each for each in ring if not self._is_full(each, service)]
+            if roomy:
+                return self._draw(now, roomy)
+        return self._draw(now, allowed) if allowed else None
+
+    def _eligible(self, name: ServiceName) -> list[MemberId]:
+        directory = self._context.directory
+        known = self._members_by_service.get(name)
+        if known is not None and known[0] == directory.next_offset:
+            return known[1]
+        members = list(directory.pool(name, witnessed=False).ranked(""))
+        self._members_by_service[name] = (directory.next_offset, members)
+        return members
+
+    def _without_ejected(self, now: Seconds, members: list[MemberId]) -> list[MemberId]:
+        kept = [each for each in members if not self._is_ejected(now, each)]
+        # Ejecting most members would only crowd the rest, so a fault that
+        # shows everywhere ejects nobody.
+        if len(kept) < len(members) * (1 - MAX_EJECTED_SHARE):
+            return members
+        return kept
+
+    def _is_ejected(self, now: Seconds, member: MemberId) -> bool:
+        standing = self._standing_by_member.get(member)
+        return standing is not None and now < standing.ejected_until
+
+    def _by_distance(self, members: list[MemberId]) -> list[list[MemberId]]:
+        directory = self._context.directory
+        join = self._context.join
+        rings: list[list[MemberId]] = [[], [], [], []]
+        for each in members:
+            place = directory.member_by_id[each].join
+            if place.domain == join.domain or place.region == join.region:
+                rings[0 if place.domain == join.domain else 1].append(each)
+            else:
+                preferred = place.region in directory.intent.regions
+                rings[2 if preferred else 3].append(each)
+        # A domain and the rest of its region are about equally near.
+        return [rings[0] + rings[1], rings[2], rings[3]]
+
+    def _is_full(self, member: MemberId, service: Service) -> bool:
+        standing = self._standing_by_member.get(member)
+        return standing is not None and (
+            standing.in_flight >= SPILL_SHARE * service.slots
+        )
+
+    def _draw(self, now: Seconds, members: list[MemberId]) -> MemberId:
+        load_by_member = {each: self._load(now, each) for each in members}
+        return self._policy.choose(members, load_by_member, self._context.rng)
+
+    def _load(self, now: Seconds, member: MemberId) -> float:
+        standing = self._standing(now, member)
+        age = now - standing.seen_at
+        share = max(SLOW_START_FLOOR, min(1.0, age / SLOW_START_S))
+        return (standing.in_flight + 1) / share
+
+    def _standing(self, now: Seconds, member: MemberId) -> _Standing:
+        standing = self._standing_by_member.get(member)
+        if standing is None:
+            standing = _Standing(self._first_seen(now))
+            self._standing_by_member[member] = standing
+        return standing
+
+    def _first_seen(self, now: Seconds) -> Seconds:
+        # Members found at the start are not new; only this daemon is.
+        return now if self._standing_by_member else now - SLOW_START_S
+
+    def note_sent(self, now: Seconds, member: MemberId) -> None:
+        """Count a request that goes to `member`."""
+        self._standing(now, member).in_flight += 1
+
+    def note_outcome(
+        self, now: Seconds, member: MemberId, response: Response | None
+    ) -> None:
+        """Count an answer, or a failure when `response` is none."""
+        standing = self._standing(now, member)
+        standing.in_flight = max(0, standing.in_flight - 1)
+        if response is not None and response.status < 500:
+            standing.failures = 0
+            standing.ejections = 0
+            return
+        standing.failures += 1
+        if standing.failures >= EJECT_AFTER:
+            standing.failures = 0
+            pause = min(MAX_EJECT_S, EJECT_S * 2**standing.ejections)
+            standing.ejections += 1
+            standing.ejected_until = now + pause
+
+    def forget(self, members: tuple[MemberId, ...]) -> None:
+        """Drop what is known of members that have ended."""
+        for member in members:
+            self._standing_by_member.pop(member, None)
+
+    def in_flight(self) -> dict[MemberId, int]:
+        """Return the requests in flight by member."""
+        return {
+            member: standing.in_flight
+            for member, standing in self._standing_by_member.items()
+            if standing.in_flight
+        }
--- /dev/null
+++ b/rhubarbhall/core/directory.py
@@ -0,0 +1,531 @@
+"""The directory: a deterministic fold of the platform's log.
+
+Every reader applies the same records in the same order and so comes to the
+same members, owners and intent. A record whose precondition does not hold at
+its offset is void for all readers alike.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import records
+from rhubarbhall.core.errors import ConfigurationError
+from rhubarbhall.core.intent import Intent, Service, intent_from_document
+from rhubarbhall.core.members import Member
+from rhubarbhall.core.placement import Ring
+from rhubarbhall.core.slices import NO_OWNER, OwnerTable
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from rhubarbhall.types import MemberId, Offset, RecordId, ServiceName, SliceIndex
+
+#: Record ids that the fold remembers to drop repeated appends.
+REMEMBERED_IDS = 100_000
+#: Closed members that the fold remembers beyond those still referred to.
+REMEMBERED_CLOSED = 20_000
+#: Lost members up to which owner tables are searched once for each.
+MAX_SEARCHED_SINGLY = 16
+
+
+class Closing(enum.StrEnum):
+    """Why a member ended."""
+
+    LEFT = "left"
+    SUPERSEDED = "superseded"
+    FAILED_OVER = "failed_over"
+    DECLARED_LOST = "declared_lost"
+
+
+@dataclass(frozen=True, slots=True)
+class ClosedMember:
+    """A member that ended."""
+
+    member: Member
+    reason: Closing
+    offset: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class SliceRef:
+    """One slice of one service."""
+
+    service: ServiceName
+    index: SliceIndex
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.index}"
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """Outcome of one record.
+
+    Parameters
+    ----------
+    offset : int
+        Its place in the log.
+    record_id : str
+        Its identity.
+    record : Record
+        What was applied, or tried.
+    void : str, optional
+        Why the record has no effect; none when it took effect.
+    joined, closed : tuple of str
+        Members that the record added and ended.
+    moved : tuple of SliceRef
+        Slices whose owner changed.
+    """
+
+    offset: Offset
+    record_id: RecordId
+    record: records.Record | records.UnknownRecord
+    void: str | None = None
+    joined: tuple[MemberId, ...] = ()
+    closed: tuple[MemberId, ...] = ()
+    moved: tuple[SliceRef, ...] = ()
+
+
+class _Void(Exception):
+    """The precondition of a record does not hold."""
+
+
+@dataclass(slots=True)
+class _Changes:
+    joined: list[MemberId] = field(default_factory=list)
+    closed: list[MemberId] = field(default_factory=list)
+    moved: list[SliceRef] = field(default_factory=list)
+
+
+class Directory:
+    """State of the estate at one offset of the log."""
+
+    def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Go back to the empty directory before the first record."""
+        self.next_offset: Offset = 0
+        self.intent_version = 0
+        self.intent = Intent()
+        self.intent_document: dict = {}
+        self.newest_schema = records.SCHEMA
+        self.member_by_id: dict[MemberId, Member] = {}
+        self.closed_by_id: OrderedDict[MemberId, ClosedMember] = OrderedDict()
+        self.id_by_number: dict[int, MemberId] = {}
+        self.table_by_service: dict[ServiceName, OwnerTable] = {}
+        #: Tables of services that the intent no longer has. Should one come
+        #: back, its slices still have the owners that they had.
+        self.dropped_by_service: dict[ServiceName, OwnerTable] = {}
+        self.everyone = Ring()
+        self.next_number = 0
+        self.seen_ids: OrderedDict[RecordId, None] = OrderedDict()
+        self._ring_by_pool: dict[tuple[ServiceName, str | None, bool], Ring] = {}
+
+    # Reading
+
+    def owner_of(self, service: ServiceName, index: SliceIndex) -> MemberId | None:
+        """Return the owner of a slice, or none."""
+        number = self.table_by_service[service].owners[index]
+        if number == NO_OWNER:
+            return None
+        return self.id_by_number[number]
+
+    def epoch_of(self, service: ServiceName, index: SliceIndex) -> int:
+        """Return the epoch of a slice."""
+        return self.table_by_service[service].epochs[index]
+
+    def predecessors_of(
+        self, service: ServiceName, index: SliceIndex
+    ) -> tuple[MemberId, ...]:
+        """Return the earlier owners that the log does not show as stopped."""
+        listed = self.table_by_service[service].predecessors.get(index, ())
+        return tuple(self.id_by_number[number] for number in listed)
+
+    def slices_of(self, member: MemberId) -> Iterable[SliceRef]:
+        """Yield the slices that `member` owns."""
+        found = self.member_by_id.get(member)
+        if found is None:
+            return
+        for service, table in self.table_by_service.items():
+            for index in table.owned_by(found.number):
+                yield SliceRef(service, index)
+
+    def is_live(self, member: MemberId) -> bool:
+        """Tell whether `member` has joined and not ended."""
+        return member in self.member_by_id
+
+    def may_take(self, service: Service, member: Member) -> bool:
+        """Tell whether the intent lets `member` take slices of `service`."""
+        labels = member.labels
+        if member.retiring:
+            return False
+        return service.targets.matches(labels) and not self.intent.is_leaving(labels)
+
+    def pool(
+        self, service: ServiceName, region: str | None = None, witnessed: bool = True
+    ) -> Ring:
+        """Return the members that may take work of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        region : str, optional
+            Only members of this region.
+        witnessed : bool
+            Only members that have a witness.
+        """
+        key = (service, region, witnessed)
+        if key not in self._ring_by_pool:
+            self._ring_by_pool[key] = self._build_pool(service, region, witnessed)
+        return self._ring_by_pool[key]
+
+    def _build_pool(
+        self, name: ServiceName, region: str | None, witnessed: bool
+    ) -> Ring:
+        ring = Ring()
+        for member in self.member_by_id.values():
+            if self._belongs(member, name, region, witnessed):
+                ring.add(member.id, member.join.weight)
+        return ring
+
+    def _belongs(
+        self, member: Member, name: ServiceName, region: str | None, witnessed: bool
+    ) -> bool:
+        if region is not None and member.join.region != region:
+            return False
+        if witnessed and not member.witnesses:
+            return False
+        return self.may_take(self.intent.services[name], member)
+
+    def _seat(self, member: Member) -> None:
+        """Bring the pools into line with a change of one member."""
+        for (name, region, witnessed), ring in self._ring_by_pool.items():
+            ring.remove(member.id)
+            if self._belongs(member, name, region, witnessed):
+                ring.add(member.id, member.join.weight)
+
+    def choose_owner(
+        self,
+        service: ServiceName,
+        index: SliceIndex,
+        region: str | None = None,
+        exclude: MemberId | None = None,
+    ) -> MemberId | None:
+        """Return the member that rendezvous gives a slice to.
+
+        The region of the former owner goes first, then the regions that the
+        intent prefers, then any. Members without witnesses are taken only
+        when there is nobody else, since their loss could not be detected.
+        """
+        name = f"{service}/{index}"
+        regions = [region] if region else []
+        for witnessed in (True, False):
+            for each in (*regions, *self.intent.regions, None):
+                ring = self.pool(service, each, witnessed)
+                chosen = ring.choose(name)
+                if chosen is not None and chosen == exclude:
+                    chosen = next((m for m in ring.ranked(name) if m != exclude), None)
+                if chosen is not None:
+                    return chosen
+        return None
+
+    # Applying
+
+    def apply(self, stored: records.StoredRecord) -> Applied:
+        """Apply the record at `next_offset` and report what it did.
+
+        Raises
+        ------
+        ValueError
+            If the record is not the next one.
+        """
+        if stored.offset != self.next_offset:
+            raise ValueError(
+                f"offset {stored.offset} applied where {self.next_offset} is due"
+            )
+        self.next_offset += 1
+        envelope = stored.envelope
+        record = records.open_envelope(envelope)
+        self.newest_schema = max(self.newest_schema, envelope.schema)
+        changes = _Changes()
+        void = self._try(stored, record, changes)
+        return Applied(
+            stored.offset,
+            envelope.id,
+            record,
+            void,
+            tuple(changes.joined),
+            tuple(changes.closed),
+            tuple(changes.moved),
+        )
+
+    def _try(
+        self,
+        stored: records.StoredRecord,
+        record: records.Record | records.UnknownRecord,
+        changes: _Changes,
+    ) -> str | None:
+        if stored.envelope.id in self.seen_ids:
+            return "repeated append"
+        self._remember(stored.envelope.id)
+        if isinstance(record, records.UnknownRecord):
+            return None
+        handler = _HANDLER_BY_RECORD[type(record)]
+        try:
+            handler(self, record, stored.offset, changes)
+        except _Void as reason:
+            return str(reason)
+        self._forget_closed()
+        return None
+
+    def _remember(self, record_id: RecordId) -> None:
+        self.seen_ids[record_id] = None
+        if len(self.seen_ids) > REMEMBERED_IDS:
+            self.seen_ids.popitem(last=False)
+
+    def _forget_closed(self) -> None:
+        while len(self.closed_by_id) > REMEMBERED_CLOSED:
+            _, closed = self.closed_by_id.popitem(last=False)
+            self.id_by_number.pop(closed.member.number, None)
+
+    def _live(self, member: MemberId) -> Member:
+        found = self.member_by_id.get(member)
+        if found is None:
+            raise _Void(f"member {member} is not live")
+        return found
+
+    def _join(self, record: records.Join, offset: Offset, changes: _Changes) -> None:
+        if record.member in self.member_by_id or record.member in self.closed_by_id:
+            raise _Void(f"member {record.member} has joined before")
+        number = self.next_number
+        self.next_number += 1
+        self.seat_member(Member(number, record))
+        changes.joined.append(record.member)
+        if record.supersedes in self.member_by_id:
+            self._close([record.supersedes], Closing.SUPERSEDED, offset, changes)
+        self._assign_unowned(changes)
+
+    def seat_member(self, member: Member) -> None:
+        """Add a live member to all indexes."""
+        self.member_by_id[member.id] = member
+        self.id_by_number[member.number] = member.id
+        self.everyone.add(member.id, member.join.weight)
+        self._seat(member)
+
+    def _retire(
+        self, record: records.Retire, offset: Offset, changes: _Changes
+    ) -> None:
+        member = self._live(record.member)
+        member.retiring = True
+        self._seat(member)
+
+    def _leave(self, record: records.Leave, offset: Offset, changes: _Changes) -> None:
+        self._live(record.member)
+        self._close([record.member], Closing.LEFT, offset, changes)
+
+    def _witnesses(
+        self, record: records.Witnesses, offset: Offset, changes: _Changes
+    ) -> None:
+        member = self._live(record.member)
+        if record.replaces != member.witness_version:
+            raise _Void(
+                f"witness set is at version {member.witness_version}, "
+                f"not {record.replaces}"
+            )
+        self._check_witness_step(member, record.witnesses)
+        member.witnesses = record.witnesses
+        member.witness_version += 1
+        self._seat(member)
+
+    def _check_witness_step(self, member: Member, wanted: tuple[str, ...]) -> None:
+        # Sets that differ by one witness have majorities that always meet, so
+        # a member that has not yet read its new set cannot be voted out by
+        # witnesses that never heard of it.
+        added = set(wanted) - set(member.witnesses)
+        removed = set(member.witnesses) - set(wanted)
+        if len(added) + len(removed) > 1:
+            raise _Void("a witness set changes by one witness at a time")
+        if member.id in added or len(wanted) != len(set(wanted)):
+            raise _Void("a witness is another member and named once")
+        for witness in added:
+            self._live(witness)
+        for witness in removed:
+            if witness in self.member_by_id:
+                raise _Void(f"witness {witness} is live and stays")
+
+    def _failover(
+        self, record: records.Failover, offset: Offset, changes: _Changes
+    ) -> None:
+        lapsed = [v.member for v in record.verdicts if self._holds_good(v)]
+        if not lapsed:
+            raise _Void("no verdict in it holds good")
+        self._close(lapsed, Closing.FAILED_OVER, offset, changes)
+
+    def _holds_good(self, verdict: records.Verdict) -> bool:
+        member = self.member_by_id.get(verdict.member)
+        if member is None or verdict.witness_version != member.witness_version:
+            return False
+        voters = set(verdict.voters) & set(member.witnesses)
+        return bool(member.witnesses) and len(voters) >= member.majority
+
+    def _resume(
+        self, record: records.Resume, offset: Offset, changes: _Changes
+    ) -> None:
+        # Promises name the version of the set, so a new version voids them.
+        self._live(record.member).witness_version += 1
+
+    def _move(self, record: records.Move, offset: Offset, changes: _Changes) -> None:
+        source = self._live(record.source)
+        table = self.table_by_service.get(record.service)
+        if table is None:
+            raise _Void(f"no service {record.service}")
+        service = self.intent.services[record.service]
+        for index, epoch, target in record.slices:
+            member = self.member_by_id.get(target)
+            if member is None or not self.may_take(service, member):
+                continue
+            if not 0 <= index < len(table) or table.owners[index] != source.number:
+                continue
+            if table.epochs[index] != epoch or member is source:
+                continue
+            earlier = table.predecessors.get(index, ())
+            if record.predecessors_closed:
+                earlier = ()
+            table.assign(index, member.number, (*earlier, source.number))
+            changes.moved.append(SliceRef(record.service, index))
+        if not changes.moved:
+            raise _Void("no slice in it could be moved")
+
+    def _declare_lost(
+        self, record: records.DeclareLost, offset: Offset, changes: _Changes
+    ) -> None:
+        live = [each for each in record.members if each in self.member_by_id]
+        if not live:
+            raise _Void("no member in it is live")
+        self._close(live, Closing.DECLARED_LOST, offset, changes)
+
+    def _intent(
+        self, record: records.IntentRecord, offset: Offset, changes: _Changes
+    ) -> None:
+        if record.replaces != self.intent_version:
+            raise _Void(
+                f"intent is at version {self.intent_version}, not {record.replaces}"
+            )
+        try:
+            intent = intent_from_document(record.document)
+        except ConfigurationError as error:
+            raise _Void(f"intent is not valid: {error}") from error
+        self._check_slices_kept(intent)
+        self.intent = intent
+        self.intent_document = record.document
+        self.intent_version += 1
+        self._ring_by_pool.clear()
+        self._fit_tables()
+        self._assign_unowned(changes)
+
+    def _check_slices_kept(self, intent: Intent) -> None:
+        for name, table in (self.table_by_service | self.dropped_by_service).items():
+            service = intent.services.get(name)
+            if service and service.keyed and service.slices != len(table):
+                raise _Void(
+                    f"services.{name}.slices cannot change from {len(table)} "
+                    f"to {service.slices}"
+                )
+
+    def _fit_tables(self) -> None:
+        keyed = {n: s for n, s in self.intent.services.items() if s.keyed}
+        for name in self.table_by_service.keys() - keyed.keys():
+            self.dropped_by_service[name] = self.table_by_service.pop(name)
+        for name, service in keyed.items():
+            if name in self.table_by_service:
+                continue
+            dropped = self.dropped_by_service.pop(name, None)
+            self.table_by_service[name] = dropped or OwnerTable(service.slices)
+
+    def _snapshot(
+        self, record: records.SnapshotChunk, offset: Offset, changes: _Changes
+    ) -> None:
+        """Leave the state as it is: a snapshot only repeats it."""
+
+    # Shared steps
+
+    def _close(
+        self,
+        members: list[MemberId],
+        reason: Closing,
+        offset: Offset,
+        changes: _Changes,
+    ) -> None:
+        region_by_number: dict[int, str] = {}
+        for member_id in members:
+            member = self.member_by_id.pop(member_id, None)
+            if member is None:
+                continue
+            region_by_number[member.number] = member.join.region
+            self.closed_by_id[member_id] = ClosedMember(member, reason, offset)
+            self.everyone.remove(member_id)
+            changes.closed.append(member_id)
+        for ring in self._ring_by_pool.values():
+            for member_id in members:
+                ring.remove(member_id)
+        for table in self.table_by_service.values():
+            table.close(set(region_by_number))
+        self._reassign(region_by_number, changes)
+        self._unassign_dropped(region_by_number, changes)
+
+    def _reassign(self, region_by_number: dict[int, str], changes: _Changes) -> None:
+        for name, table in self.table_by_service.items():
+            for index in _slices_owned_by(table, region_by_number):
+                region = region_by_number[table.owners[index]]
+                self._give(name, index, region, changes)
+
+    def _unassign_dropped(self, numbers: Collection[int], changes: _Changes) -> None:
+        for name, table in self.dropped_by_service.items():
+            table.close(set(numbers))
+            for index in _slices_owned_by(table, numbers):
+                table.assign(index, NO_OWNER, table.predecessors.get(index, ()))
+                changes.moved.append(SliceRef(name, index))
+
+    def _assign_unowned(self, changes: _Changes) -> None:
+        for name, table in self.table_by_service.items():
+            for index in list(table.owned_by(NO_OWNER)):
+                self._give(name, index, None, changes)
+
+    def _give(
+        self, name: ServiceName, index: int, region: str | None, changes: _Changes
+    ) -> None:
+        table = self.table_by_service[name]
+        chosen = self.choose_owner(name, index, region)
+        if chosen is None and table.owners[index] == NO_OWNER:
+            return
+        number = self.member_by_id[chosen].number if chosen else NO_OWNER
+        table.assign(index, number, table.predecessors.get(index, ()))
+        changes.moved.append(SliceRef(name, index))
+
+
+def _slices_owned_by(table: OwnerTable, numbers: Collection[int]) -> list[int]:
+    # A search by one number runs at the speed of the array; a loss of many
+    # members at once is found faster in a single pass.
+    if len(numbers) <= MAX_SEARCHED_SINGLY:
+        return [index for number in numbers for index in table.owned_by(number)]
+    return [index for index, number in enumerate(table.owners) if number in numbers]
+
+
+_HANDLER_BY_RECORD = {
+    records.Join: Directory._join,
+    records.Retire: Directory._retire,
+    records.Leave: Directory._leave,
+    records.Witnesses: Directory._witnesses,
+    records.Failover: Directory._failover,
+    records.Resume: Directory._resume,
+    records.Move: Directory._move,
+    records.DeclareLost: Directory._declare_lost,
+    records.IntentRecord: Directory._intent,
+    records.SnapshotChunk: Directory._snapshot,
+}
--- /dev/null
+++ b/rhubarbhall/core/entrance.py
@@ -0,0 +1,207 @@
+"""Turns what a caller sent into a request, or into the refusal it deserves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+from returns.result import Failure, Result, Success
+
+from rhubarbhall.core.directory import SliceRef
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.idempotency import is_from_the_future, minted_ms_of
+from rhubarbhall.core.requests import (
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    HOP_HEADER,
+    IDEMPOTENCY_HEADER,
+    KEY_HEADER,
+    SERVICE_HEADER,
+    Request,
+    Response,
+    refusal,
+)
+from rhubarbhall.core.slices import slice_of_key
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.directory import Directory
+    from rhubarbhall.core.intent import Route, Service
+    from rhubarbhall.types import RequestId, Seconds
+
+MAX_KEY_LENGTH = 256
+_MS_PER_S = 1000.0
+# Headers that concern one connection or this system and end here.
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+        HOP_HEADER.lower(),
+        SERVICE_HEADER.lower(),
+        KEY_HEADER.lower(),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RawRequest:
+    """A request as it was parsed from the wire.
+
+    Parameters
+    ----------
+    method, path : str
+        Request line; the path with its query.
+    headers : tuple of (str, str)
+        All headers.
+    body : bytes
+        The whole body.
+    peer : str
+        Address of the other end.
+    from_daemon : bool
+        Whether a daemon of the mesh vouched for the request.
+    """
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    peer: str
+    from_daemon: bool = False
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of that name, or none."""
+        wanted = name.lower()
+        for each, value in self.headers:
+            if each.lower() == wanted:
+                return value
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class _Address:
+    """Service, key and path that a request names."""
+
+    service: str
+    key: str
+    path: str
+
+
+def read_request(
+    now: Seconds,
+    wall_ms: int,
+    directory: Directory,
+    request_id: RequestId,
+    raw: RawRequest,
+) -> Result[Request, Response]:
+    """Check a raw request against the intent in force.
+
+    Returns
+    -------
+    Result
+        The request, or the refusal to send back.
+    """
+    if not raw.path.startswith("/"):
+        return _refuse(ErrorKind.MALFORMED_REQUEST, "the path must start with '/'")
+    name = raw.header(SERVICE_HEADER) or raw.path.partition("?")[0].split("/")[1]
+    service = directory.intent.services.get(unquote(name))
+    if service is None:
+        return _refuse(ErrorKind.UNKNOWN_SERVICE, f"service {name!r}")
+    address = _read_address(raw, service)
+    if service.keyed and not 0 < len(address.key) <= MAX_KEY_LENGTH:
+        detail = f"name a key of 1 to {MAX_KEY_LENGTH} characters in path or header"
+        return _refuse(ErrorKind.KEY_MISSING, detail)
+    if len(raw.body) > service.max_body:
+        return _refuse(ErrorKind.BODY_TOO_LARGE, f"limit {service.max_body} bytes")
+    route = service.route_for(raw.method, address.path)
+    return _read_deadline(raw, service).bind(
+        lambda deadline_s: _read_idempotency_key(raw, route, wall_ms).map(
+            lambda key: Request(
+                id=request_id,
+                service=service,
+                route=route,
+                key=address.key,
+                slice=_slice_of(service, address.key),
+                method=raw.method,
+                path=address.path,
+                headers=_forwarded_headers(raw),
+                body=raw.body,
+                caller=raw.header(CALLER_HEADER) or raw.peer,
+                arrived_at=now,
+                deadline=now + deadline_s,
+                idempotency_key=key,
+                hops=1 if raw.from_daemon else 0,
+            )
+        )
+    )
+
+
+def _refuse(kind: ErrorKind, detail: str) -> Result[Request, Response]:
+    return Failure(refusal(kind, detail))
+
+
+def _read_address(raw: RawRequest, service: Service) -> _Address:
+    path, question, query = raw.path.partition("?")
+    parts = path.split("/")[1:]
+    if raw.header(SERVICE_HEADER) is None:
+        parts = parts[1:]
+    key = ""
+    if service.keyed:
+        in_header = raw.header(KEY_HEADER)
+        if in_header is not None:
+            key = in_header
+        elif parts:
+            key = unquote(parts.pop(0))
+    return _Address(service.name, key, "/" + "/".join(parts) + question + query)
+
+
+def _slice_of(service: Service, key: str) -> SliceRef | None:
+    if not service.keyed:
+        return None
+    return SliceRef(service.name, slice_of_key(key, service.slices))
+
+
+def _read_deadline(raw: RawRequest, service: Service) -> Result[Seconds, Response]:
+    text = raw.header(DEADLINE_HEADER)
+    if text is None:
+        return Success(service.deadline_ms / _MS_PER_S)
+    limit = service.max_deadline_ms
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= limit:
+        detail = f"{DEADLINE_HEADER} is {text!r}; allowed: 1 to {limit}"
+        return Failure(refusal(ErrorKind.BAD_DEADLINE, detail))
+    return Success(int(text) / _MS_PER_S)
+
+
+def _read_idempotency_key(
+    raw: RawRequest, route: Route, wall_ms: int
+) -> Result[str | None, Response]:
+    text = raw.header(IDEMPOTENCY_HEADER)
+    if route.idempotency_key == "none" or (
+        text is None and route.idempotency_key == "optional"
+    ):
+        return Success(None)
+    if text is None:
+        return Failure(refusal(ErrorKind.IDEMPOTENCY_KEY_REQUIRED))
+    minted = minted_ms_of(text)
+    if minted is None:
+        detail = f"{text[:64]!r} is not a UUID of version 7"
+        return Failure(refusal(ErrorKind.BAD_IDEMPOTENCY_KEY, detail))
+    if not raw.from_daemon and is_from_the_future(minted, wall_ms):
+        detail = f"{text!r} bears a time that has not come yet"
+        return Failure(refusal(ErrorKind.BAD_IDEMPOTENCY_KEY, detail))
+    return Success(text)
+
+
+def _forwarded_headers(raw: RawRequest) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in raw.headers
+        if name.lower() not in _DROPPED_HEADERS
+    )
--- /dev/null
+++ b/rhubarbhall/core/handover.py
@@ -0,0 +1,368 @@
+"""Ownership of slices by this member: taking over, serving, letting go."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import events
+from rhubarbhall.core.directory import Closing
+from rhubarbhall.core.idempotency import OutcomeTable, vouched_from
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.directory import Applied, SliceRef
+    from rhubarbhall.core.events import Command, Event, ReleasedSlice
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.types import Epoch, MemberId, Seconds
+
+#: Time between questions to former owners.
+ASK_S = 0.03
+#: Time after which an unanswered question is repeated.
+ASK_TIMEOUT_S = 0.5
+#: Time for which the table of a slice that was let go is kept for its new owner.
+RELEASED_AGE_S = 60.0
+
+
+class Standing(enum.Enum):
+    """How this member stands to a slice."""
+
+    NOT_MINE = enum.auto()
+    TAKING_OVER = enum.auto()
+    SERVING = enum.auto()
+
+
+@dataclass(slots=True)
+class _TakeOver:
+    """A slice that is this member's by the log and not yet served."""
+
+    epoch: Epoch
+    open_owners: set[MemberId]
+    not_before: Seconds
+    every_owner_released: bool
+    best: ReleasedSlice | None = None
+
+
+@dataclass(slots=True)
+class _Held:
+    """A slice that this member serves, or served until it was moved."""
+
+    epoch: Epoch
+    outcomes: OutcomeTable
+    released_since: Seconds | None = None
+
+
+@dataclass(slots=True)
+class _Asked:
+    at: Seconds
+    slices: set[SliceRef] = field(default_factory=set)
+
+
+class Ownership:
+    """Follows the log's word on slices and settles with former owners."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._take_over_by_slice: dict[SliceRef, _TakeOver] = {}
+        self._held_by_slice: dict[SliceRef, _Held] = {}
+        self._let_go_by_slice: dict[SliceRef, _Held] = {}
+        self._not_before_by_slice: dict[SliceRef, Seconds] = {}
+        self._in_flight_by_slice: Counter[SliceRef] = Counter()
+        self._asked_by_member: dict[MemberId, _Asked] = {}
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.RecordApplied: self._on_record_applied,
+            events.DirectoryLoaded: self._on_directory_loaded,
+            events.HandoverDue: self._on_handover_due,
+            events.ReleaseAsked: self._on_release_asked,
+            events.ReleaseAnswered: self._on_release_answered,
+            events.Fenced: self._on_fenced,
+        }
+
+    # Reading
+
+    def standing(self, ref: SliceRef) -> Standing:
+        """Return how this member stands to a slice."""
+        if ref in self._held_by_slice:
+            return Standing.SERVING
+        if ref in self._take_over_by_slice:
+            return Standing.TAKING_OVER
+        return Standing.NOT_MINE
+
+    def epoch(self, ref: SliceRef) -> Epoch:
+        """Return the epoch under which a served slice is held."""
+        return self._held_by_slice[ref].epoch
+
+    def outcomes(self, ref: SliceRef) -> OutcomeTable:
+        """Return the table of idempotency keys of a served slice."""
+        return self._held_by_slice[ref].outcomes
+
+    def table_of_attempt(self, ref: SliceRef) -> OutcomeTable | None:
+        """Return the table that an attempt in this slice was noted in."""
+        held = self._held_by_slice.get(ref) or self._let_go_by_slice.get(ref)
+        return held.outcomes if held else None
+
+    @property
+    def served(self) -> frozenset[SliceRef]:
+        """Slices that this member serves while it holds its lease."""
+        return frozenset(self._held_by_slice)
+
+    @property
+    def taking_over(self) -> Mapping[SliceRef, tuple[MemberId, ...]]:
+        """Slices being taken over, with the former owners waited for."""
+        return {
+            ref: tuple(sorted(take_over.open_owners))
+            for ref, take_over in self._take_over_by_slice.items()
+        }
+
+    def waits_until(self, ref: SliceRef) -> Seconds | None:
+        """Return when the wait for an unchecked target ends, if there is one."""
+        take_over = self._take_over_by_slice.get(ref)
+        return take_over.not_before if take_over else None
+
+    @property
+    def letting_go(self) -> frozenset[SliceRef]:
+        """Moved slices with orders still in flight."""
+        return frozenset(
+            ref for ref in self._let_go_by_slice if self._in_flight_by_slice[ref]
+        )
+
+    # Counting orders
+
+    def enter(self, ref: SliceRef) -> None:
+        """Note that an order of a slice begins."""
+        self._in_flight_by_slice[ref] += 1
+
+    def exit(self, ref: SliceRef) -> None:
+        """Note that an order of a slice can have no effect any more."""
+        self._in_flight_by_slice[ref] -= 1
+        if self._in_flight_by_slice[ref] <= 0:
+            del self._in_flight_by_slice[ref]
+
+    # Following the log
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
+        self._context.timers.every(ASK_S, events.HandoverDue(), first=now)
+        yield from ()
+
+    def _on_record_applied(
+        self, now: Seconds, event: events.RecordApplied
+    ) -> Iterator[Event]:
+        applied = event.applied
+        self._note_closed(applied)
+        self._note_wait(now, applied)
+        for ref in applied.moved:
+            self._look_at(now, ref)
+        yield from self._finish_take_overs(now)
+
+    def _note_closed(self, applied: Applied) -> None:
+        for take_over in self._take_over_by_slice.values():
+            if take_over.open_owners.intersection(applied.closed):
+                take_over.open_owners.difference_update(applied.closed)
+                take_over.every_owner_released = False
+
+    def _note_wait(self, now: Seconds, applied: Applied) -> None:
+        wait = max((self._wait_for(each) for each in applied.closed), default=0.0)
+        if wait <= 0:
+            return
+        for ref in applied.moved:
+            known = self._not_before_by_slice.get(ref, now)
+            self._not_before_by_slice[ref] = max(known, now + wait)
+        for ref, take_over in self._take_over_by_slice.items():
+            if not take_over.every_owner_released:
+                known = self._not_before_by_slice.get(ref, now)
+                take_over.not_before = max(take_over.not_before, known)
+
+    def _wait_for(self, member_id: MemberId) -> Seconds:
+        """Return how long effects of a closed member may still come."""
+        closed = self._context.directory.closed_by_id[member_id]
+        timing = self._context.timing
+        wait = 0.0
+        if closed.reason is Closing.DECLARED_LOST:
+            wait += timing.silence_s
+        ended_by_force = closed.reason in (Closing.FAILED_OVER, Closing.DECLARED_LOST)
+        if ended_by_force and not closed.member.join.checks_grants:
+            services = self._context.directory.intent.services.values()
+            longest = max((each.order_cap_s for each in services), default=0.0)
+            wait += longest * (1 + timing.drift_bound)
+        return wait
+
+    def _look_at(self, now: Seconds, ref: SliceRef) -> None:
+        """Bring the standing of one slice into line with the directory."""
+        directory = self._context.directory
+        table = directory.table_by_service.get(ref.service)
+        epoch = table.epochs[ref.index] if table is not None else 0
+        mine = table is not None and (
+            directory.owner_of(ref.service, ref.index) == self._context.me
+        )
+        held = self._held_by_slice.get(ref)
+        if held is not None and not (mine and held.epoch == epoch):
+            held.released_since = now
+            self._let_go_by_slice[ref] = self._held_by_slice.pop(ref)
+        if not mine:
+            self._take_over_by_slice.pop(ref, None)
+        elif ref not in self._held_by_slice:
+            self._begin_take_over(now, ref, epoch)
+
+    def _begin_take_over(self, now: Seconds, ref: SliceRef, epoch: Epoch) -> None:
+        known = self._take_over_by_slice.get(ref)
+        if known is not None and known.epoch == epoch:
+            return
+        former = self._context.directory.predecessors_of(ref.service, ref.index)
+        take_over = _TakeOver(
+            epoch=epoch,
+            open_owners=set(former) - {self._context.me},
+            not_before=self._not_before_by_slice.get(ref, now),
+            every_owner_released=bool(former) or epoch == 1,
+        )
+        own = self._let_go_by_slice.get(ref)
+        if self._context.me in former and own is not None:
+            take_over.best = self._release(now, ref, epoch, own)
+        self._take_over_by_slice[ref] = take_over
+
+    def _on_directory_loaded(self, now: Seconds, event: Event) -> Iterator[Event]:
+        """Compare everything: the records in between were not seen singly."""
+        directory = self._context.directory
+        unchecked = [
+            each for each in directory.closed_by_id if self._wait_for(each) > 0
+        ]
+        wait = max(map(self._wait_for, unchecked), default=0.0)
+        wanted = set(directory.slices_of(self._context.me))
+        for ref in wanted | set(self._held_by_slice) | set(self._take_over_by_slice):
+            if wait:
+                self._not_before_by_slice[ref] = now + wait
+            self._look_at(now, ref)
+        for take_over in self._take_over_by_slice.values():
+            take_over.every_owner_released = False
+            for owner in list(take_over.open_owners):
+                if not directory.is_live(owner):
+                    take_over.open_owners.discard(owner)
+        yield from self._finish_take_overs(now)
+
+    # Taking over
+
+    def _on_handover_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
+        yield from self._finish_take_overs(now)
+        yield from self._ask_former_owners(now)
+        yield from self._abort_slow_orders(now)
+        self._forget_released(now)
+        self._forget_waits(now)
+
+    def _finish_take_overs(self, now: Seconds) -> Iterator[Event]:
+        if self._context.outdated:
+            return
+        for ref, take_over in list(self._take_over_by_slice.items()):
+            if take_over.open_owners or now < take_over.not_before:
+                continue
+            del self._take_over_by_slice[ref]
+            self._let_go_by_slice.pop(ref, None)
+            self._held_by_slice[ref] = _Held(
+                take_over.epoch, self._table_for(now, take_over)
+            )
+            yield events.SliceAcquired(ref)
+
+    def _table_for(self, now: Seconds, take_over: _TakeOver) -> OutcomeTable:
+        if take_over.every_owner_released and take_over.best is not None:
+            table = OutcomeTable(take_over.best.vouched_since_ms)
+            best = take_over.best
+            table.take_over(now, best.vouched_since_ms, best.outcomes)
+            return table
+        if take_over.every_owner_released and take_over.epoch == 1:
+            return OutcomeTable(0)
+        return OutcomeTable(vouched_from(self._context.wall_ms()))
+
+    def _ask_former_owners(self, now: Seconds) -> Iterator[Command]:
+        wanted: dict[MemberId, list[tuple[SliceRef, Epoch]]] = defaultdict(list)
+        for ref, take_over in self._take_over_by_slice.items():
+            for owner in take_over.open_owners:
+                wanted[owner].append((ref, take_over.epoch))
+        for owner, slices in wanted.items():
+            asked = self._asked_by_member.get(owner)
+            if asked is not None and now - asked.at < ASK_TIMEOUT_S:
+                continue
+            address = self._context.peer_address(owner)
+            if address is None:
+                continue
+            self._asked_by_member[owner] = _Asked(now)
+            offset = self._context.directory.next_offset
+            yield events.AskRelease(address, owner, tuple(slices), offset)
+
+    def _on_release_answered(
+        self, now: Seconds, event: events.ReleaseAnswered
+    ) -> Iterator[Event]:
+        self._asked_by_member.pop(event.former, None)
+        for released in event.released:
+            take_over = self._take_over_by_slice.get(released.slice)
+            if take_over is None or take_over.epoch != released.epoch:
+                continue
+            take_over.open_owners.discard(event.former)
+            best = take_over.best
+            if released.held_epoch and (
+                best is None or best.held_epoch < released.held_epoch
+            ):
+                take_over.best = released
+        yield from self._finish_take_overs(now)
+
+    # Letting go
+
+    def _on_release_asked(
+        self, now: Seconds, event: events.ReleaseAsked
+    ) -> Iterator[Command]:
+        released = []
+        behind = self._context.directory.next_offset < event.offset
+        if event.former == self._context.me and not behind:
+            for ref, epoch in event.slices:
+                if self._has_stopped(ref, epoch):
+                    held = self._let_go_by_slice.get(ref)
+                    released.append(self._release(now, ref, epoch, held))
+        yield events.ReplyRelease(tuple(released))
+
+    def _has_stopped(self, ref: SliceRef, epoch: Epoch) -> bool:
+        held = self._held_by_slice.get(ref)
+        if held is not None and held.epoch < epoch:
+            return False
+        return not self._in_flight_by_slice[ref]
+
+    def _release(
+        self, now: Seconds, ref: SliceRef, epoch: Epoch, held: _Held | None
+    ) -> ReleasedSlice:
+        if held is None:
+            return events.ReleasedSlice(ref, epoch, 0, 0, ())
+        return events.ReleasedSlice(
+            ref,
+            epoch,
+            held.epoch,
+            held.outcomes.vouched_since_ms,
+            tuple(held.outcomes.outcomes(now)),
+        )
+
+    def _abort_slow_orders(self, now: Seconds) -> Iterator[Event]:
+        for ref, held in self._let_go_by_slice.items():
+            since = held.released_since
+            if since is None or not self._in_flight_by_slice[ref]:
+                continue
+            if now - since > self._context.timing.drain_s:
+                yield events.AbortSlice(ref)
+
+    def _forget_released(self, now: Seconds) -> None:
+        for ref, held in list(self._let_go_by_slice.items()):
+            old = now - (held.released_since or now) > RELEASED_AGE_S
+            if old and not self._in_flight_by_slice[ref]:
+                del self._let_go_by_slice[ref]
+
+    def _forget_waits(self, now: Seconds) -> None:
+        for ref, until in list(self._not_before_by_slice.items()):
+            if until <= now:
+                del self._not_before_by_slice[ref]
+
+    def _on_fenced(self, now: Seconds, event: Event) -> Iterator[Event]:
+        self._held_by_slice.clear()
+        self._take_over_by_slice.clear()
+        self._let_go_by_slice.clear()
+        yield from ()
--- /dev/null
+++ b/rhubarbhall/core/membership.py
@@ -0,0 +1,152 @@
+"""The way into the mesh and, after a verdict, back into it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from rhubarbhall.core import events
+from rhubarbhall.core.events import Note
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.types import MemberId, RecordId, Seconds
+
+#: Time between looks at the way in.
+LOOK_S = 0.2
+#: Time after which fencing the target is tried again.
+FENCE_RETRY_S = 1.0
+#: Longest run of an order at an unchecked target before any intent is known.
+DEFAULT_ORDER_CAP_S = 2.0
+
+
+class Membership:
+    """Joins once the target is fenced and the log has been read to its end.
+
+    Parameters
+    ----------
+    context : Context
+        Its `join` is replaced by one of a new run after a verdict.
+    new_member_id : callable
+        Returns an identity that no run had before.
+    """
+
+    def __init__(self, context: Context, new_member_id: Callable[[], MemberId]) -> None:
+        self._context = context
+        self._new_member_id = new_member_id
+        self._fenced_target = False
+        self._fence_sent_at: Seconds | None = None
+        self._at_end = False
+        self._pending: RecordId | None = None
+        self._join_not_before: Seconds = float("-inf")
+        self._started_at: Seconds = 0.0
+        #: Set when the process is to end; it then joins no more.
+        self.stopping = False
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.JoinDue: self._on_due,
+            events.TargetFenced: self._on_target_fenced,
+            events.FenceFailed: self._on_fence_failed,
+            events.RecordsRead: self._on_records_read,
+            events.Settled: self._on_settled,
+            events.Fenced: self._on_fenced,
+        }
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
+        self._started_at = now
+        self._context.timers.every(LOOK_S, events.JoinDue(), first=now)
+        yield from ()
+
+    def _on_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
+        if self._context.member is not None or self._pending or self.stopping:
+            return
+        if not self._fenced_target:
+            yield from self._fence_target(now)
+        elif self._at_end and not self._context.outdated:
+            yield from self._join(now)
+
+    def _fence_target(self, now: Seconds) -> Iterator[Command]:
+        sent_at = self._fence_sent_at
+        if sent_at is None or now - sent_at >= FENCE_RETRY_S:
+            self._fence_sent_at = now
+            yield events.FenceTarget()
+
+    def _on_target_fenced(self, now: Seconds, event: Event) -> Iterator[Command]:
+        self._fenced_target = True
+        yield from ()
+
+    def _on_fence_failed(self, now: Seconds, event: Event) -> Iterator[Command]:
+        yield Note(202)
+
+    def _on_records_read(
+        self, now: Seconds, event: events.RecordsRead
+    ) -> Iterator[Command]:
+        self._at_end = event.reached_end and (
+            event.first_offset <= self._context.directory.next_offset
+        )
+        yield from ()
+
+    def _join(self, now: Seconds) -> Iterator[Event]:
+        former = self._former_run()
+        if former is not None and now < self._started_at + self._unchecked_wait_s():
+            return
+        self._context.join = msgspec.structs.replace(
+            self._context.join, supersedes=former
+        )
+        self._pending = self._context.new_record_id()
+        yield events.Submit(self._pending, self._context.join)
+
+    def _former_run(self) -> MemberId | None:
+        """Return the run that held this port on this boot, if it is still live.
+
+        This process holds the exclusive port, so that run has ended. A run on
+        another boot may still go on elsewhere; witnesses judge it.
+        """
+        join = self._context.join
+        for member in self._context.directory.member_by_id.values():
+            same_slot = member.join.calls == join.calls
+            if same_slot and join.boot and member.join.boot == join.boot:
+                return member.id
+        return None
+
+    def _unchecked_wait_s(self) -> Seconds:
+        """Return how long orders of the former run may still have effects."""
+        if self._context.join.checks_grants:
+            return 0.0
+        services = self._context.directory.intent.services.values()
+        caps = [service.order_cap_s for service in services]
+        return max([DEFAULT_ORDER_CAP_S, *caps]) * (
+            1 + self._context.timing.drift_bound
+        )
+
+    def _on_settled(
+        self, now: Seconds, event: events.Settled
+    ) -> Iterator[Command | Event]:
+        if event.record_id != self._pending:
+            return
+        self._pending = None
+        if event.void is None:
+            yield Note(201, {"member": self._context.me})
+            yield events.Joined()
+        else:
+            yield Note(203, {"reason": event.void})
+            self._become_new_run()
+
+    def _on_fenced(self, now: Seconds, event: events.Fenced) -> Iterator[Command]:
+        yield Note(204, {"member": self._context.me, "reason": event.reason})
+        self._become_new_run()
+
+    def _become_new_run(self) -> None:
+        self._pending = None
+        self._fenced_target = False
+        self._fence_sent_at = None
+        self._context.join = msgspec.structs.replace(
+            self._context.join, member=self._new_member_id(), supersedes=None
+        )
--- /dev/null
+++ b/rhubarbhall/core/node.py
@@ -0,0 +1,109 @@
+"""The core of one daemon: all parts, registered with one kernel."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+import rhubarbhall.plugins  # noqa: F401  # policies register themselves
+from rhubarbhall.core import balancing, events
+from rhubarbhall.core.appends import Appender
+from rhubarbhall.core.balancing import Balancer
+from rhubarbhall.core.drain import Drain
+from rhubarbhall.core.failover import Collector
+from rhubarbhall.core.follower import Follower
+from rhubarbhall.core.gate import Gate
+from rhubarbhall.core.handover import Ownership
+from rhubarbhall.core.kernel import Kernel
+from rhubarbhall.core.lease import LeaseKeeper
+from rhubarbhall.core.membership import Membership
+from rhubarbhall.core.rebalance import Rebalancer
+from rhubarbhall.core.routing import Router
+from rhubarbhall.core.snapshotter import Snapshotter
+from rhubarbhall.core.witness import Witness
+from rhubarbhall.core.witness_set import WitnessSet
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.types import MemberId, Seconds
+
+#: Records between two snapshots.
+SNAPSHOT_EVERY = 2_000
+
+
+class Node:
+    """Decides everything that a daemon does; it does no input or output.
+
+    Parameters
+    ----------
+    context : Context
+        Identity, time, directory.
+    new_member_id : callable
+        Returns an identity that no run had before.
+    snapshot_every : int
+        Records between two snapshots in the log.
+    balancing_policy : str
+        Name of the policy for services without keys.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        new_member_id: Callable[[], MemberId],
+        snapshot_every: int = SNAPSHOT_EVERY,
+        balancing_policy: str = balancing.DEFAULT_POLICY,
+    ) -> None:
+        self.context = context
+        self.kernel = Kernel(context.timers)
+        self.lease = LeaseKeeper(context)
+        self.witness = Witness(context, self.lease)
+        self.ownership = Ownership(context)
+        self.gate = Gate(context, self.lease, self.ownership)
+        self.balancer = Balancer(context, balancing_policy)
+        self.router = Router(context, self.balancer)
+        self.membership = Membership(context, new_member_id)
+        self.drain = Drain(
+            context,
+            self.membership,
+            self.ownership,
+            self.gate,
+            self.router,
+            self.witness,
+        )
+        # The lease ends before slices are looked at, and slices are let go
+        # before the gate turns waiting requests away.
+        for part in (
+            Follower(context),
+            Appender(context),
+            self.lease,
+            self.witness,
+            Collector(context),
+            WitnessSet(context),
+            self.ownership,
+            Rebalancer(context, self.lease, self.ownership),
+            Snapshotter(context, snapshot_every),
+            self.gate,
+            self.router,
+            self.drain,
+            self.membership,
+        ):
+            self.kernel.register(part)
+
+    def step(self, now: Seconds, event: Event) -> Iterator[Command]:
+        """Handle one event at the time `now` of the own monotonic clock."""
+        return self.kernel.step(now, event)
+
+    def step_timers(self, now: Seconds) -> Iterator[Command]:
+        """Handle the timers that are due."""
+        return self.kernel.step_timers(now)
+
+    def start(self, now: Seconds) -> Iterator[Command]:
+        """Begin to follow the log and to join."""
+        return self.kernel.step(now, events.Started())
+
+    def may_serve(self, now: Seconds) -> frozenset:
+        """Return the slices that this member may serve at `now`."""
+        if not self.lease.is_held(now):
+            return frozenset()
+        return self.ownership.served
--- /dev/null
+++ b/rhubarbhall/core/routing.py
@@ -0,0 +1,276 @@
+"""The entrance: finds the owner of a request and brings back one answer."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import events
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.requests import OWNER_HEADER, Request, Response, refusal
+from rhubarbhall.core.retry import RetryBudget
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.balancing import Balancer
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.types import MemberId, RequestId, Seconds, ServiceName
+
+#: Time between looks at requests that are held.
+LOOK_S = 0.02
+#: Pause before a request that found no owner is tried again.
+RETRY_PAUSE_S = 0.04
+#: Time by which a daemon in front waits longer than the deadline it passes on.
+FORWARD_MARGIN_S = 0.05
+
+# Refusals after which the request may find its owner elsewhere or later.
+_HELD_KINDS = frozenset(
+    {
+        ErrorKind.NOT_OWNER,
+        ErrorKind.OWNER_UNREACHABLE,
+        ErrorKind.SHUTTING_DOWN,
+        ErrorKind.NO_OWNER,
+    }
+)
+# Refusals after which another target may take a request without a key.
+_ELSEWHERE_KINDS = _HELD_KINDS | {
+    ErrorKind.OVERLOADED,
+    ErrorKind.TARGET_REFUSED,
+    ErrorKind.TARGET_UNREACHABLE,
+    ErrorKind.DEADLINE_UNREACHABLE,
+}
+# Outcomes after which a request that repeats harmlessly may be sent again.
+_UNKNOWN_KINDS = frozenset({ErrorKind.ANSWER_LOST})
+
+
+@dataclass(slots=True)
+class _Journey:
+    """A request on its way.
+
+    Parameters
+    ----------
+    member : str, optional
+        Where it is now; none while it is held.
+    refusal : Response, optional
+        What it gets when it cannot be held any longer.
+    """
+
+    request: Request
+    member: MemberId | None = None
+    retry_at: Seconds = 0.0
+    refusal: Response | None = None
+    tried: set[MemberId] = field(default_factory=set)
+
+
+class Router:
+    """Passes requests to the own gate or to the owner's daemon."""
+
+    def __init__(self, context: Context, balancer: Balancer) -> None:
+        self._context = context
+        self._balancer = balancer
+        self._journey_by_id: dict[RequestId, _Journey] = {}
+        self._held: set[RequestId] = set()
+        self._budget_by_service: dict[ServiceName, RetryBudget] = defaultdict(
+            RetryBudget
+        )
+        #: Answers given to callers, by error kind or "answered".
+        self.outcomes_by_kind: dict[str, int] = {}
+        self.forwarded = 0
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.RequestArrived: self._on_request,
+            events.Finished: self._on_finished,
+            events.ForwardAnswered: self._on_forward_answered,
+            events.ForwardFailed: self._on_forward_failed,
+            events.CallerGone: self._on_caller_gone,
+            events.RecordApplied: self._on_record_applied,
+            events.RouteDue: self._on_due,
+        }
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self._journey_by_id)
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
+        self._context.timers.every(LOOK_S, events.RouteDue(), first=now)
+        yield from ()
+
+    def _on_request(
+        self, now: Seconds, event: events.RequestArrived
+    ) -> Iterator[Command | Event]:
+        journey = _Journey(event.request)
+        self._journey_by_id[event.request.id] = journey
+        self._budget_by_service[event.request.service.name].note_request()
+        yield from self._send(now, journey)
+
+    # Finding the owner
+
+    def _send(self, now: Seconds, journey: _Journey) -> Iterator[Command | Event]:
+        request = journey.request
+        member = self._destination(now, journey)
+        if member is None:
+            journey.refusal = journey.refusal or refusal(ErrorKind.NO_OWNER)
+            yield from self._hold_or_answer(now, journey)
+            return
+        if member == self._context.me:
+            journey.member = member
+            self._balancer.note_sent(now, member)
+            yield events.Admit(request)
+            return
+        address = self._context.directory.member_by_id[member].join.calls
+        if request.hops:
+            # The daemon in front knows a better owner soon; a second hop
+            # would only add to its wait.
+            yield from self._answer(
+                journey, refusal(ErrorKind.NOT_OWNER, owner=address)
+            )
+            return
+        journey.member = member
+        self._balancer.note_sent(now, member)
+        self.forwarded += 1
+        budget = request.deadline - now
+        yield events.Forward(request, member, address, budget)
+
+    def _destination(self, now: Seconds, journey: _Journey) -> MemberId | None:
+        request = journey.request
+        directory = self._context.directory
+        if request.service.name not in directory.intent.services:
+            return None
+        if request.slice is not None:
+            return directory.owner_of(request.slice.service, request.slice.index)
+        if request.hops:
+            return self._context.me
+        return self._balancer.choose(now, request.service, frozenset(journey.tried))
+
+    # Outcomes
+
+    def _on_finished(
+        self, now: Seconds, event: events.Finished
+    ) -> Iterator[Command | Event]:
+        yield from self._take_outcome(now, event.request.id, event.response)
+
+    def _on_forward_answered(
+        self, now: Seconds, event: events.ForwardAnswered
+    ) -> Iterator[Command | Event]:
+        yield from self._take_outcome(now, event.request_id, event.response)
+
+    def _on_forward_failed(
+        self, now: Seconds, event: events.ForwardFailed
+    ) -> Iterator[Command | Event]:
+        kind = ErrorKind.ANSWER_LOST if event.written else ErrorKind.OWNER_UNREACHABLE
+        yield from self._take_outcome(now, event.request_id, refusal(kind))
+
+    def _take_outcome(
+        self, now: Seconds, request_id: RequestId, response: Response
+    ) -> Iterator[Command | Event]:
+        journey = self._journey_by_id.get(request_id)
+        if journey is None or journey.member is None:
+            return
+        member = journey.member
+        self._balancer.note_outcome(
+            now, member, None if response.kind in _ELSEWHERE_KINDS else response
+        )
+        if self._may_try_again(now, journey, response):
+            journey.tried.add(member)
+            journey.member = None
+            journey.refusal = response
+            yield from self._hold_or_answer(now, journey)
+        else:
+            yield from self._answer(journey, response)
+
+    def _may_try_again(
+        self, now: Seconds, journey: _Journey, response: Response
+    ) -> bool:
+        request = journey.request
+        if request.hops or response.kind is None:
+            return False
+        if response.kind in _HELD_KINDS:
+            return True
+        budget = self._budget_by_service[request.service.name]
+        if request.slice is None and response.kind in _ELSEWHERE_KINDS:
+            return budget.take(now)
+        if response.kind in _UNKNOWN_KINDS:
+            harmless = request.route.repeats_harmlessly(request.method)
+            return harmless and budget.take(now)
+        return False
+
+    def _hold_or_answer(
+        self, now: Seconds, journey: _Journey
+    ) -> Iterator[Command | Event]:
+        request = journey.request
+        held_until = min(request.deadline, request.arrived_at + request.service.hold_s)
+        if now + RETRY_PAUSE_S >= held_until or request.hops:
+            yield from self._answer(journey, journey.refusal)
+            return
+        journey.retry_at = now + RETRY_PAUSE_S
+        self._held.add(request.id)
+
+    def _answer(self, journey: _Journey, response: Response) -> Iterator[Command]:
+        request = journey.request
+        del self._journey_by_id[request.id]
+        self._held.discard(request.id)
+        name = response.kind.value if response.kind else "answered"
+        self.outcomes_by_kind[name] = self.outcomes_by_kind.get(name, 0) + 1
+        yield events.Answer(request.id, self._with_owner(journey, response))
+
+    def _with_owner(self, journey: _Journey, response: Response) -> Response:
+        """Add the address of the owner, where the next request may go straight."""
+        member = self._context.directory.member_by_id.get(journey.member or "")
+        if journey.request.slice is None or member is None:
+            return response
+        if any(name == OWNER_HEADER for name, _ in response.headers):
+            return response
+        headers = (*response.headers, (OWNER_HEADER, member.join.calls))
+        return Response(response.status, headers, response.body, response.kind)
+
+    # Time and changes
+
+    def _on_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
+        for request_id in list(self._held):
+            journey = self._journey_by_id[request_id]
+            if now >= journey.retry_at:
+                self._held.discard(request_id)
+                yield from self._send(now, journey)
+        for journey in list(self._journey_by_id.values()):
+            if now >= journey.request.deadline + FORWARD_MARGIN_S:
+                yield from self._give_up(now, journey)
+
+    def _give_up(self, now: Seconds, journey: _Journey) -> Iterator[Command]:
+        """Answer a request whose owner has not answered by the deadline."""
+        if journey.member is not None:
+            self._balancer.note_outcome(now, journey.member, None)
+            yield events.CancelForward(journey.request.id)
+            yield from self._answer(journey, refusal(ErrorKind.DEADLINE_PASSED))
+        else:
+            yield from self._answer(journey, journey.refusal)
+
+    def _on_record_applied(
+        self, now: Seconds, event: events.RecordApplied
+    ) -> Iterator[Command | Event]:
+        closed = event.applied.closed
+        if not closed:
+            return
+        for journey in list(self._journey_by_id.values()):
+            if journey.member in closed and journey.member != self._context.me:
+                yield events.CancelForward(journey.request.id)
+                lost = refusal(ErrorKind.ANSWER_LOST)
+                yield from self._take_outcome(now, journey.request.id, lost)
+        self._balancer.forget(closed)
+
+    def _on_caller_gone(
+        self, now: Seconds, event: events.CallerGone
+    ) -> Iterator[Command | Event]:
+        journey = self._journey_by_id.pop(event.request_id, None)
+        self._held.discard(event.request_id)
+        if journey is None or journey.member is None:
+            return
+        self._balancer.note_outcome(now, journey.member, Response(499))
+        if journey.member != self._context.me:
+            yield events.CancelForward(event.request_id)
--- /dev/null
+++ b/rhubarbhall/core/witness_set.py
@@ -0,0 +1,139 @@
+"""Keeps the member's own set of witnesses whole, one record at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import events
+from rhubarbhall.core.peer_messages import HeartbeatAnswer
+from rhubarbhall.core.records import Witnesses
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.core.members import Member
+    from rhubarbhall.types import MemberId, RecordId, Seconds
+
+WITNESS_COUNT = 3
+#: Time between looks at the set.
+LOOK_S = 0.2
+#: Time for which a witness may refuse renewal before its promise is voided.
+REFUSAL_S = 3.0
+
+
+class WitnessSet:
+    """Chooses witnesses for this member: own domain, own region, elsewhere.
+
+    A change is one record that adds or removes one witness, and the next
+    change waits until that record was read back. Majorities of neighbouring
+    sets always meet, so neither kind of change needs to wait for the old
+    witnesses.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._pending: RecordId | None = None
+        self._refused_since: dict[MemberId, Seconds] = {}
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.WitnessSetDue: self._on_due,
+            events.RecordApplied: self._on_record_applied,
+            events.PeerMessageReceived: self._on_peer_message,
+            events.Settled: self._on_settled,
+        }
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
+        self._context.timers.every(LOOK_S, events.WitnessSetDue(), first=now)
+        yield from ()
+
+    def _on_due(self, now: Seconds, event: Event) -> Iterator[Event]:
+        yield from self._improve(now)
+
+    def _on_record_applied(
+        self, now: Seconds, event: events.RecordApplied
+    ) -> Iterator[Event]:
+        member = self._context.member
+        if member is None:
+            return
+        if set(event.applied.closed) & set(member.witnesses):
+            yield from self._improve(now)
+
+    def _on_peer_message(
+        self, now: Seconds, event: events.PeerMessageReceived
+    ) -> Iterator[Event]:
+        if isinstance(event.message, HeartbeatAnswer):
+            if event.message.renewed:
+                self._refused_since.pop(event.sender, None)
+            else:
+                self._refused_since.setdefault(event.sender, now)
+        yield from ()
+
+    def _on_settled(self, now: Seconds, event: events.Settled) -> Iterator[Event]:
+        if event.record_id == self._pending:
+            self._pending = None
+            self._refused_since.clear()
+            yield from self._improve(now)
+
+    def _improve(self, now: Seconds) -> Iterator[Event]:
+        member = self._context.member
+        if member is None or self._pending is not None:
+            return
+        wanted = self._next_set(now, member)
+        if wanted is not None:
+            self._pending = self._context.new_record_id()
+            record = Witnesses(member.id, wanted, member.witness_version)
+            yield events.Submit(self._pending, record)
+
+    def _next_set(self, now: Seconds, member: Member) -> tuple[MemberId, ...] | None:
+        """Return the set one step closer to a whole one, or none."""
+        directory = self._context.directory
+        for witness in member.witnesses:
+            if not directory.is_live(witness):
+                return tuple(each for each in member.witnesses if each != witness)
+        if len(member.witnesses) < WITNESS_COUNT:
+            candidate = self._candidate(member)
+            if candidate is not None:
+                return (*member.witnesses, candidate)
+        if self._is_refused_for_long(now, member):
+            # The same set under a new version voids a promise that was given
+            # against a member that came back.
+            return member.witnesses
+        return None
+
+    def _is_refused_for_long(self, now: Seconds, member: Member) -> bool:
+        return any(
+            now - self._refused_since.get(witness, now) > REFUSAL_S
+            for witness in member.witnesses
+        )
+
+    def _candidate(self, member: Member) -> MemberId | None:
+        join = member.join
+        places: list[Callable[[Member], bool]] = [
+            lambda other: other.join.domain == join.domain,
+            lambda other: (
+                other.join.region == join.region and other.join.domain != join.domain
+            ),
+            lambda other: other.join.region != join.region,
+        ]
+        members = self._context.directory.member_by_id
+        for place in places:
+            if not any(place(members[witness]) for witness in member.witnesses):
+                found = self._first(member, place)
+                if found is not None:
+                    return found
+        return self._first(member, lambda other: True)
+
+    def _first(
+        self, member: Member, place: Callable[[Member], bool]
+    ) -> MemberId | None:
+        directory = self._context.directory
+        taken = {member.id, *member.witnesses}
+        for each in directory.everyone.ranked(member.id):
+            if each not in taken and place(directory.member_by_id[each]):
+                return each
+        return None
--- /dev/null
+++ b/rhubarbhall/plugins/balancing.py
@@ -0,0 +1,45 @@
+"""Balancing of services without keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import policies
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping, Sequence
+
+    from rhubarbhall.types import MemberId
+
+
+@policies.balancing.register("two-choices")
+class TwoChoices:
+    """Draws two members and takes the one with less in flight."""
+
+    def choose(
+        self,
+        members: Sequence[MemberId],
+        load_by_member: Mapping[MemberId, float],
+        rng: random.Random,
+    ) -> MemberId:
+        """Return one of `members`."""
+        first = rng.choice(members)
+        second = rng.choice(members)
+        if load_by_member.get(second, 0) < load_by_member.get(first, 0):
+            return second
+        return first
+
+
+@policies.balancing.register("random")
+class Uniform:
+    """Takes any member; the baseline that others are measured against."""
+
+    def choose(
+        self,
+        members: Sequence[MemberId],
+        load_by_member: Mapping[MemberId, float],
+        rng: random.Random,
+    ) -> MemberId:
+        """Return one of `members`."""
+        return rng.choice(members)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,555 @@
+"""Small fakes at the ports of the core, on one virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from rhubarbhall.core import events
+from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.directory import Directory, SliceRef
+from rhubarbhall.core.intent import DEFAULT_ROUTE
+from rhubarbhall.core.node import Node
+from rhubarbhall.core.records import (
+    Envelope,
+    IntentRecord,
+    Join,
+    Record,
+    StoredRecord,
+    seal,
+)
+from rhubarbhall.core.requests import Request, Response
+from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.snapshots import encode_directory
+
+TICK_S = 0.01
+WALL_MS_AT_ZERO = 1_800_000_000_000
+SERVICE = "status"
+INTENT = {
+    "services": {
+        SERVICE: {"targets": "app=status", "slices": 12, "hold_ms": 4000},
+    }
+}
+
+
+class FakeLog:
+    """The platform's log, with the faults that it may have."""
+
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.stored: list[StoredRecord] = []
+        self.up = True
+        self.loses_answers = False
+        self.delay_s = 0.005
+
+    @property
+    def end(self) -> int:
+        return self.first_offset + len(self.stored)
+
+    def append(self, envelope: Envelope) -> int:
+        offset = self.end
+        self.stored.append(StoredRecord(offset, envelope))
+        return offset
+
+    def read(self, offset: int, limit: int = 50) -> tuple[StoredRecord, ...]:
+        start = max(0, offset - self.first_offset)
+        return tuple(self.stored[start : start + limit])
+
+    def trim(self, first_offset: int) -> None:
+        del self.stored[: first_offset - self.first_offset]
+        self.first_offset = first_offset
+
+
+@dataclass
+class Execution:
+    """One order that had its effect at a target."""
+
+    member: str
+    slice: SliceRef | None
+    key: str
+    idempotency_key: str | None
+    epoch: int
+    started_at: float
+    ended_at: float
+
+
+class FakeTarget:
+    """A target that works on orders for a while and then has its effect."""
+
+    def __init__(self, mesh: Mesh, host: Host, checks_grants: bool = True) -> None:
+        self.mesh = mesh
+        self.host = host
+        self.checks_grants = checks_grants
+        self.work_s = 0.005
+        self.sheds = False
+        self.grant_until = float("-inf")
+        self.fence = 0
+        self._cancelled: set[int] = set()
+
+    def begin(self, order: events.SendOrder) -> None:
+        if self.sheds:
+            shed = Response(503, (("Target-Not-Run", "1"),))
+            self._answer(order, shed)
+            return
+        fence = self.fence
+        self.grant_until = max(self.grant_until, order.grant_until)
+        started = self.mesh.now
+        self.mesh.later(self.work_s, lambda: self._end(order, fence, started))
+
+    def _end(self, order: events.SendOrder, fence: int, started: float) -> None:
+        now = self.host.local(self.mesh.now)
+        lapsed = self.checks_grants and now >= self.grant_until
+        late = now >= order.deadline
+        if fence != self.fence or lapsed or late or order.request.id in self._cancelled:
+            self._answer(order, Response(499, (("Target-Not-Run", "1"),)))
+            return
+        request = order.request
+        self.mesh.executions.append(
+            Execution(
+                self.host.node.context.me,
+                request.slice,
+                request.key,
+                request.idempotency_key,
+                order.epoch,
+                started,
+                self.mesh.now,
+            )
+        )
+        self._answer(order, Response(200, (), f"{request.key} done".encode()))
+
+    def _answer(self, order: events.SendOrder, response: Response) -> None:
+        answered = events.OrderAnswered(order.request.id, response)
+        self.mesh.deliver(self.host, answered, TICK_S)
+
+    def cancel(self, request_id: int) -> None:
+        self._cancelled.add(request_id)
+
+
+@dataclass
+class Host:
+    """A VM with one daemon and its target."""
+
+    name: str
+    region: str
+    domain: str
+    rate: float
+    node: Node = field(init=False)
+    target: FakeTarget = field(init=False)
+    #: Commands that wait because the process froze after deciding them.
+    frozen_commands: list = field(default_factory=list)
+    inbox: list = field(default_factory=list)
+    paused: bool = False
+    lost: bool = False
+    exited: bool = False
+    answers: dict[int, Response] = field(default_factory=dict)
+    notes: list[events.Note] = field(default_factory=list)
+
+    @property
+    def runs(self) -> bool:
+        return not (self.paused or self.lost or self.exited)
+
+    def local(self, now: float) -> float:
+        return 1000.0 + now * self.rate
+
+
+class Mesh:
+    """Daemons that talk through fakes; time moves only by `run`."""
+
+    def __init__(
+        self,
+        places: list[tuple[str, str]],
+        seed: int = 0,
+        timing: Timing | None = None,
+        rates: list[float] | None = None,
+        checks_grants: bool = True,
+        start: bool = True,
+    ) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.timing = timing or Timing()
+        self.log = FakeLog()
+        self.executions: list[Execution] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.link_delay_s = 0.002
+        self.loss = 0.0
+        self.appended_ids: list[str] = []
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._request_ids = itertools.count(1)
+        self._runs = itertools.count(1)
+        self.checks_grants = checks_grants
+        self.host_by_name: dict[str, Host] = {}
+        rates = rates or [1.0] * len(places)
+        for (region, domain), rate in zip(places, rates, strict=True):
+            self.add_host(region, domain, rate, start=start)
+
+    # Hosts
+
+    def add_host(
+        self, region: str, domain: str, rate: float = 1.0, start: bool = True
+    ) -> Host:
+        name = f"vm{len(self.host_by_name)}"
+        host = Host(name, region, domain, rate)
+        host.target = FakeTarget(self, host, self.checks_grants)
+        self.host_by_name[name] = host
+        if start:
+            self.start(host)
+        return host
+
+    def start(self, host: Host) -> None:
+        """Start a daemon on a host; the former process there has ended."""
+        host.lost = host.paused = host.exited = False
+        host.inbox.clear()
+        host.frozen_commands.clear()
+        join = Join(
+            member=self._new_member_id(host),
+            calls=f"{host.name}:1",
+            peers=f"{host.name}:2",
+            region=host.region,
+            domain=host.domain,
+            labels={"app": SERVICE, "vm": host.name},
+            boot=host.name,
+            checks_grants=self.checks_grants,
+        )
+        seeds = tuple(f"{other}:2" for other in self.host_by_name if other != host.name)
+        context = Context(
+            join,
+            self.timing,
+            random.Random(f"{self.rng.random()}{host.name}"),
+            lambda: WALL_MS_AT_ZERO + int(self.now * 1000),
+            seeds=seeds,
+        )
+        host.node = Node(context, lambda: self._new_member_id(host))
+        self._do(host, host.node.start(host.local(self.now)))
+
+    def _new_member_id(self, host: Host) -> str:
+        return f"{host.name}-{next(self._runs)}"
+
+    def pause(self, host: Host) -> None:
+        host.paused = True
+
+    def resume(self, host: Host) -> None:
+        """Let a paused process go on where it stood."""
+        host.paused = False
+        commands, host.frozen_commands = host.frozen_commands, []
+        for command in commands:
+            self._do_command(host, command)
+        inbox, host.inbox = host.inbox, []
+        for event in inbox:
+            self._step(host, event)
+
+    def lose(self, host: Host) -> None:
+        host.lost = True
+        host.target.fence += 1
+
+    def cut(self, one: Host, other: Host, both_ways: bool = True) -> None:
+        self.cuts.add((one.name, other.name))
+        if both_ways:
+            self.cuts.add((other.name, one.name))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    @property
+    def hosts(self) -> list[Host]:
+        return list(self.host_by_name.values())
+
+    # Time
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        due = self.now + delay_s
+        heapq.heappush(self._queue, (due, next(self._order), action))
+
+    def run(self, seconds: float, watch: Callable[[], None] | None = None) -> None:
+        """Let time go by; `watch` is called after each tick."""
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.now += TICK_S
+            while self._queue and self._queue[0][0] <= self.now:
+                heapq.heappop(self._queue)[2]()
+            for host in self.hosts:
+                if host.runs:
+                    local = host.local(self.now)
+                    self._do(host, host.node.step_timers(local))
+            if watch is not None:
+                watch()
+
+    def run_until(self, holds: Callable[[], bool], limit_s: float = 60.0) -> float:
+        """Let time go by until `holds`; return how long it took."""
+        began = self.now
+        while not holds():
+            if self.now - began > limit_s:
+                raise AssertionError(f"did not come to hold within {limit_s} s")
+            self.run(TICK_S)
+        return self.now - began
+
+    # Ports
+
+    def deliver(self, host: Host, event: events.Event, delay_s: float) -> None:
+        """Hand an event to a host after a while, unless it is lost by then."""
+        node = host.node
+
+        def arrive() -> None:
+            if host.lost or host.exited or host.node is not node:
+                return
+            if host.paused:
+                host.inbox.append(event)
+            else:
+                self._step(host, event)
+
+        self.later(delay_s, arrive)
+
+    def _step(self, host: Host, event: events.Event) -> None:
+        self._do(host, host.node.step(host.local(self.now), event))
+
+    def _do(self, host: Host, commands: Iterator[events.Command]) -> None:
+        for command in list(commands):
+            if host.paused:
+                host.frozen_commands.append(command)
+            else:
+                self._do_command(host, command)
+
+    def _do_command(self, host: Host, command: events.Command) -> None:
+        name = type(command).__name__
+        getattr(self, f"_do_{name}")(host, command)
+
+    def _reaches(self, one: Host, other: Host | None) -> bool:
+        if other is None or other.lost or other.exited:
+            return False
+        if (one.name, other.name) in self.cuts:
+            return False
+        return self.rng.random() >= self.loss
+
+    def _host_at(self, address: str) -> Host | None:
+        return self.host_by_name.get(address.partition(":")[0])
+
+    def log_reachable_from(self, host: Host) -> bool:
+        return self.log.up and (host.name, "log") not in self.cuts
+
+    def _do_Note(self, host: Host, note: events.Note) -> None:
+        host.notes.append(note)
+
+    def _do_Exit(self, host: Host, command: events.Exit) -> None:
+        host.exited = True
+
+    def _do_SendPeer(self, host: Host, command: events.SendPeer) -> None:
+        other = self._host_at(command.address)
+        if self._reaches(host, other):
+            received = events.PeerMessageReceived(host.node.context.me, command.message)
+            delay = self.link_delay_s * (0.5 + self.rng.random())
+            self.deliver(other, received, delay)
+
+    def _do_ReadLog(self, host: Host, command: events.ReadLog) -> None:
+        sent_at = host.local(self.now)
+        if command.peer is not None:
+            self._read_from_peer(host, command, sent_at)
+            return
+        if not self.log_reachable_from(host):
+            self.deliver(host, events.ReadFailed(True), 0.2)
+            return
+
+        def answer() -> None:
+            records = self.log.read(command.offset)
+            after = command.offset + len(records)
+            self.deliver(
+                host,
+                events.RecordsRead(
+                    sent_at,
+                    self.log.first_offset,
+                    records,
+                    after >= self.log.end,
+                    0.0,
+                    True,
+                ),
+                self.log.delay_s,
+            )
+
+        self.later(self.log.delay_s, answer)
+
+    def _read_from_peer(
+        self, host: Host, command: events.ReadLog, sent_at: float
+    ) -> None:
+        peer = self._host_at(command.peer)
+        if not self._reaches(host, peer) or not peer.runs:
+            self.deliver(host, events.ReadFailed(False), 0.2)
+            return
+        context = peer.node.context
+        known = context.directory.next_offset
+        records = tuple(
+            each for each in self.log.read(command.offset) if each.offset < known
+        )
+        age = peer.local(self.now) - context.log_contact_at
+        after = command.offset + len(records)
+        first = self.log.first_offset if known else command.offset
+        read = events.RecordsRead(sent_at, first, records, after >= known, age, False)
+        self.deliver(host, read, 2 * self.link_delay_s)
+
+    def _do_ReadSnapshot(self, host: Host, command: events.ReadSnapshot) -> None:
+        peer = self._host_at(command.peer)
+        if not self._reaches(host, peer) or not peer.runs:
+            self.deliver(host, events.ReadFailed(False), 0.2)
+            return
+        data = encode_directory(peer.node.context.directory)
+        self.deliver(host, events.SnapshotRead(data), 2 * self.link_delay_s)
+
+    def _do_Append(self, host: Host, command: events.Append) -> None:
+        if not self.log_reachable_from(host):
+            self.deliver(host, events.AppendFailed(command.envelope.id), 0.2)
+            return
+        sent_at = host.local(self.now)
+
+        def append() -> None:
+            offset = self.log.append(command.envelope)
+            self.appended_ids.append(command.envelope.id)
+            if not self.log.loses_answers:
+                answer = events.AppendAnswered(command.envelope.id, sent_at, offset)
+                self.deliver(host, answer, self.log.delay_s)
+
+        self.later(self.log.delay_s, append)
+
+    def _do_AskRelease(self, host: Host, command: events.AskRelease) -> None:
+        peer = self._host_at(command.peer)
+        if not self._reaches(host, peer) or not peer.runs:
+            return
+        asked = events.ReleaseAsked(command.former, command.slices, command.offset)
+        commands = list(peer.node.step(peer.local(self.now), asked))
+        for made in commands:
+            if isinstance(made, events.ReplyRelease):
+                answered = events.ReleaseAnswered(command.former, made.released)
+                self.deliver(host, answered, 2 * self.link_delay_s)
+            else:
+                self._do_command(peer, made)
+
+    def _do_FenceTarget(self, host: Host, command: events.FenceTarget) -> None:
+        host.target.fence += 1
+        self.deliver(host, events.TargetFenced(), TICK_S)
+
+    def _do_RenewGrant(self, host: Host, command: events.RenewGrant) -> None:
+        target = host.target
+        target.grant_until = max(target.grant_until, command.grant_until)
+
+    def _do_SendOrder(self, host: Host, command: events.SendOrder) -> None:
+        host.target.begin(command)
+
+    def _do_CancelOrder(self, host: Host, command: events.CancelOrder) -> None:
+        host.target.cancel(command.request_id)
+
+    def _do_Forward(self, host: Host, command: events.Forward) -> None:
+        peer = self._host_at(command.address)
+        request = command.request
+        if not self._reaches(host, peer):
+            failed = events.ForwardFailed(request.id, written=False)
+            self.deliver(host, failed, TICK_S)
+            return
+        copy = self._copy(request, peer, command.budget_s)
+
+        def on_answer(response: Response) -> None:
+            if self._reaches(peer, host):
+                answered = events.ForwardAnswered(request.id, response)
+                self.deliver(host, answered, self.link_delay_s)
+
+        self._waiting[(peer.name, copy.id)] = on_answer
+        self.deliver(peer, events.RequestArrived(copy), self.link_delay_s)
+
+    def _do_CancelForward(self, host: Host, command: events.CancelForward) -> None:
+        pass
+
+    def _do_Answer(self, host: Host, command: events.Answer) -> None:
+        on_answer = self._waiting.pop((host.name, command.request_id), None)
+        if on_answer is not None:
+            on_answer(command.response)
+        else:
+            assert command.request_id not in host.answers, "answered twice"
+            host.answers[command.request_id] = command.response
+
+    # Callers
+
+    @property
+    def _waiting(self) -> dict:
+        return self.__dict__.setdefault("_waiting_by_request", {})
+
+    def _copy(self, request: Request, peer: Host, budget_s: float) -> Request:
+        now = peer.local(self.now)
+        return Request(
+            next(self._request_ids),
+            request.service,
+            request.route,
+            request.key,
+            request.slice,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            request.caller,
+            now,
+            now + budget_s,
+            request.idempotency_key,
+            request.hops + 1,
+        )
+
+    def call(
+        self,
+        host: Host,
+        key: str,
+        method: str = "GET",
+        idempotency_key: str | None = None,
+        deadline_s: float = 5.0,
+        caller: str = "caller",
+    ) -> int:
+        """Send a request to a daemon; return its number."""
+        directory = host.node.context.directory
+        service = directory.intent.services[SERVICE]
+        now = host.local(self.now)
+        request = Request(
+            next(self._request_ids),
+            service,
+            service.route_for(method, "/") or DEFAULT_ROUTE,
+            key,
+            SliceRef(SERVICE, slice_of_key(key, service.slices)),
+            method,
+            "/",
+            (),
+            b"",
+            caller,
+            now,
+            now + deadline_s,
+            idempotency_key,
+        )
+        self.deliver(host, events.RequestArrived(request), 0.0)
+        return request.id
+
+    # Operators and checks
+
+    def publish(self, document: dict, replaces: int, record_id: str) -> None:
+        self.log.append(seal(record_id, IntentRecord(replaces, document)))
+
+    def append(self, record_id: str, record: Record) -> None:
+        self.log.append(seal(record_id, record))
+
+    def fold(self) -> Directory:
+        """Return the directory at the end of the log."""
+        directory = Directory()
+        for stored in self.log.stored:
+            directory.apply(stored)
+        return directory
+
+    def servers(self) -> dict[SliceRef, list[str]]:
+        """Return the members that may serve each slice at this moment."""
+        found: dict[SliceRef, list[str]] = {}
+        for host in self.hosts:
+            if host.lost or host.exited:
+                continue
+            for ref in host.node.may_serve(host.local(self.now)):
+                found.setdefault(ref, []).append(host.node.context.me)
+        return found
+
+    def assert_sole_owners(self) -> None:
+        for ref, members in self.servers().items():
+            assert len(members) == 1, f"{ref} is served by {members} at {self.now:.2f}"
+
+    def all_served(self) -> bool:
+        slices = INTENT["services"][SERVICE]["slices"]
+        return len(self.servers()) == slices
