Run the whole path as separate processes: daemon, ctl, log and target

Cause: the core had no ports; nothing answered a caller.

Change: adapters on circuits for callers (circuits.net + httptools), peers, log, target, datagrams and operations; programs with checked settings; the stand-ins.

--- /dev/null
+++ b/rhubarbhall/adapters/client.py
@@ -0,0 +1,259 @@
+"""HTTP client with kept connections; an answer is whole or it is a failure."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from rhubarbhall.adapters.http_wire import (
+    ResponseReader,
+    WireError,
+    encode_request,
+)
+from rhubarbhall.adapters.sockets import Outgoing
+from rhubarbhall.core.errors import ErrorKind
+
+if TYPE_CHECKING:
+    import socket
+
+    from rhubarbhall.core.requests import Response
+    from rhubarbhall.types import Address, Seconds
+
+MAX_HEAD_BYTES = 64 * 1024
+#: Time for a connection to be made.
+CONNECT_TIMEOUT_S = 1.0
+#: Time between looks at the deadlines of calls.
+SWEEP_S = 0.05
+#: Time after which a connection that nobody uses is closed.
+IDLE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A call that brought no whole answer.
+
+    Parameters
+    ----------
+    written : bool
+        Whether any byte of the request may have been sent.
+    kind : ErrorKind
+        What went wrong.
+    """
+
+    written: bool
+    kind: ErrorKind
+
+
+@dataclass(slots=True)
+class Call:
+    """A request under way; `cancel` of the client takes it."""
+
+    number: int
+    address: Address
+    data: bytes
+    max_answer: int
+    deadline: Seconds
+    on_done: Callable[[Response | Failed], None]
+    sock: socket.socket | None = None
+    began_at: Seconds = 0.0
+    written: bool = False
+    done: bool = False
+
+    def is_overdue(self, now: Seconds) -> bool:
+        """Tell whether the answer, or even the connection, is too late."""
+        slow_connect = not self.written and now - self.began_at > CONNECT_TIMEOUT_S
+        return now >= self.deadline or (self.sock is not None and slow_connect)
+
+
+@dataclass(slots=True)
+class _Connection:
+    address: Address
+    reader: ResponseReader | None = None
+    call: Call | None = None
+    idle_since: Seconds = 0.0
+
+
+class HttpClient(Outgoing):
+    """Sends requests over connections that are kept for the next ones.
+
+    Parameters
+    ----------
+    channel : str
+        Channel of the component.
+    max_connections : int
+        Connections to one address; further calls wait.
+    """
+
+    def __init__(self, channel: str, max_connections: int = 100) -> None:
+        super().__init__(channel)
+        self.max_connections = max_connections
+        self._numbers = itertools.count()
+        self._connection_by_sock: dict[socket.socket, _Connection] = {}
+        self._idle_by_address: dict[Address, list[socket.socket]] = defaultdict(list)
+        self._count_by_address: dict[Address, int] = defaultdict(int)
+        self._waiting_by_address: dict[Address, deque[Call]] = defaultdict(deque)
+        self._calls: dict[int, Call] = {}
+
+    def fetch(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        timeout_s: Seconds,
+        on_done: Callable[[Response | Failed], None],
+        max_answer: int = 64 << 20,
+    ) -> Call:
+        """Send a request; `on_done` is called once, with the answer or a failure.
+
+        It may be called before this method returns.
+        """
+        now = time.monotonic()
+        call = Call(
+            next(self._numbers),
+            address,
+            encode_request(method, path, address, headers, body),
+            max_answer,
+            now + timeout_s,
+            on_done,
+            began_at=now,
+        )
+        self._calls[call.number] = call
+        self._start(call)
+        return call
+
+    def cancel(self, call: Call) -> None:
+        """Give a call up without telling anyone; its connection is closed."""
+        if call.done:
+            return
+        call.done = True
+        self._calls.pop(call.number, None)
+        if call.sock is not None:
+            self.drop(call.sock)
+
+    def _start(self, call: Call) -> None:
+        idle = self._idle_by_address[call.address]
+        if idle:
+            self._use(call, idle.pop())
+        elif self._count_by_address[call.address] < self.max_connections:
+            self._open_for(call)
+        else:
+            self._waiting_by_address[call.address].append(call)
+
+    def _open_for(self, call: Call) -> None:
+        host, _, port = call.address.rpartition(":")
+        connection = _Connection(call.address, call=call)
+        try:
+            sock = self.open((host, int(port)), lambda: self._on_open(call))
+        except OSError:
+            self._finish(call, Failed(False, ErrorKind.TARGET_UNREACHABLE))
+            return
+        call.sock = sock
+        self._connection_by_sock[sock] = connection
+        self._count_by_address[call.address] += 1
+
+    def _on_open(self, call: Call) -> None:
+        if call.done:
+            self.drop(call.sock)
+        else:
+            self._use(call, call.sock)
+
+    def _use(self, call: Call, sock: socket.socket) -> None:
+        connection = self._connection_by_sock[sock]
+        connection.call = call
+        connection.reader = ResponseReader(MAX_HEAD_BYTES, call.max_answer)
+        call.sock = sock
+        call.written = True
+        self.send(sock, call.data)
+
+    def on_data(self, sock: socket.socket, data: bytes) -> None:
+        """Take bytes of an answer."""
+        connection = self._connection_by_sock.get(sock)
+        if connection is None or connection.call is None:
+            # Bytes that nobody asked for: nothing on it can be trusted.
+            self.drop(sock)
+            return
+        call, reader = connection.call, connection.reader
+        try:
+            reader.feed(data)
+        except WireError as error:
+            kind = ErrorKind.ANSWER_LOST
+            if error.kind is ErrorKind.ANSWER_TOO_LARGE:
+                kind = error.kind
+            connection.call = None
+            self.drop(sock)
+            self._finish(call, Failed(True, kind))
+            return
+        if reader.response is not None:
+            self._complete(sock, connection, call, reader)
+
+    def _complete(
+        self,
+        sock: socket.socket,
+        connection: _Connection,
+        call: Call,
+        reader: ResponseReader,
+    ) -> None:
+        connection.call = None
+        connection.reader = None
+        if reader.keep_alive:
+            connection.idle_since = time.monotonic()
+            self._idle_by_address[connection.address].append(sock)
+        else:
+            self.drop(sock)
+        self._start_waiting(connection.address)
+        self._finish(call, reader.response)
+
+    def on_closed(self, sock: socket.socket) -> None:
+        """Fail the call of a connection that ended before its answer."""
+        connection = self._connection_by_sock.pop(sock, None)
+        if connection is None:
+            return
+        self._count_by_address[connection.address] -= 1
+        idle = self._idle_by_address[connection.address]
+        if sock in idle:
+            idle.remove(sock)
+        call = connection.call
+        if call is not None:
+            unwritten = ErrorKind.TARGET_UNREACHABLE
+            kind = ErrorKind.ANSWER_LOST if call.written else unwritten
+            self._finish(call, Failed(call.written, kind))
+        self._start_waiting(connection.address)
+
+    def _start_waiting(self, address: Address) -> None:
+        waiting = self._waiting_by_address[address]
+        while waiting and (
+            self._idle_by_address[address]
+            or self._count_by_address[address] < self.max_connections
+        ):
+            call = waiting.popleft()
+            if not call.done:
+                self._start(call)
+                return
+
+    def _finish(self, call: Call, outcome: Response | Failed) -> None:
+        if call.done:
+            return
+        call.done = True
+        self._calls.pop(call.number, None)
+        call.on_done(outcome)
+
+    def sweep(self) -> None:
+        """Fail the calls whose time is over and close unused connections."""
+        now = time.monotonic()
+        for call in [each for each in self._calls.values() if each.is_overdue(now)]:
+            kind = ErrorKind.DEADLINE_PASSED
+            if not call.written:
+                kind = ErrorKind.TARGET_UNREACHABLE
+            self._finish(call, Failed(call.written, kind))
+            if call.sock is not None:
+                self.drop(call.sock)
+        for idle in self._idle_by_address.values():
+            for sock in list(idle):
+                if now - self._connection_by_sock[sock].idle_since > IDLE_S:
+                    self.drop(sock)
--- /dev/null
+++ b/rhubarbhall/adapters/driver.py
@@ -0,0 +1,328 @@
+"""Runs the core of one daemon on the loop: events in, commands out."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent
+from returns.result import Success
+
+from rhubarbhall.adapters.callers import CallerServer
+from rhubarbhall.adapters.client import SWEEP_S, HttpClient
+from rhubarbhall.adapters.clock import Clock
+from rhubarbhall.adapters.datagrams import DatagramCodec, DatagramPort
+from rhubarbhall.adapters.journal import write_note
+from rhubarbhall.adapters.log_port import HttpLog
+from rhubarbhall.adapters.metrics import DaemonMetrics
+from rhubarbhall.adapters.operations import Operations
+from rhubarbhall.adapters.peers_port import HttpPeers
+from rhubarbhall.adapters.signing import SIGNATURE_HEADER, is_signed
+from rhubarbhall.adapters.tail import RecordTail
+from rhubarbhall.adapters.target_port import HttpTarget
+from rhubarbhall.core import events
+from rhubarbhall.core.context import Context
+from rhubarbhall.core.entrance import RawRequest, read_request
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.node import Node
+from rhubarbhall.core.records import Join
+from rhubarbhall.core.requests import DEADLINE_HEADER, HOP_HEADER, refusal
+from rhubarbhall.settings import split_address
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.settings import DaemonSettings
+    from rhubarbhall.types import MemberId, RequestId, Seconds
+
+#: Connections to one other daemon for forwarded requests.
+PEER_CONNECTIONS = 64
+#: Connections for the calls of the protocol, to each address.
+CONTROL_CONNECTIONS = 8
+#: Time between looks at silent connections of callers.
+CALLER_SWEEP_S = 1.0
+#: Time for the last answers to be written before the process ends.
+LAST_WORDS_S = 0.5
+_MS_PER_S = 1000
+
+
+def _new_member_id(vm: str) -> MemberId:
+    return f"{vm}/{secrets.token_hex(4)}"
+
+
+class _Sweep(events.Event):
+    """Connections and calls shall be looked over."""
+
+    __slots__ = ("sweep",)
+
+    def __init__(self, sweep: Callable[[], None]) -> None:
+        self.sweep = sweep
+
+
+class _End(events.Event):
+    """The last answers have been written."""
+
+    __slots__ = ()
+
+
+class Daemon(BaseComponent):
+    """One daemon with all its ports.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        What the daemon was told.
+    on_exit : callable
+        Called once the daemon has ended by itself.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, on_exit: Callable[[], None] = lambda: None
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self._on_exit = on_exit
+        self._vm = settings.calls
+        self._waiting_events: deque[Event] = deque()
+        self._stepping = False
+        self.is_stopping = False
+        self._ended = False
+        self.tail = RecordTail()
+        self.node = Node(self._context(), lambda: _new_member_id(self._vm))
+        self._build_ports()
+        self._do_by_command: dict[type[Command], Callable] = {
+            events.Answer: self._do_answer,
+            events.Forward: self._do_forward,
+            events.CancelForward: self._do_cancel_forward,
+            events.SendOrder: self._do_send_order,
+            events.CancelOrder: self._do_cancel_order,
+            events.RenewGrant: self._do_renew_grant,
+            events.FenceTarget: self._do_fence_target,
+            events.SendPeer: self._do_send_peer,
+            events.ReadLog: self._do_read_log,
+            events.ReadSnapshot: self._do_read_snapshot,
+            events.Append: self._do_append,
+            events.AskRelease: self._do_ask_release,
+            events.Note: self._do_note,
+            events.Exit: self._do_exit,
+        }
+
+    def _context(self) -> Context:
+        settings = self.settings
+        join = Join(
+            member=_new_member_id(self._vm),
+            calls=settings.calls,
+            peers=settings.peers,
+            region=settings.region,
+            domain=settings.domain,
+            labels=settings.labels,
+            boot=settings.boot,
+            checks_grants=settings.checks_grants,
+            weight=settings.weight,
+        )
+        return Context(
+            join,
+            settings.timing,
+            random.Random(settings.seed),
+            lambda: int(time.time() * _MS_PER_S),
+            settings.seeds,
+        )
+
+    def _build_ports(self) -> None:
+        settings = self.settings
+        tag = settings.calls
+        control = HttpClient(f"control-{tag}", CONTROL_CONNECTIONS).register(self)
+        forwards = HttpClient(f"forwards-{tag}", PEER_CONNECTIONS).register(self)
+        orders = HttpClient(f"orders-{tag}", settings.target_connections)
+        orders.register(self)
+        self._clients = (control, forwards, orders)
+        self._log = HttpLog(control, settings.log)
+        self._peers = HttpPeers(control, forwards, settings.mesh_key)
+        self._target = HttpTarget(orders, control, settings.target)
+        self.callers = CallerServer(
+            split_address(settings.calls), f"callers-{tag}", self, settings.limits
+        ).register(self)
+        bind = split_address(settings.peers)
+        codec = DatagramCodec(settings.mesh_key)
+        self._datagrams = DatagramPort(
+            bind, f"datagrams-{tag}", codec, self._on_peer_message
+        ).register(self)
+        self.metrics = DaemonMetrics(self.node, self._datagrams)
+        self._web = Operations(self).service(bind, f"web-{tag}").register(self)
+        timers = self.node.context.timers
+        now = self.now()
+        for client in self._clients:
+            timers.every(SWEEP_S, _Sweep(client.sweep), first=now)
+        timers.every(CALLER_SWEEP_S, _Sweep(self.callers.sweep), first=now)
+        Clock(timers, self._on_timers_due).register(self)
+
+    @staticmethod
+    def now() -> Seconds:
+        """Return the time on the monotonic clock."""
+        return time.monotonic()
+
+    # Stepping the core
+
+    def begin(self) -> None:
+        """Begin to follow the log and to serve."""
+        self.handle(events.Started())
+
+    def request_stop(self) -> None:
+        """Drain and end; a second call does it no faster."""
+        self.is_stopping = True
+        self.callers.draining = True
+        self.handle(events.StopRequested())
+
+    def handle(self, event: Event) -> None:
+        """Step the core with one event, now or after the present one."""
+        if self._ended:
+            return
+        self._waiting_events.append(event)
+        self._work_off()
+
+    def ask(self, event: events.ReleaseAsked) -> events.ReplyRelease:
+        """Step the core with a question and return its answer."""
+        reply = events.ReplyRelease(())
+        for command in list(self.node.step(self.now(), event)):
+            if isinstance(command, events.ReplyRelease):
+                reply = command
+            else:
+                self._execute((command,))
+        return reply
+
+    def _work_off(self) -> None:
+        if self._stepping:
+            return
+        self._stepping = True
+        try:
+            while self._waiting_events:
+                event = self._waiting_events.popleft()
+                self._execute(list(self.node.step(self.now(), event)))
+        finally:
+            self._stepping = False
+
+    def _execute(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            self._do_by_command[type(command)](command)
+
+    def _on_timers_due(self) -> None:
+        for event in list(self.node.context.timers.due(self.now())):
+            if isinstance(event, _Sweep):
+                event.sweep()
+            elif isinstance(event, _End):
+                self.shut_down()
+                self._on_exit()
+            else:
+                self.handle(event)
+
+    def _on_peer_message(self, sender: MemberId, message: object) -> None:
+        self.handle(events.PeerMessageReceived(sender, message))
+
+    # Requests of callers
+
+    def take(self, request_id: RequestId, raw: RawRequest) -> None:
+        """Take a request from the port for callers."""
+        hop = raw.header(HOP_HEADER)
+        if hop is not None:
+            if not self._is_genuine(hop, raw):
+                self.callers.answer(request_id, refusal(ErrorKind.FORBIDDEN_HOP))
+                return
+            raw = RawRequest(
+                raw.method, raw.path, raw.headers, raw.body, raw.peer, from_daemon=True
+            )
+        context = self.node.context
+        result = read_request(
+            self.now(), context.wall_ms(), context.directory, request_id, raw
+        )
+        if isinstance(result, Success):
+            self.handle(events.RequestArrived(result.unwrap()))
+        else:
+            self.callers.answer(request_id, result.failure())
+
+    def _is_genuine(self, hop: MemberId, raw: RawRequest) -> bool:
+        return is_signed(
+            self.settings.mesh_key,
+            raw.header(SIGNATURE_HEADER),
+            hop,
+            raw.method,
+            raw.path,
+            raw.header(DEADLINE_HEADER) or "",
+        )
+
+    def gone(self, request_id: RequestId) -> None:
+        """Learn that a caller has gone."""
+        self.handle(events.CallerGone(request_id))
+
+    def _do_answer(self, command: events.Answer) -> None:
+        self.callers.answer(command.request_id, command.response)
+
+    def _do_forward(self, command: events.Forward) -> None:
+        self._peers.forward(self.node.context.me, command, self.handle)
+
+    def _do_cancel_forward(self, command: events.CancelForward) -> None:
+        self._peers.cancel_forward(command.request_id)
+
+    # The target
+
+    def _do_send_order(self, command: events.SendOrder) -> None:
+        me = self.node.context.me
+        self._target.send(me, command, self.now(), self.handle)
+
+    def _do_cancel_order(self, command: events.CancelOrder) -> None:
+        me = self.node.context.me
+        self._target.cancel(me, command.request_id, self.handle)
+
+    def _do_renew_grant(self, command: events.RenewGrant) -> None:
+        self._target.renew(self.node.context.me, command.grant_until)
+
+    def _do_fence_target(self, command: events.FenceTarget) -> None:
+        self._target.fence(self.node.context.me, self.handle)
+
+    # The log and other daemons
+
+    def _do_send_peer(self, command: events.SendPeer) -> None:
+        me = self.node.context.me
+        self._datagrams.send_message(command.address, me, command.message)
+
+    def _do_read_log(self, command: events.ReadLog) -> None:
+        if command.peer is None:
+            self._log.read(command.offset, self._on_records)
+        else:
+            self._peers.read(command.peer, command.offset, self._on_records)
+
+    def _on_records(self, event: Event) -> None:
+        if isinstance(event, events.RecordsRead):
+            self.tail.add(event.records)
+        self.handle(event)
+
+    def _do_read_snapshot(self, command: events.ReadSnapshot) -> None:
+        self._peers.read_snapshot(command.peer, self.handle)
+
+    def _do_append(self, command: events.Append) -> None:
+        self._log.append(command.envelope, self.handle)
+
+    def _do_ask_release(self, command: events.AskRelease) -> None:
+        self._peers.ask_release(command, self.handle)
+
+    # The process
+
+    def _do_note(self, command: events.Note) -> None:
+        write_note(self._vm, command)
+
+    def _do_exit(self, command: events.Exit) -> None:
+        self.callers.stop_listening()
+        self.callers.close_idle()
+        self.node.context.timers.at(self.now() + LAST_WORDS_S, _End())
+
+    def shut_down(self) -> None:
+        """Close every port at once, as a crash of the process would."""
+        self._ended = True
+        self.callers.close()
+        self._datagrams.close()
+        self._web.shut_down()
+        for client in self._clients:
+            client.close()
+        self.unregister()
--- /dev/null
+++ b/rhubarbhall/adapters/metrics.py
@@ -0,0 +1,108 @@
+"""Metrics of one daemon in the text format of Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+if TYPE_CHECKING:
+    from rhubarbhall.adapters.datagrams import DatagramPort
+    from rhubarbhall.core.node import Node
+    from rhubarbhall.types import Seconds
+
+
+class DaemonMetrics:
+    """Reads the figures of a node when they are asked for.
+
+    Parameters
+    ----------
+    node : Node
+        The core of the daemon.
+    datagrams : DatagramPort
+        Its port for datagrams.
+    """
+
+    def __init__(self, node: Node, datagrams: DatagramPort) -> None:
+        self._node = node
+        self._datagrams = datagrams
+        self._registry = Registry()
+        self._requests = self._add(
+            Counter("rhubarb_requests_total", "Answers given to callers, by kind.")
+        )
+        self._forwarded = self._add(
+            Counter("rhubarb_forwarded_total", "Requests passed to other daemons.")
+        )
+        self._datagram_count = self._add(
+            Counter("rhubarb_datagrams_total", "Datagrams, by direction.")
+        )
+        self._gauge_by_name = {
+            name: self._add(Gauge(f"rhubarb_{name}", text))
+            for name, text in _GAUGE_TEXTS.items()
+        }
+        self._running = self._add(
+            Gauge("rhubarb_orders_running", "Orders at the target, by service.")
+        )
+        self._waiting = self._add(
+            Gauge("rhubarb_orders_waiting", "Requests that wait, by service.")
+        )
+        self._limit = self._add(
+            Gauge("rhubarb_orders_limit", "Orders allowed at once, by service.")
+        )
+
+    def _add(self, collector: Counter | Gauge) -> Counter | Gauge:
+        self._registry.register(collector)
+        return collector
+
+    def render(self, now: Seconds) -> tuple[bytes, str]:
+        """Return the text and its media type."""
+        self._collect(now)
+        body, headers = render(self._registry, ["text/plain"])
+        return body, headers["Content-Type"]
+
+    def _collect(self, now: Seconds) -> None:
+        node = self._node
+        for kind, count in node.router.outcomes_by_kind.items():
+            self._requests.set({"kind": kind}, count)
+        self._forwarded.set({}, node.router.forwarded)
+        for direction in ("sent", "received", "rejected"):
+            count = getattr(self._datagrams, direction)
+            self._datagram_count.set({"direction": direction}, count)
+        for name, value in _gauges(node, now).items():
+            self._gauge_by_name[name].set({}, value)
+        for service, admission in node.gate.admissions.items():
+            labels = {"service": service}
+            self._running.set(labels, admission.running)
+            self._waiting.set(labels, admission.waiting)
+            self._limit.set(labels, admission.limit.value)
+
+
+_GAUGE_TEXTS = {
+    "lease_held": "Whether the member may serve (1) or not (0).",
+    "slices_served": "Slices that the member serves.",
+    "slices_taking_over": "Slices that wait for a former owner.",
+    "members": "Live members in the directory.",
+    "next_offset": "Offset of the next record to apply.",
+    "intent_version": "Version of the intent in force.",
+    "log_contact_age_seconds": "Age of the last contact with the log.",
+    "requests_in_flight": "Requests without an answer.",
+    "appends_pending": "Appends without a verdict.",
+}
+_NO_CONTACT_AGE_S = 1e9
+
+
+def _gauges(node: Node, now: Seconds) -> dict[str, float]:
+    context = node.context
+    directory = context.directory
+    return {
+        "lease_held": int(node.lease.is_held(now)),
+        "slices_served": len(node.ownership.served),
+        "slices_taking_over": len(node.ownership.taking_over),
+        "members": len(directory.member_by_id),
+        "next_offset": directory.next_offset,
+        "intent_version": directory.intent_version,
+        "log_contact_age_seconds": min(now - context.log_contact_at, _NO_CONTACT_AGE_S),
+        "requests_in_flight": node.router.in_flight,
+        "appends_pending": node.appender.pending,
+    }
--- a/rhubarbhall/core/appends.py
+++ b/rhubarbhall/core/appends.py
@@ -52,6 +52,11 @@
             events.Fenced: self._on_fenced,
         }
 
+    @property
+    def pending(self) -> int:
+        """Number of appends without a verdict."""
+        return len(self._pending_by_id)
+
     def _on_started(self, now: Seconds, event: Event) -> Iterator[Command]:
         interval = self._context.timing.append_retry_s / 2
         self._context.timers.every(interval, events.AppendDue(), first=now)
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -14,9 +14,9 @@
 from rhubarbhall.core.requests import (
     CALLER_HEADER,
     DEADLINE_HEADER,
-    HOP_HEADER,
     IDEMPOTENCY_HEADER,
     KEY_HEADER,
+    OWN_PREFIX,
     SERVICE_HEADER,
     Request,
     Response,
@@ -44,9 +44,6 @@
         "content-length",
         "host",
         "expect",
-        HOP_HEADER.lower(),
-        SERVICE_HEADER.lower(),
-        KEY_HEADER.lower(),
     }
 )
 
@@ -156,7 +153,7 @@
     if service.keyed:
         in_header = raw.header(KEY_HEADER)
         if in_header is not None:
-            key = in_header
+            key = unquote(in_header)
         elif parts:
             key = unquote(parts.pop(0))
     return _Address(service.name, key, "/" + "/".join(parts) + question + query)
@@ -200,8 +197,10 @@
 
 
 def _forwarded_headers(raw: RawRequest) -> tuple[tuple[str, str], ...]:
+    # Callers must not speak to targets in this system's name.
     return tuple(
         (name, value)
         for name, value in raw.headers
         if name.lower() not in _DROPPED_HEADERS
+        and not name.lower().startswith(OWN_PREFIX)
     )
--- a/rhubarbhall/core/follower.py
+++ b/rhubarbhall/core/follower.py
@@ -7,13 +7,8 @@
 
 from rhubarbhall.core import events
 from rhubarbhall.core.peer_messages import HeartbeatAnswer, LogHint
-from rhubarbhall.core.records import (
-    SCHEMA,
-    SnapshotChunk,
-    StoredRecord,
-    open_envelope,
-)
-from rhubarbhall.core.snapshots import SnapshotAssembler, restore_directory
+from rhubarbhall.core.records import SCHEMA, StoredRecord
+from rhubarbhall.core.snapshots import SnapshotScan, restore_directory
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
@@ -41,7 +36,7 @@
         self._failures = 0
         self._parent: Address | None = None
         self._parent_until: Seconds = float("-inf")
-        self._scan: _SnapshotScan | None = None
+        self._scan: SnapshotScan | None = None
 
     def handlers(self) -> Mapping[type[Event], Handler]:
         """Return the handler for each type of event."""
@@ -159,7 +154,7 @@
     ) -> Iterator[Command | Event]:
         """Look for a whole snapshot in what the log still keeps."""
         if self._scan is None or self._scan.cursor < event.first_offset:
-            self._scan = _SnapshotScan(event.first_offset)
+            self._scan = SnapshotScan(event.first_offset)
         snapshot = self._scan.take(event.records)
         if snapshot is not None:
             yield from self._load(snapshot)
@@ -167,7 +162,7 @@
             yield self._read(now, None)
         else:
             # The log holds no snapshot; the next turn asks a peer for one.
-            self._scan = _SnapshotScan(event.first_offset)
+            self._scan = SnapshotScan(event.first_offset)
             self._failures += 1
 
     def _load(self, snapshot: bytes) -> Iterator[Event]:
@@ -210,26 +205,3 @@
             and self._outstanding_since is None
         ):
             yield self._read(now, self._context.peer_address(event.sender))
-
-
-class _SnapshotScan:
-    """Reads through the kept part of the log for the chunks of a snapshot."""
-
-    def __init__(self, first_offset: int) -> None:
-        self.cursor = first_offset
-        self._first_offset = first_offset
-        self._assembler = SnapshotAssembler()
-
-    def take(self, stored_records: tuple[StoredRecord, ...]) -> bytes | None:
-        """Take records; return a snapshot whose tail the log still keeps."""
-        for stored in stored_records:
-            if stored.offset < self.cursor:
-                continue
-            self.cursor = stored.offset + 1
-            record = open_envelope(stored.envelope)
-            if not isinstance(record, SnapshotChunk):
-                continue
-            whole = self._assembler.add(record)
-            if whole is not None and record.covers >= self._first_offset:
-                return whole
-        return None
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -11,7 +11,7 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.handover import Standing
 from rhubarbhall.core.idempotency import Repeat
-from rhubarbhall.core.requests import Response, refusal
+from rhubarbhall.core.requests import OWN_PREFIX, Response, refusal
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
@@ -222,7 +222,7 @@
             admission.limit.note_overload(now)
             response = refusal(ErrorKind.TARGET_REFUSED)
         else:
-            response = event.response
+            response = _without_own_headers(event.response)
             self._learn(now, order, admission)
         yield from self._close_order(now, order, response)
 
@@ -378,5 +378,15 @@
         return self._ownership.standing(request.slice) is not Standing.SERVING
 
 
+def _without_own_headers(response: Response) -> Response:
+    """Drop headers by which a target would speak in this system's name."""
+    kept = tuple(
+        (name, value)
+        for name, value in response.headers
+        if not name.lower().startswith(OWN_PREFIX)
+    )
+    return Response(response.status, kept, response.body)
+
+
 def _is_shed(response: Response) -> bool:
     return any(name.lower() == SHED_HEADER for name, _ in response.headers)
--- a/rhubarbhall/core/membership.py
+++ b/rhubarbhall/core/membership.py
@@ -140,7 +140,8 @@
             self._become_new_run()
 
     def _on_fenced(self, now: Seconds, event: events.Fenced) -> Iterator[Command]:
-        yield Note(204, {"member": self._context.me, "reason": event.reason})
+        if not self.stopping:
+            yield Note(204, {"member": self._context.me, "reason": event.reason})
         self._become_new_run()
 
     def _become_new_run(self) -> None:
--- a/rhubarbhall/core/node.py
+++ b/rhubarbhall/core/node.py
@@ -18,6 +18,7 @@
 from rhubarbhall.core.lease import LeaseKeeper
 from rhubarbhall.core.membership import Membership
 from rhubarbhall.core.rebalance import Rebalancer
+from rhubarbhall.core.reporting import Reporter
 from rhubarbhall.core.routing import Router
 from rhubarbhall.core.snapshotter import Snapshotter
 from rhubarbhall.core.witness import Witness
@@ -73,9 +74,10 @@
         )
         # The lease ends before slices are looked at, and slices are let go
         # before the gate turns waiting requests away.
+        self.appender = Appender(context)
         for part in (
             Follower(context),
-            Appender(context),
+            self.appender,
             self.lease,
             self.witness,
             Collector(context),
@@ -86,6 +88,7 @@
             self.gate,
             self.router,
             self.drain,
+            Reporter(context),
             self.membership,
         ):
             self.kernel.register(part)
--- /dev/null
+++ b/rhubarbhall/core/reporting.py
@@ -0,0 +1,94 @@
+"""Tells what happened, as numbered events for the log."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core import events
+from rhubarbhall.core.events import Note
+from rhubarbhall.core.records import IntentRecord
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.context import Context
+    from rhubarbhall.core.events import Event
+    from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.types import Seconds
+
+
+class Reporter:
+    """Turns events of the core into notes."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._log_reachable = True
+        self._told_outdated = False
+
+    def handlers(self) -> Mapping[type[Event], Handler]:
+        """Return the handler for each type of event."""
+        return {
+            events.Started: self._on_started,
+            events.RecordApplied: self._on_record_applied,
+            events.DirectoryLoaded: self._on_directory_loaded,
+            events.LeaseChanged: self._on_lease_changed,
+            events.SliceAcquired: self._on_slice_acquired,
+            events.AbortSlice: self._on_abort_slice,
+            events.Settled: self._on_settled,
+            events.JoinDue: self._on_look,
+        }
+
+    def _on_started(self, now: Seconds, event: Event) -> Iterator[Note]:
+        join = self._context.join
+        yield Note(
+            101, {"member": join.member, "calls": join.calls, "peers": join.peers}
+        )
+
+    def _on_record_applied(
+        self, now: Seconds, event: events.RecordApplied
+    ) -> Iterator[Note]:
+        applied = event.applied
+        if applied.closed:
+            yield Note(
+                207,
+                {
+                    "members": list(applied.closed),
+                    "offset": applied.offset,
+                    "slices_moved": len(applied.moved),
+                },
+            )
+        if isinstance(applied.record, IntentRecord) and applied.void is None:
+            yield Note(401, {"version": applied.record.replaces + 1})
+        if self._context.outdated and not self._told_outdated:
+            self._told_outdated = True
+            yield Note(105, {"schema": self._context.directory.newest_schema})
+
+    def _on_directory_loaded(self, now: Seconds, event: Event) -> Iterator[Note]:
+        yield Note(106, {"offset": self._context.directory.next_offset})
+
+    def _on_lease_changed(
+        self, now: Seconds, event: events.LeaseChanged
+    ) -> Iterator[Note]:
+        yield Note(205 if event.held else 206, {"member": self._context.me})
+
+    def _on_slice_acquired(
+        self, now: Seconds, event: events.SliceAcquired
+    ) -> Iterator[Note]:
+        yield Note(208, {"slice": str(event.slice)})
+
+    def _on_abort_slice(self, now: Seconds, event: events.AbortSlice) -> Iterator[Note]:
+        yield Note(209, {"slice": str(event.slice)})
+
+    def _on_settled(self, now: Seconds, event: events.Settled) -> Iterator[Note]:
+        if event.void is not None:
+            kind = type(event.record).__name__
+            yield Note(402, {"kind": kind, "reason": event.void})
+
+    def _on_look(self, now: Seconds, event: Event) -> Iterator[Note]:
+        reachable = self._context.log_reachable(now)
+        if reachable == self._log_reachable:
+            return
+        self._log_reachable = reachable
+        if reachable:
+            yield Note(103)
+        else:
+            yield Note(102, {"since_s": round(now - self._context.log_contact_at, 3)})
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -14,6 +14,8 @@
     from rhubarbhall.core.intent import Route, Service
     from rhubarbhall.types import RequestId, Seconds
 
+#: What the names of this system's own headers begin with, in lower case.
+OWN_PREFIX = "rhubarb-"
 PROBLEM_TYPE = "application/problem+json"
 OWNER_HEADER = "Rhubarb-Owner"
 DEADLINE_HEADER = "Rhubarb-Deadline-Ms"
--- a/rhubarbhall/core/snapshots.py
+++ b/rhubarbhall/core/snapshots.py
@@ -12,7 +12,7 @@
 from rhubarbhall.core.directory import ClosedMember, Closing, Directory
 from rhubarbhall.core.intent import intent_from_document
 from rhubarbhall.core.members import Member
-from rhubarbhall.core.records import Join, SnapshotChunk
+from rhubarbhall.core.records import Join, SnapshotChunk, StoredRecord, open_envelope
 from rhubarbhall.core.slices import OwnerTable
 
 #: Size of one chunk before base64, in bytes.
@@ -201,3 +201,32 @@
         return b"".join(
             base64.b64decode(parts[part].data) for part in range(chunk.parts)
         )
+
+
+class SnapshotScan:
+    """Reads through the kept part of the log for the chunks of a snapshot.
+
+    Parameters
+    ----------
+    first_offset : int
+        Oldest record that the log keeps.
+    """
+
+    def __init__(self, first_offset: int) -> None:
+        self.cursor = first_offset
+        self._first_offset = first_offset
+        self._assembler = SnapshotAssembler()
+
+    def take(self, stored_records: tuple[StoredRecord, ...]) -> bytes | None:
+        """Take records; return a snapshot whose tail the log still keeps."""
+        for stored in stored_records:
+            if stored.offset < self.cursor:
+                continue
+            self.cursor = stored.offset + 1
+            record = open_envelope(stored.envelope)
+            if not isinstance(record, SnapshotChunk):
+                continue
+            whole = self._assembler.add(record)
+            if whole is not None and record.covers >= self._first_offset:
+                return whole
+        return None
--- /dev/null
+++ b/rhubarbhall/programs/ctl.py
@@ -0,0 +1,309 @@
+"""``rhubarb-ctl``: check, publish and watch intents; look into daemons."""
+
+from __future__ import annotations
+
+import difflib
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+import msgspec
+import tomli_w
+
+from rhubarbhall.adapters.peers_port import STOP_PATH
+from rhubarbhall.adapters.signing import SIGNATURE_HEADER, sign
+from rhubarbhall.core.errors import SelectorError
+from rhubarbhall.core.intent import document_from_toml, intent_from_document
+from rhubarbhall.core.records import DeclareLost, IntentRecord
+from rhubarbhall.core.selectors import parse_selector
+from rhubarbhall.programs.estate import (
+    EstateError,
+    LogReader,
+    dump_of,
+    fetch,
+    publish,
+    wait_in_force,
+)
+from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.directory import Directory
+    from rhubarbhall.core.dump import NodeDump
+
+EXIT_VOID = 1
+EXIT_LAGGING = 3
+
+_log_option = option(
+    "--log", type=ADDRESS, required=True, help="Address of the platform's log."
+)
+_json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+_wait_option = click.option(
+    "--wait-s", type=click.FloatRange(0.0), default=9.0, show_default=True
+)
+
+
+class _Changed(msgspec.Struct, frozen=True):
+    version: int
+    record: str
+    lagging: dict[str, str]
+
+
+class _MemberStatus(msgspec.Struct, frozen=True):
+    member: str
+    region: str
+    domain: str
+    lease: str
+    slices: int
+    intent_version: int
+
+
+class _Status(msgspec.Struct, frozen=True):
+    intent_version: int
+    next_offset: int
+    members: tuple[_MemberStatus, ...]
+    services: tuple[Any, ...]
+
+
+def _print_json(value: object) -> None:
+    click.echo(msgspec.json.format(msgspec.json.encode(value)).decode())
+
+
+def _table(header: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
+    lines = [header, *[tuple(map(str, row)) for row in rows]]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def _read_document(file: str) -> dict[str, Any]:
+    """Read and check an intent file; every mistake is told at once."""
+    document = document_from_toml(Path(file).read_text(encoding="utf-8"), file)
+    intent_from_document(document, file)
+    return document
+
+
+def _diff_lines(present: dict[str, Any], wanted: dict[str, Any]) -> list[str]:
+    return list(
+        difflib.unified_diff(
+            tomli_w.dumps(present).splitlines(),
+            tomli_w.dumps(wanted).splitlines(),
+            "in force",
+            "file",
+            lineterm="",
+        )
+    )
+
+
+@click.group("rhubarb-ctl")
+def command() -> None:
+    """Operate a mesh of rhubarbhall daemons."""
+
+
+_file_argument = click.argument("file", type=click.Path(exists=True, dir_okay=False))
+
+
+@command.command()
+@_file_argument
+def check(file: str) -> None:
+    """Check an intent file without any network."""
+    document = _read_document(file)
+    click.echo(f"{file}: {len(document.get('services', {}))} services, no mistakes")
+
+
+@command.command()
+@_file_argument
+@_log_option
+def diff(file: str, log: str) -> None:
+    """Show how a file differs from the intent in force."""
+    wanted = _read_document(file)
+    directory = LogReader(log).read_to_end()
+    for line in _diff_lines(directory.intent_document, wanted):
+        click.echo(line)
+
+
+@command.command()
+@_file_argument
+@_log_option
+@click.option("--replaces", type=int, help="Version that the file was made from.")
+@_wait_option
+@_json_option
+def apply(
+    file: str, log: str, replaces: int | None, wait_s: float, as_json: bool
+) -> int:
+    """Publish an intent file and wait until it is in force everywhere."""
+    wanted = _read_document(file)
+    directory = LogReader(log).read_to_end()
+    if wanted == directory.intent_document and replaces is None:
+        click.echo(f"version {directory.intent_version} is in force already")
+        return 0
+    base = directory.intent_version if replaces is None else replaces
+    return _publish_intent(log, base, wanted, wait_s, as_json)
+
+
+def _publish_intent(
+    log: str, replaces: int, document: dict[str, Any], wait_s: float, as_json: bool
+) -> int:
+    verdict = publish(log, IntentRecord(replaces, document), max(wait_s, 1.0))
+    if verdict.applied.void is not None:
+        by = f"; {verdict.winner} came first" if verdict.winner else ""
+        click.echo(f"not applied: {verdict.applied.void}{by}", err=True)
+        return EXIT_VOID
+    version = replaces + 1
+    behind = wait_in_force(log, version, wait_s)
+    if as_json:
+        _print_json(_Changed(version, verdict.applied.record_id, behind))
+    elif not behind:
+        click.echo(f"version {version} is in force everywhere")
+    for peers, reason in sorted(behind.items()):
+        click.echo(f"lagging: {peers}: {reason}", err=True)
+    return EXIT_LAGGING if behind else 0
+
+
+@command.command()
+@_log_option
+@_json_option
+def get(log: str, as_json: bool) -> None:
+    """Print the intent in force as TOML."""
+    directory = LogReader(log).read_to_end()
+    if as_json:
+        _print_json(directory.intent_document)
+        return
+    click.echo(f"# version {directory.intent_version}")
+    click.echo(tomli_w.dumps(directory.intent_document), nl=False)
+
+
+@command.command()
+@_log_option
+@_json_option
+def status(log: str, as_json: bool) -> None:
+    """Show owners, members, leases and imbalance."""
+    directory = LogReader(log).read_to_end()
+    dumps = _dumps(directory)
+    members = tuple(
+        _member_status(directory, member, dumps.get(member))
+        for member in sorted(directory.member_by_id)
+    )
+    services = next(iter(dumps.values())).services if dumps else ()
+    if as_json:
+        _print_json(
+            _Status(
+                directory.intent_version,
+                directory.next_offset,
+                members,
+                tuple(services),
+            )
+        )
+        return
+    click.echo(
+        f"intent version {directory.intent_version}, log read to "
+        f"{directory.next_offset}\n"
+    )
+    header = ("MEMBER", "REGION", "DOMAIN", "LEASE", "SLICES", "INTENT")
+    click.echo(_table(header, [msgspec.structs.astuple(each) for each in members]))
+    click.echo()
+    header = ("SERVICE", "KEYED", "SLICES", "UNOWNED", "IMBALANCE")
+    rows = [
+        (s.name, s.keyed, s.slices, s.owners.get("", 0), s.imbalance) for s in services
+    ]
+    click.echo(_table(header, rows))
+
+
+def _dumps(directory: Directory) -> dict[str, NodeDump]:
+    found: dict[str, NodeDump] = {}
+    for member in directory.member_by_id.values():
+        try:
+            found[member.id] = dump_of(member.join.peers)
+        except EstateError:
+            continue
+    return found
+
+
+def _member_status(
+    directory: Directory, member_id: str, dump: NodeDump | None
+) -> _MemberStatus:
+    join = directory.member_by_id[member_id].join
+    slices = sum(1 for _ in directory.slices_of(member_id))
+    if dump is None or dump.member != member_id:
+        return _MemberStatus(
+            member_id, join.region, join.domain, "no answer", slices, 0
+        )
+    lease = "held" if dump.lease_held else "lapsed"
+    return _MemberStatus(
+        member_id, join.region, join.domain, lease, slices, dump.intent_version
+    )
+
+
+@command.command()
+@click.argument("peers", type=ADDRESS)
+def dump(peers: str) -> None:
+    """Print the state of the daemon at an address as JSON."""
+    _print_json(dump_of(peers))
+
+
+@command.command()
+@click.argument("targets")
+@_log_option
+@click.option("--undo", is_flag=True, help="Let the targets take work again.")
+@_wait_option
+@_json_option
+def drain(targets: str, log: str, undo: bool, wait_s: float, as_json: bool) -> int:
+    """Publish that the targets of a selector are leaving.
+
+    The change stands in the intent; add it to the file under version control
+    as well, or the next apply takes it back.
+    """
+    try:
+        parse_selector(targets)
+    except SelectorError as error:
+        raise click.BadParameter(str(error), param_hint="TARGETS") from error
+    directory = LogReader(log).read_to_end()
+    document = dict(directory.intent_document)
+    entry = {"targets": targets}
+    leaving = [each for each in document.get("leaving", []) if each != entry]
+    if not undo:
+        leaving.append(entry)
+    document["leaving"] = leaving
+    return _publish_intent(log, directory.intent_version, document, wait_s, as_json)
+
+
+@command.command()
+@click.argument("peers", type=ADDRESS)
+@option("--mesh-key", type=MESH_KEY, required=True, help="Key that all daemons share.")
+def stop(peers: str, mesh_key: bytes) -> None:
+    """Ask the daemon at an address to hand everything over and end."""
+    signature = {SIGNATURE_HEADER.replace("-", "_"): sign(mesh_key, STOP_PATH)}
+    fetch(peers, "POST", STOP_PATH, **signature)
+    click.echo(f"{peers} is leaving")
+
+
+@command.command("declare-lost")
+@click.argument("members", nargs=-1, required=True)
+@_log_option
+@click.confirmation_option(
+    prompt="A member that still runs would serve beside its successor. Is it gone?"
+)
+def declare_lost(members: tuple[str, ...], log: str) -> int:
+    """Give the operator's word that members are gone for good.
+
+    Needed only when too many of a member's witnesses are lost with it.
+    """
+    verdict = publish(log, DeclareLost(members), 9.0)
+    if verdict.applied.void is not None:
+        click.echo(f"not applied: {verdict.applied.void}", err=True)
+        return EXIT_VOID
+    click.echo(f"closed: {', '.join(verdict.applied.closed)}")
+    return 0
+
+
+def main() -> None:
+    """Run the program."""
+    try:
+        run(command)
+    except EstateError as error:
+        click.echo(f"rhubarb-ctl: {error}", err=True)
+        sys.exit(1)
--- /dev/null
+++ b/rhubarbhall/settings.py
@@ -0,0 +1,150 @@
+"""Settings of the daemon, checked when they are read."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rhubarbhall.adapters.callers import CallerLimits
+from rhubarbhall.core.context import Timing
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Address
+
+MIN_MESH_KEY_BYTES = 16
+MAX_MESH_KEY_BYTES = 64
+_PLACE = re.compile(r"^[a-z0-9](?:[a-z0-9-]*[a-z0-9])?$")
+_LABEL = re.compile(
+    r"^(?P<name>[A-Za-z0-9](?:[A-Za-z0-9_./-]*[A-Za-z0-9])?)="
+    r"(?P<value>[A-Za-z0-9](?:[A-Za-z0-9_./-]*[A-Za-z0-9])?)$"
+)
+_MAX_PORT = 65_535
+
+
+def parse_address(text: str) -> Address:
+    """Check an address and return it.
+
+    Raises
+    ------
+    ValueError
+        If the text is not an IPv4 address with a port.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        valid = port.isascii() and port.isdigit() and 1 <= int(port) <= _MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(
+            f"{text!r} is no address; allowed: an IPv4 address and a port from 1 to "
+            f"{_MAX_PORT}, such as 127.0.0.1:7100"
+        )
+    return text
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return IP and port of a checked address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def parse_place(text: str) -> str:
+    """Check the name of a region or failure domain and return it.
+
+    Raises
+    ------
+    ValueError
+        If the name has other characters than a-z, 0-9 and '-'.
+    """
+    if not _PLACE.match(text):
+        raise ValueError(
+            f"{text!r} is no name of a place; allowed: a-z, 0-9 and '-' between them"
+        )
+    return text
+
+
+def parse_labels(text: str) -> dict[str, str]:
+    """Parse labels such as ``app=status,tier=gold``.
+
+    Raises
+    ------
+    ValueError
+        If a part is not ``name=value`` or a name comes twice.
+    """
+    labels: dict[str, str] = {}
+    for part in (each.strip() for each in text.split(",") if each.strip()):
+        found = _LABEL.match(part)
+        if found is None:
+            raise ValueError(f"{part!r} is no label; allowed: name=value")
+        if found["name"] in labels:
+            raise ValueError(f"label {found['name']!r} is given twice")
+        labels[found["name"]] = found["value"]
+    return labels
+
+
+def parse_mesh_key(text: str) -> bytes:
+    """Check the key of the mesh and return its bytes.
+
+    Raises
+    ------
+    ValueError
+        If it is too short or too long. The key itself is not shown.
+    """
+    key = text.encode()
+    if not MIN_MESH_KEY_BYTES <= len(key) <= MAX_MESH_KEY_BYTES:
+        raise ValueError(
+            f"the key has {len(key)} bytes; allowed: {MIN_MESH_KEY_BYTES} to "
+            f"{MAX_MESH_KEY_BYTES}"
+        )
+    return key
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """What one daemon is told when it starts.
+
+    Parameters
+    ----------
+    calls : str
+        Address for callers.
+    peers : str
+        Address for other daemons and operators; TCP and UDP.
+    log, target : str
+        Addresses of the platform's log and of the own target.
+    region, domain : str
+        Where the VM stands.
+    mesh_key : bytes
+        Key shared by the daemons of the mesh.
+    labels : dict
+        Labels of the target.
+    boot : str
+        Identity of the boot of the VM; empty when unknown.
+    checks_grants : bool
+        Whether the target checks grants.
+    weight : float
+        Share of slices against other targets.
+    seeds : tuple of str
+        Peers to ask while the log cannot be read.
+    seed : int, optional
+        Seed of the random source, for repeatable runs.
+    """
+
+    calls: Address
+    peers: Address
+    log: Address
+    target: Address
+    region: str
+    domain: str
+    mesh_key: bytes
+    labels: dict[str, str] = field(default_factory=dict)
+    boot: str = ""
+    checks_grants: bool = True
+    weight: float = 1.0
+    seeds: tuple[Address, ...] = ()
+    seed: int | None = None
+    target_connections: int = 100
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    timing: Timing = field(default_factory=Timing)
