--- a/rhubarbhall/adapters/metrics.py
+++ b/rhubarbhall/adapters/metrics.py
@@ -29,31 +29,29 @@
         self._datagrams = datagrams
         self._registry = Registry()
         self._requests = self._add(
-            Counter("rhubarb_requests_total", "Answers given to callers, by kind.")
+            Counter, "requests_total", "Answers given to callers, by kind."
         )
         self._forwarded = self._add(
-            Counter("rhubarb_forwarded_total", "Requests passed to other daemons.")
+            Counter, "forwarded_total", "Requests passed to other daemons."
         )
         self._datagram_count = self._add(
-            Counter("rhubarb_datagrams_total", "Datagrams, by direction.")
+            Counter, "datagrams_total", "Datagrams, by direction."
         )
         self._gauge_by_name = {
-            name: self._add(Gauge(f"rhubarb_{name}", text))
-            for name, text in _GAUGE_TEXTS.items()
+            name: self._add(Gauge, name, text) for name, text in _GAUGE_TEXTS.items()
         }
         self._running = self._add(
-            Gauge("rhubarb_orders_running", "Orders at the target, by service.")
+            Gauge, "orders_running", "Orders at the target, by service."
         )
         self._waiting = self._add(
-            Gauge("rhubarb_orders_waiting", "Requests that wait, by service.")
+            Gauge, "orders_waiting", "Requests that wait, by service."
         )
         self._limit = self._add(
-            Gauge("rhubarb_orders_limit", "Orders allowed at once, by service.")
+            Gauge, "orders_limit", "Orders allowed at once, by service."
         )
 
-    def _add(self, collector: Counter | Gauge) -> Counter | Gauge:
-        self._registry.register(collector)
-        return collector
+    def _add(self, kind: type, name: str, text: str) -> Counter | Gauge:
+        return kind(f"rhubarb_{name}", text, registry=self._registry)
 
     def render(self, now: Seconds) -> tuple[bytes, str]:
         """Return the text and its media type."""
--- a/rhubarbhall/core/idempotency.py
+++ b/rhubarbhall/core/idempotency.py
@@ -13,6 +13,8 @@
 from rhubarbhall.core.events import RememberedOutcome
 
 if TYPE_CHECKING:
+    import random
+
     from rhubarbhall.core.requests import Request, Response
     from rhubarbhall.types import Seconds
 
@@ -63,6 +65,22 @@
     return parsed.int >> 80
 
 
+def mint_key(wall_ms: int, rng: random.Random) -> str:
+    """Return a new idempotency key: a UUID of version 7.
+
+    Parameters
+    ----------
+    wall_ms : int
+        Milliseconds since 1970.
+    rng : random.Random
+        Source of the random part.
+    """
+    value = (wall_ms & ((1 << 48) - 1)) << 80
+    value |= 0x7 << 76 | rng.getrandbits(12) << 64
+    value |= 0b10 << 62 | rng.getrandbits(62)
+    return str(uuid.UUID(int=value))
+
+
 def digest_of(request: Request) -> str:
     """Return a digest that tells two requests with the same key apart."""
     text = f"{request.method} {request.path}\n".encode()
