--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 test: $(STAMP)
 	$(BIN)/python -m unittest discover -s tests -t .
-	$(BIN)/behave -q --no-color -f progress tests/scenarios
+	$(BIN)/python -m behave --no-color -f progress tests/scenarios
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -355,9 +355,6 @@
             raise _Void("a witness is another member and named once")
         for witness in added:
             self._live(witness)
-        for witness in removed:
-            if witness in self.member_by_id:
-                raise _Void(f"witness {witness} is live and stays")
 
     def _failover(
         self, record: records.Failover, offset: Offset, changes: _Changes
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -37,14 +37,32 @@
 
 @dataclass(slots=True)
 class _TakeOver:
-    """A slice that is this member's by the log and not yet served."""
+    """A slice that is this member's by the log and not yet served.
+
+    Parameters
+    ----------
+    never_held : int
+        Former owners that released it without ever having served it.
+    best : ReleasedSlice, optional
+        Release by the owner that served it last, among those heard of.
+    """
 
     epoch: Epoch
     open_owners: set[MemberId]
     not_before: Seconds
-    every_owner_released: bool
+    never_held: int = 0
     best: ReleasedSlice | None = None
 
+    def knows_every_owner(self) -> bool:
+        """Tell whether no owner after the best one can have run anything.
+
+        Each epoch had one owner. Those between the best one and this member
+        must all have said that they never served; one that was closed by a
+        verdict may have run requests that nobody remembers.
+        """
+        held_epoch = self.best.held_epoch if self.best is not None else 0
+        return held_epoch + self.never_held == self.epoch - 1
+
 
 @dataclass(slots=True)
 class _Held:
@@ -155,29 +173,21 @@
         self, now: Seconds, event: events.RecordApplied
     ) -> Iterator[Event]:
         applied = event.applied
-        self._note_closed(applied)
-        self._note_wait(now, applied)
+        self._note_closed(now, applied)
         for ref in applied.moved:
             self._look_at(now, ref)
         yield from self._finish_take_overs(now)
 
-    def _note_closed(self, applied: Applied) -> None:
+    def _note_closed(self, now: Seconds, applied: Applied) -> None:
+        until = now + max((self._wait_for(each) for each in applied.closed), default=0)
         for take_over in self._take_over_by_slice.values():
             if take_over.open_owners.intersection(applied.closed):
                 take_over.open_owners.difference_update(applied.closed)
-                take_over.every_owner_released = False
-
-    def _note_wait(self, now: Seconds, applied: Applied) -> None:
-        wait = max((self._wait_for(each) for each in applied.closed), default=0.0)
-        if wait <= 0:
-            return
-        for ref in applied.moved:
-            known = self._not_before_by_slice.get(ref, now)
-            self._not_before_by_slice[ref] = max(known, now + wait)
-        for ref, take_over in self._take_over_by_slice.items():
-            if not take_over.every_owner_released:
-                known = self._not_before_by_slice.get(ref, now)
-                take_over.not_before = max(take_over.not_before, known)
+                take_over.not_before = max(take_over.not_before, until)
+        if until > now:
+            for ref in applied.moved:
+                known = self._not_before_by_slice.get(ref, until)
+                self._not_before_by_slice[ref] = max(known, until)
 
     def _wait_for(self, member_id: MemberId) -> Seconds:
         """Return how long effects of a closed member may still come."""
@@ -219,7 +229,6 @@
             epoch=epoch,
             open_owners=set(former) - {self._context.me},
             not_before=self._not_before_by_slice.get(ref, now),
-            every_owner_released=bool(former) or epoch == 1,
         )
         own = self._let_go_by_slice.get(ref)
         if self._context.me in former and own is not None:
@@ -239,7 +248,6 @@
                 self._not_before_by_slice[ref] = now + wait
             self._look_at(now, ref)
         for take_over in self._take_over_by_slice.values():
-            take_over.every_owner_released = False
             for owner in list(take_over.open_owners):
                 if not directory.is_live(owner):
                     take_over.open_owners.discard(owner)
@@ -268,14 +276,13 @@
             yield events.SliceAcquired(ref)
 
     def _table_for(self, now: Seconds, take_over: _TakeOver) -> OutcomeTable:
-        if take_over.every_owner_released and take_over.best is not None:
-            table = OutcomeTable(take_over.best.vouched_since_ms)
-            best = take_over.best
+        if not take_over.knows_every_owner():
+            return OutcomeTable(vouched_from(self._context.wall_ms()))
+        table = OutcomeTable(0)
+        best = take_over.best
+        if best is not None:
             table.take_over(now, best.vouched_since_ms, best.outcomes)
-            return table
-        if take_over.every_owner_released and take_over.epoch == 1:
-            return OutcomeTable(0)
-        return OutcomeTable(vouched_from(self._context.wall_ms()))
+        return table
 
     def _ask_former_owners(self, now: Seconds) -> Iterator[Command]:
         wanted: dict[MemberId, list[tuple[SliceRef, Epoch]]] = defaultdict(list)
@@ -301,14 +308,20 @@
             take_over = self._take_over_by_slice.get(released.slice)
             if take_over is None or take_over.epoch != released.epoch:
                 continue
+            if event.former not in take_over.open_owners:
+                continue
             take_over.open_owners.discard(event.former)
-            best = take_over.best
-            if released.held_epoch and (
-                best is None or best.held_epoch < released.held_epoch
-            ):
-                take_over.best = released
+            self._note_release(take_over, released)
         yield from self._finish_take_overs(now)
 
+    @staticmethod
+    def _note_release(take_over: _TakeOver, released: ReleasedSlice) -> None:
+        best = take_over.best
+        if not released.held_epoch:
+            take_over.never_held += 1
+        elif best is None or best.held_epoch < released.held_epoch:
+            take_over.best = released
+
     # Letting go
 
     def _on_release_asked(
--- a/rhubarbhall/core/lease.py
+++ b/rhubarbhall/core/lease.py
@@ -17,6 +17,9 @@
 
 #: Members that may resume themselves in a second, so that the log keeps up.
 RESUMES_PER_S = 200
+#: Time without a lease after which a member whose witnesses answer, but may
+#: not renew, resumes itself.
+STUCK_S = 2.0
 _NEVER = float("-inf")
 
 
@@ -30,6 +33,7 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self._renewed_at_by_witness: dict[MemberId, Seconds] = {}
+        self._answered_at_by_witness: dict[MemberId, Seconds] = {}
         self._log_read_at: Seconds = _NEVER
         self._resumed_at: Seconds = _NEVER
         self._resume_pending: RecordId | None = None
@@ -65,6 +69,15 @@
         times = [self._renewed_at_by_witness.get(each, _NEVER) for each in witnesses]
         return sorted(times, reverse=True)[majority - 1]
 
+    def lapsed_s(self, now: Seconds) -> Seconds:
+        """Return for how long the member has been without a lease."""
+        return 0.0 if self._lapsed_since is None else now - self._lapsed_since
+
+    def answers(self, now: Seconds, witness: MemberId) -> bool:
+        """Tell whether a witness has answered a while ago, whatever it said."""
+        answered_at = self._answered_at_by_witness.get(witness, _NEVER)
+        return now - answered_at <= self._context.timing.lease_s
+
     def held_until(self) -> Seconds:
         """Return the time at which the lease ends, own clock."""
         return self.held_since_send() + self._context.timing.lease_s
@@ -102,10 +115,13 @@
         self, now: Seconds, event: events.PeerMessageReceived
     ) -> Iterator[Event]:
         answer = event.message
-        if not isinstance(answer, HeartbeatAnswer) or not answer.renewed:
+        if not isinstance(answer, HeartbeatAnswer):
             return
         if answer.member != self._context.me or answer.sent_at > now:
             return
+        self._answered_at_by_witness[event.sender] = now
+        if not answer.renewed:
+            return
         known = self._renewed_at_by_witness.get(event.sender, _NEVER)
         self._renewed_at_by_witness[event.sender] = max(known, answer.sent_at)
         yield from self._note_change(now)
@@ -142,8 +158,9 @@
         member = self._context.member
         if member is not None:
             # Renewals of witnesses that are gone would pile up otherwise.
-            for gone in self._renewed_at_by_witness.keys() - set(member.witnesses):
-                del self._renewed_at_by_witness[gone]
+            for gone in self._answered_at_by_witness.keys() - set(member.witnesses):
+                del self._answered_at_by_witness[gone]
+                self._renewed_at_by_witness.pop(gone, None)
 
     def _on_directory_loaded(self, now: Seconds, event: Event) -> Iterator[Event]:
         if self._context.me in self._context.directory.closed_by_id:
@@ -152,6 +169,7 @@
     def _fence(self, now: Seconds) -> Iterator[Event]:
         closed = self._context.directory.closed_by_id[self._context.me]
         self._renewed_at_by_witness.clear()
+        self._answered_at_by_witness.clear()
         self._log_read_at = _NEVER
         self._resumed_at = _NEVER
         self._resume_pending = None
@@ -161,22 +179,28 @@
     # Resuming after a silence of the whole mesh
 
     def _resume_if_stuck(self, now: Seconds) -> Iterator[Event]:
-        timing = self._context.timing
-        since = self._lapsed_since
-        if since is None or now - since <= timing.replaceable_s:
+        if not self._is_stuck(now):
             self._resume_not_before = _NEVER
             return
         if self._resume_pending or not self._context.log_reachable(now):
             return
         if self._resume_not_before == _NEVER:
             crowd = len(self._context.directory.member_by_id)
-            spread = max(1.0, crowd / RESUMES_PER_S)
+            spread = crowd / RESUMES_PER_S
             self._resume_not_before = now + self._context.rng.random() * spread
         elif now >= self._resume_not_before:
             self._resume_not_before = _NEVER
             self._resume_pending = self._context.new_record_id()
             yield events.Submit(self._resume_pending, Resume(self._context.me))
 
+    def _is_stuck(self, now: Seconds) -> bool:
+        """Tell whether witnesses answer and yet the lease stays lapsed."""
+        member = self._context.member
+        if member is None or not member.witnesses or self.lapsed_s(now) < STUCK_S:
+            return False
+        answering = sum(self.answers(now, each) for each in member.witnesses)
+        return answering >= member.majority
+
     def _on_settled(self, now: Seconds, event: events.Settled) -> Iterator[Event]:
         if event.record_id != self._resume_pending:
             return
--- a/rhubarbhall/core/node.py
+++ b/rhubarbhall/core/node.py
@@ -81,7 +81,7 @@
             self.lease,
             self.witness,
             Collector(context),
-            WitnessSet(context),
+            WitnessSet(context, self.lease),
             self.ownership,
             Rebalancer(context, self.lease, self.ownership),
             Snapshotter(context, snapshot_every),
--- a/rhubarbhall/core/placement.py
+++ b/rhubarbhall/core/placement.py
@@ -75,8 +75,11 @@
     def choose(self, name: str) -> str | None:
         """Return the member for `name`, or none when the ring is empty.
 
-        A member's chance is in proportion to its weight. Adding or removing a
-        member changes the choice only for names that this member wins or won.
+        A member's chance grows with its weight. Up to `CANDIDATES` members,
+        adding or removing one changes the choice only for names that it wins
+        or won; in larger rings a change reaches a few more names, whose
+        candidates it was. Only slices without an owner are placed this way,
+        so that such a change moves nothing by itself.
         """
         seats = self._candidates(name)
         best = max(seats, key=lambda seat: _rendezvous_score(name, seat), default=None)
--- a/rhubarbhall/core/witness.py
+++ b/rhubarbhall/core/witness.py
@@ -44,6 +44,9 @@
         Version of the member's set of witnesses that this watch is for.
     quiet_since : float
         Time of the last renewal, or of reading the record that began the watch.
+    heard_at : float
+        Time of the last heartbeat. A member that is heard but may not be
+        renewed is not lost, so it is not under suspicion.
     promised_version : int, optional
         Version under which a promise was given.
     suspect_since : float, optional
@@ -52,6 +55,7 @@
 
     version: int
     quiet_since: Seconds
+    heard_at: Seconds
     promised_version: int | None = None
     suspect_since: Seconds | None = None
     told_at: Seconds = float("-inf")
@@ -114,12 +118,13 @@
             return
         watch = self._watch_by_member.get(member_id)
         if watch is None:
-            self._watch_by_member[member_id] = _Watch(member.witness_version, now)
+            self._watch_by_member[member_id] = _Watch(member.witness_version, now, now)
         elif watch.version != member.witness_version:
             # Silence counts from reading the record: the member may have
             # drawn a lease from a resume that lies shortly before it.
             watch.version = member.witness_version
             watch.quiet_since = now
+            watch.heard_at = now
             watch.suspect_since = None
 
     # Renewing and promising
@@ -140,10 +145,13 @@
         if address is None or heartbeat.witness != self._context.me:
             return
         watch = self._watch_by_member.get(sender)
-        renewed = watch is not None and self._may_renew(now, watch)
+        renewed = False
+        if watch is not None:
+            watch.heard_at = now
+            watch.suspect_since = None
+            renewed = self._may_renew(now, watch)
         if renewed:
             watch.quiet_since = now
-            watch.suspect_since = None
         yield events.SendPeer(
             address,
             HeartbeatAnswer(
@@ -174,7 +182,8 @@
     def _may_promise(self, now: Seconds, watch: _Watch) -> bool:
         if watch.promised_version == watch.version:
             return True
-        silent = now - watch.quiet_since > self._context.timing.silence_s
+        last_sign = max(watch.quiet_since, watch.heard_at)
+        silent = now - last_sign > self._context.timing.silence_s
         return silent and self._context.log_reachable(now)
 
     # Noticing silence
@@ -182,7 +191,7 @@
     def _on_check_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
         self._forgive_own_pause(now)
         for member_id, watch in list(self._watch_by_member.items()):
-            if now - watch.quiet_since <= self._context.timing.silence_s:
+            if now - watch.heard_at <= self._context.timing.silence_s:
                 continue
             if not self._context.log_reachable(now):
                 continue
@@ -202,6 +211,7 @@
         for watch in self._watch_by_member.values():
             if watch.promised_version != watch.version:
                 watch.quiet_since = max(watch.quiet_since, now - OWN_PAUSE_S)
+                watch.heard_at = max(watch.heard_at, now - OWN_PAUSE_S)
 
     def _tell_collectors(
         self, now: Seconds, member_id: MemberId, watch: _Watch
--- a/rhubarbhall/core/witness_set.py
+++ b/rhubarbhall/core/witness_set.py
@@ -13,6 +13,7 @@
     from rhubarbhall.core.context import Context
     from rhubarbhall.core.events import Command, Event
     from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.core.lease import LeaseKeeper
     from rhubarbhall.core.members import Member
     from rhubarbhall.types import MemberId, RecordId, Seconds
 
@@ -21,6 +22,10 @@
 LOOK_S = 0.2
 #: Time for which a witness may refuse renewal before its promise is voided.
 REFUSAL_S = 3.0
+#: Time without a lease after which a witness that does not answer is replaced.
+SILENT_S = 1.0
+#: Time for which a witness that did not answer is not chosen again.
+AVOIDED_S = 30.0
 
 
 class WitnessSet:
@@ -29,13 +34,16 @@
     A change is one record that adds or removes one witness, and the next
     change waits until that record was read back. Majorities of neighbouring
     sets always meet, so neither kind of change needs to wait for the old
-    witnesses.
+    witnesses. A witness goes when it has ended, or when it does not answer
+    and the member cannot hold its lease with the others.
     """
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, lease: LeaseKeeper) -> None:
         self._context = context
+        self._lease = lease
         self._pending: RecordId | None = None
         self._refused_since: dict[MemberId, Seconds] = {}
+        self._avoided_until: dict[MemberId, Seconds] = {}
 
     def handlers(self) -> Mapping[type[Event], Handler]:
         """Return the handler for each type of event."""
@@ -91,12 +99,11 @@
 
     def _next_set(self, now: Seconds, member: Member) -> tuple[MemberId, ...] | None:
         """Return the set one step closer to a whole one, or none."""
-        directory = self._context.directory
-        for witness in member.witnesses:
-            if not directory.is_live(witness):
-                return tuple(each for each in member.witnesses if each != witness)
+        unfit = self._unfit(now, member)
+        if unfit is not None:
+            return tuple(each for each in member.witnesses if each != unfit)
         if len(member.witnesses) < WITNESS_COUNT:
-            candidate = self._candidate(member)
+            candidate = self._candidate(now, member)
             if candidate is not None:
                 return (*member.witnesses, candidate)
         if self._is_refused_for_long(now, member):
@@ -105,13 +112,27 @@
             return member.witnesses
         return None
 
+    def _unfit(self, now: Seconds, member: Member) -> MemberId | None:
+        """Return a witness that must go, or none."""
+        directory = self._context.directory
+        for witness in member.witnesses:
+            if not directory.is_live(witness):
+                return witness
+        if self._lease.lapsed_s(now) < SILENT_S:
+            return None
+        for witness in member.witnesses:
+            if not self._lease.answers(now, witness):
+                self._avoided_until[witness] = now + AVOIDED_S
+                return witness
+        return None
+
     def _is_refused_for_long(self, now: Seconds, member: Member) -> bool:
         return any(
             now - self._refused_since.get(witness, now) > REFUSAL_S
             for witness in member.witnesses
         )
 
-    def _candidate(self, member: Member) -> MemberId | None:
+    def _candidate(self, now: Seconds, member: Member) -> MemberId | None:
         join = member.join
         places: list[Callable[[Member], bool]] = [
             lambda other: other.join.domain == join.domain,
@@ -123,16 +144,17 @@
         members = self._context.directory.member_by_id
         for place in places:
             if not any(place(members[witness]) for witness in member.witnesses):
-                found = self._first(member, place)
+                found = self._first(now, member, place)
                 if found is not None:
                     return found
-        return self._first(member, lambda other: True)
+        return self._first(now, member, lambda other: True)
 
     def _first(
-        self, member: Member, place: Callable[[Member], bool]
+        self, now: Seconds, member: Member, place: Callable[[Member], bool]
     ) -> MemberId | None:
         directory = self._context.directory
-        taken = {member.id, *member.witnesses}
+        avoided = {each for each, until in self._avoided_until.items() if now < until}
+        taken = {member.id, *member.witnesses, *avoided}
         for each in directory.everyone.ranked(member.id):
             if each not in taken and place(directory.member_by_id[each]):
                 return each
--- a/rhubarbhall/standins/target.py
+++ b/rhubarbhall/standins/target.py
@@ -304,12 +304,11 @@
             self._refuse(order.exchange, "cancelled")
 
     def _may_take_effect(self, order: _Order, now: Seconds) -> bool:
-        if order.cancelled:
+        if order.cancelled or now >= order.deadline:
             return False
         if not self.options.checks_grants:
             return True
-        granted = order.fence == self._fence and now < self._grant_until
-        return granted and now < order.deadline
+        return order.fence == self._fence and now < self._grant_until
 
     def shut_down(self) -> None:
         """Close the port."""
--- /dev/null
+++ b/tests/core/test_directory.py
@@ -0,0 +1,265 @@
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from rhubarbhall.core.directory import Closing, Directory
+from rhubarbhall.core.records import (
+    SCHEMA,
+    DeclareLost,
+    Envelope,
+    Failover,
+    IntentRecord,
+    Join,
+    Leave,
+    Move,
+    Resume,
+    Retire,
+    StoredRecord,
+    Verdict,
+    Witnesses,
+    seal,
+)
+from rhubarbhall.core.snapshots import (
+    SnapshotScan,
+    encode_directory,
+    restore_directory,
+    split_snapshot,
+)
+
+DOCUMENT = {"services": {"s": {"targets": "app=s", "slices": 16}}}
+
+
+class Log:
+    """Applies records one after the other."""
+
+    def __init__(self) -> None:
+        self.directory = Directory()
+        self.stored: list[StoredRecord] = []
+
+    def add(self, record, record_id: str | None = None):
+        name = record_id or f"r{len(self.stored)}"
+        return self.add_envelope(seal(name, record))
+
+    def add_envelope(self, envelope: Envelope):
+        stored = StoredRecord(len(self.stored), envelope)
+        self.stored.append(stored)
+        return self.directory.apply(stored)
+
+    def join(self, name: str, **changes):
+        join = Join(name, f"{name}:1", f"{name}:2", "r", f"d-{name}", {"app": "s"})
+        return self.add(msgspec.structs.replace(join, **changes))
+
+    def owners(self) -> set[str | None]:
+        return {self.directory.owner_of("s", index) for index in range(16)}
+
+
+class DirectoryTests(unittest.TestCase):
+    def setUp(self):
+        self.log = Log()
+        for name in "abc":
+            self.log.join(name)
+        self.log.add(IntentRecord(0, DOCUMENT))
+
+    def witness(self, member: str, *witnesses: str):
+        directory = self.log.directory
+        for count in range(1, len(witnesses) + 1):
+            version = directory.member_by_id[member].witness_version
+            applied = self.log.add(Witnesses(member, witnesses[:count], version))
+            self.assertIsNone(applied.void)
+
+    def test_new_slices_get_owners_at_once(self):
+        self.assertNotIn(None, self.log.owners())
+
+    def test_a_repeated_append_has_no_second_effect(self):
+        envelope = seal("once", IntentRecord(1, DOCUMENT))
+        self.assertIsNone(self.log.add_envelope(envelope).void)
+        self.assertEqual(self.log.add_envelope(envelope).void, "repeated append")
+        self.assertEqual(self.log.directory.intent_version, 2)
+
+    def test_a_race_of_operators_has_one_winner(self):
+        self.assertIsNone(self.log.add(IntentRecord(1, DOCUMENT)).void)
+        void = self.log.add(IntentRecord(1, {"services": {}})).void
+        self.assertIn("intent is at version 2, not 1", void)
+        self.assertIn("s", self.log.directory.intent.services)
+
+    def test_an_intent_with_a_mistake_changes_nothing(self):
+        bad = {"services": {"s": {"targets": "app=s", "slices": 0}}}
+        self.assertIn("not valid", self.log.add(IntentRecord(1, bad)).void)
+        self.assertEqual(self.log.directory.intent_version, 1)
+
+    def test_slices_of_a_service_cannot_change_in_number(self):
+        other = {"services": {"s": {"targets": "app=s", "slices": 8}}}
+        self.assertIn("cannot change", self.log.add(IntentRecord(1, other)).void)
+
+    def test_a_service_that_comes_back_keeps_its_owners(self):
+        before = [self.log.directory.owner_of("s", n) for n in range(16)]
+        self.log.add(IntentRecord(1, {}))
+        self.assertNotIn("s", self.log.directory.table_by_service)
+        gone = before[0]
+        self.log.add(Leave(gone))
+        self.log.add(IntentRecord(2, DOCUMENT))
+        for index, owner in enumerate(before):
+            now = self.log.directory.owner_of("s", index)
+            if owner == gone:
+                self.assertNotIn(now, (None, gone))
+            else:
+                self.assertEqual(now, owner)
+
+    def test_an_unknown_kind_is_kept_and_has_no_effect(self):
+        strange = Envelope("x", SCHEMA, msgspec.Raw(b'{"kind":"parade","of":"ants"}'))
+        self.assertIsNone(self.log.add_envelope(strange).void)
+        self.assertEqual(self.log.directory.next_offset, 5)
+
+    def test_a_newer_schema_is_noticed(self):
+        newer = Envelope("x", SCHEMA + 1, msgspec.Raw(b'{"kind":"join"}'))
+        self.log.add_envelope(newer)
+        self.assertEqual(self.log.directory.newest_schema, SCHEMA + 1)
+
+    def test_records_apply_only_in_order(self):
+        with self.assertRaises(ValueError):
+            self.log.directory.apply(StoredRecord(99, seal("x", Leave("a"))))
+
+    def test_a_leave_gives_the_slices_to_others(self):
+        applied = self.log.add(Leave("a"))
+        self.assertEqual(applied.closed, ("a",))
+        self.assertEqual(self.log.owners(), {"b", "c"})
+
+    def test_a_retiring_member_takes_nothing_new(self):
+        self.log.add(Retire("b"))
+        self.log.add(Leave("a"))
+        owners = [self.log.directory.owner_of("s", n) for n in range(16)]
+        moved = [n for n in range(16) if self.log.directory.epoch_of("s", n) == 2]
+        self.assertTrue(moved)
+        self.assertEqual({owners[n] for n in moved}, {"c"})
+
+    def test_a_failover_needs_a_majority_of_the_present_set(self):
+        self.witness("a", "b", "c")
+        directory = self.log.directory
+        version = directory.member_by_id["a"].witness_version
+        for verdict in (
+            Verdict("a", version, ("b",)),
+            Verdict("a", version - 1, ("b", "c")),
+            Verdict("a", version, ("b", "stranger")),
+            Verdict("b", 0, ()),
+        ):
+            with self.subTest(verdict=verdict):
+                void = self.log.add(Failover((verdict,))).void
+                self.assertEqual(void, "no verdict in it holds good")
+        good = Failover((Verdict("a", version, ("b", "c")), Verdict("b", 9, ("c",))))
+        self.assertEqual(self.log.add(good).closed, ("a",))
+        self.assertIs(directory.closed_by_id["a"].reason, Closing.FAILED_OVER)
+
+    def test_a_resume_voids_the_promises_before_it(self):
+        self.witness("a", "b")
+        version = self.log.directory.member_by_id["a"].witness_version
+        self.assertIsNone(self.log.add(Resume("a")).void)
+        stale = Failover((Verdict("a", version, ("b",)),))
+        self.assertIsNotNone(self.log.add(stale).void)
+
+    def test_a_closed_member_cannot_resume(self):
+        self.log.add(Leave("a"))
+        self.assertIn("not live", self.log.add(Resume("a")).void)
+
+    def test_a_witness_set_changes_by_one_at_a_time(self):
+        void = self.log.add(Witnesses("a", ("b", "c"), 0)).void
+        self.assertIn("one witness at a time", void)
+        self.witness("a", "b", "c")
+        self.assertIn("at version 2", self.log.add(Witnesses("a", ("b",), 0)).void)
+        swapped = self.log.add(Witnesses("a", ("b", "d"), 2))
+        self.assertIn("one witness at a time", swapped.void)
+        self.assertIsNone(self.log.add(Witnesses("a", ("b",), 2)).void)
+        self.log.add(Leave("c"))
+        self.assertIn("not live", self.log.add(Witnesses("a", ("b", "c"), 3)).void)
+
+    def test_nobody_is_a_witness_of_itself(self):
+        self.assertIsNotNone(self.log.add(Witnesses("a", ("a",), 0)).void)
+
+    def test_a_restart_closes_the_run_that_it_supersedes(self):
+        applied = self.log.join("a2", supersedes="a")
+        self.assertEqual(applied.closed, ("a",))
+        self.assertIn("joined before", self.log.join("a").void)
+
+    def test_a_move_keeps_the_chain_of_unclosed_owners(self):
+        index = next(n for n in range(16) if self.log.directory.owner_of("s", n) == "a")
+        directory = self.log.directory
+        self.log.add(Move("s", "a", ((index, 1, "b"),), True))
+        self.log.add(Move("s", "b", ((index, 2, "c"),), False))
+        self.assertEqual(directory.owner_of("s", index), "c")
+        self.assertEqual(directory.predecessors_of("s", index), ("a", "b"))
+        self.log.add(DeclareLost(("a",)))
+        self.assertEqual(directory.predecessors_of("s", index), ("b",))
+        self.log.add(Move("s", "c", ((index, 3, "b"),), True))
+        self.assertEqual(directory.predecessors_of("s", index), ("c",))
+
+    def test_a_stale_or_foreign_move_is_void(self):
+        index = next(n for n in range(16) if self.log.directory.owner_of("s", n) == "a")
+        for move in (
+            Move("s", "b", ((index, 1, "c"),), True),
+            Move("s", "a", ((index, 7, "c"),), True),
+            Move("s", "a", ((index, 1, "nobody"),), True),
+            Move("t", "a", ((index, 1, "c"),), True),
+            Move("s", "a", ((99, 1, "c"),), True),
+        ):
+            with self.subTest(move=move):
+                self.assertIsNotNone(self.log.add(move).void)
+
+    def test_the_last_member_leaves_its_slices_unowned_until_a_join(self):
+        for name in "abc":
+            self.log.add(Leave(name))
+        self.assertEqual(self.log.owners(), {None})
+        self.log.join("d")
+        self.assertEqual(self.log.owners(), {"d"})
+
+
+class SnapshotTests(unittest.TestCase):
+    def setUp(self):
+        self.log = Log()
+        for name in "abc":
+            self.log.join(name)
+        self.log.add(IntentRecord(0, DOCUMENT))
+        self.log.add(Witnesses("a", ("b",), 0))
+        self.log.add(Leave("c"))
+
+    def test_snapshot_and_tail_give_the_same_as_the_whole_log(self):
+        restored = Directory()
+        self.assertTrue(
+            restore_directory(restored, encode_directory(self.log.directory))
+        )
+        for record in (Retire("b"), Leave("a"), IntentRecord(1, DOCUMENT)):
+            self.log.add(record)
+            restored.apply(self.log.stored[-1])
+        self.assertEqual(
+            encode_directory(restored), encode_directory(self.log.directory)
+        )
+
+    def test_a_snapshot_never_takes_the_directory_back(self):
+        old = encode_directory(self.log.directory)
+        self.log.add(Retire("b"))
+        self.assertFalse(restore_directory(self.log.directory, old))
+        self.assertTrue(self.log.directory.member_by_id["b"].retiring)
+
+    def test_what_is_no_snapshot_is_refused(self):
+        with self.assertRaises(ValueError):
+            restore_directory(Directory(), b"nonsense")
+
+    def test_a_snapshot_is_found_among_the_records_that_are_kept(self):
+        covers = self.log.directory.next_offset
+        for chunk in split_snapshot(self.log.directory):
+            self.log.add(chunk)
+        self.log.add(Retire("b"))
+        kept = self.log.stored[covers:]
+        scan = SnapshotScan(covers)
+        snapshot = scan.take(tuple(kept))
+        restored = Directory()
+        self.assertTrue(restore_directory(restored, snapshot))
+        self.assertEqual(restored.next_offset, covers)
+
+    def test_a_snapshot_whose_tail_was_trimmed_is_passed_over(self):
+        chunks = split_snapshot(self.log.directory)
+        self.log.add(Retire("b"))
+        first = len(self.log.stored)
+        for chunk in chunks:
+            self.log.add(chunk)
+        self.assertIsNone(SnapshotScan(first).take(tuple(self.log.stored[first:])))
--- /dev/null
+++ b/tests/core/test_idempotency.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import random
+import unittest
+import uuid
+
+from rhubarbhall.core.directory import SliceRef
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.idempotency import (
+    CLOCK_SKEW_MS,
+    MAX_BYTES_PER_SLICE,
+    WINDOW_S,
+    OutcomeTable,
+    Repeat,
+    mint_key,
+    minted_ms_of,
+    vouched_from,
+)
+from rhubarbhall.core.intent import DEFAULT_ROUTE, intent_from_toml
+from rhubarbhall.core.requests import Request, Response, refusal
+
+SERVICE = intent_from_toml('[services.s]\ntargets = "a=b"\n').services["s"]
+WALL_MS = 1_800_000_000_000
+RNG = random.Random(7)
+
+
+def request(key: str, body: bytes = b"", slice_key: str = "batch") -> Request:
+    return Request(
+        1, SERVICE, DEFAULT_ROUTE, slice_key, SliceRef("s", 0), "POST", "/credit", (),
+        body, "caller", 0.0, 5.0, key,
+    )  # fmt: skip
+
+
+class MintTests(unittest.TestCase):
+    def test_a_minted_key_is_a_uuid_of_version_7_with_its_time(self):
+        key = mint_key(WALL_MS, RNG)
+        self.assertEqual(uuid.UUID(key).version, 7)
+        self.assertEqual(minted_ms_of(key), WALL_MS)
+
+    def test_other_texts_bear_no_time(self):
+        for text in ("", "seven", str(uuid.uuid4())):
+            self.assertIsNone(minted_ms_of(text))
+
+
+class OutcomeTableTests(unittest.TestCase):
+    def setUp(self):
+        self.table = OutcomeTable(0)
+        self.first = request(mint_key(WALL_MS, RNG))
+
+    def test_a_repeat_gets_the_remembered_answer(self):
+        self.assertIs(self.table.begin(0.0, self.first)[0], Repeat.FIRST)
+        self.assertIs(self.table.begin(0.1, self.first)[0], Repeat.RUNNING)
+        self.table.finish(self.first, Response(200, (), b"done"))
+        repeat, response = self.table.begin(0.2, self.first)
+        self.assertIs(repeat, Repeat.SAME)
+        self.assertEqual(response.body, b"done")
+
+    def test_what_did_not_run_may_run_again(self):
+        self.table.begin(0.0, self.first)
+        self.table.finish(self.first, refusal(ErrorKind.OVERLOADED))
+        self.assertIs(self.table.begin(0.1, self.first)[0], Repeat.FIRST)
+
+    def test_what_may_have_run_never_runs_again(self):
+        self.table.begin(0.0, self.first)
+        self.table.finish(self.first, refusal(ErrorKind.ANSWER_LOST))
+        self.assertIs(self.table.begin(0.1, self.first)[0], Repeat.NOT_VOUCHED)
+
+    def test_another_request_under_the_same_key_is_told_apart(self):
+        self.table.begin(0.0, self.first)
+        other = request(self.first.idempotency_key, body=b"other")
+        self.assertIs(self.table.begin(0.1, other)[0], Repeat.OTHER_REQUEST)
+
+    def test_a_key_from_before_the_table_is_not_vouched_for(self):
+        table = OutcomeTable(vouched_from(WALL_MS))
+        self.assertIs(table.begin(0.0, self.first)[0], Repeat.NOT_VOUCHED)
+        late = request(mint_key(WALL_MS + 2 * CLOCK_SKEW_MS, RNG))
+        self.assertIs(table.begin(0.0, late)[0], Repeat.FIRST)
+
+    def test_an_entry_that_left_the_window_is_not_vouched_for(self):
+        self.table.begin(0.0, self.first)
+        self.table.finish(self.first, Response(200))
+        after = WINDOW_S + 1.0
+        self.assertIs(self.table.begin(after, self.first)[0], Repeat.NOT_VOUCHED)
+        self.assertEqual(len(self.table), 0)
+
+    def test_memory_is_bounded_and_what_is_forgotten_is_not_vouched_for(self):
+        answer = Response(200, (), b"x" * (MAX_BYTES_PER_SLICE // 4))
+        requests = [request(mint_key(WALL_MS + n, RNG)) for n in range(8)]
+        for each in requests:
+            self.table.begin(0.0, each)
+            self.table.finish(each, answer)
+        self.assertLess(len(self.table), 5)
+        self.assertIs(self.table.begin(0.1, requests[0])[0], Repeat.NOT_VOUCHED)
+        self.assertIs(self.table.begin(0.1, requests[-1])[0], Repeat.SAME)
+
+    def test_a_table_is_continued_by_the_next_owner(self):
+        running = request(mint_key(WALL_MS + 1, RNG))
+        self.table.begin(0.0, self.first)
+        self.table.finish(self.first, Response(201, (), b"done"))
+        self.table.begin(0.0, running)
+        successor = OutcomeTable(vouched_from(WALL_MS))
+        successor.take_over(50.0, 0, tuple(self.table.outcomes(1.0)))
+        self.assertIs(successor.begin(50.0, self.first)[0], Repeat.SAME)
+        self.assertIs(successor.begin(50.0, running)[0], Repeat.NOT_VOUCHED)
--- /dev/null
+++ b/tests/core/test_timers.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+
+from rhubarbhall.core.events import Event
+from rhubarbhall.core.timers import TimerService
+
+
+@dataclass(frozen=True)
+class Rang(Event):
+    name: str
+
+
+class TimerServiceTests(unittest.TestCase):
+    def test_events_come_in_the_order_of_their_times(self):
+        timers = TimerService()
+        timers.at(2.0, Rang("second"))
+        timers.at(1.0, Rang("first"))
+        self.assertEqual(timers.next_due(), 1.0)
+        self.assertEqual([e.name for e in timers.due(3.0)], ["first", "second"])
+        self.assertIsNone(timers.next_due())
+
+    def test_a_repeated_timer_that_fell_behind_fires_once(self):
+        timers = TimerService()
+        timers.every(1.0, Rang("tick"), first=1.0)
+        self.assertEqual(len(list(timers.due(10.5))), 1)
+        self.assertEqual(timers.next_due(), 11.0)
+
+    def test_a_cancelled_timer_never_fires(self):
+        timers = TimerService()
+        timers.at(1.0, Rang("never")).cancel()
+        self.assertEqual(list(timers.due(2.0)), [])
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -85,11 +85,16 @@
         self.checks_grants = checks_grants
         self.work_s = 0.005
         self.sheds = False
+        self.frozen = False
+        self._stuck: list[Callable[[], None]] = []
         self.grant_until = float("-inf")
         self.fence = 0
         self._cancelled: set[int] = set()
 
     def begin(self, order: events.SendOrder) -> None:
+        if self.frozen:
+            self._stuck.append(lambda: self.begin(order))
+            return
         if self.sheds:
             shed = Response(503, (("Target-Not-Run", "1"),))
             self._answer(order, shed)
@@ -99,7 +104,17 @@
         started = self.mesh.now
         self.mesh.later(self.work_s, lambda: self._end(order, fence, started))
 
+    def thaw(self) -> None:
+        """Go on where the target stood when it froze."""
+        self.frozen = False
+        stuck, self._stuck = self._stuck, []
+        for action in stuck:
+            action()
+
     def _end(self, order: events.SendOrder, fence: int, started: float) -> None:
+        if self.frozen:
+            self._stuck.append(lambda: self._end(order, fence, started))
+            return
         now = self.host.local(self.mesh.now)
         lapsed = self.checks_grants and now >= self.grant_until
         late = now >= order.deadline
--- /dev/null
+++ b/tests/properties/machine.py
@@ -0,0 +1,271 @@
+"""A state machine that lets faults loose on a few members and watches them."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from rhubarbhall import audit
+from rhubarbhall.core import events
+from rhubarbhall.core.context import Timing
+from rhubarbhall.core.errors import ANSWER_BY_KIND, Ran
+from rhubarbhall.core.idempotency import mint_key
+from rhubarbhall.core.node import Node
+from rhubarbhall.core.records import IntentRecord, Move, open_envelope
+from rhubarbhall.standins.target import Execution
+from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Host, Mesh
+
+PLACES = [
+    ("idukki", "i1"),
+    ("idukki", "i2"),
+    ("wayanad", "w1"),
+    ("wayanad", "w1"),
+    ("kottayam", "k1"),
+    ("kottayam", "k2"),
+    ("idukki", "i1"),
+]
+#: Half of the drift bound, so that two clocks differ by no more than it.
+RATES = [1.0, 0.976, 1.024, 1.0, 0.98, 1.02, 0.976]
+TIMING = Timing(tenure_s=6.0)
+#: Time within which every slice is served once all faults have ended: the
+#: tenure rules, a resume, a join and its records, one after the other.
+SETTLE_S = 2 * TIMING.replaceable_s + 15.0
+
+hosts = st.integers(0, len(PLACES) - 1)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Rules are faults; after each, time goes by and the promises are checked."""
+
+    checks_grants = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.mesh: Mesh | None = None
+        self._offset_by_node: dict[Node, int] = {}
+        self._version_by_node: dict[Node, int] = {}
+        self._calls: list[tuple[Host, int, str]] = []
+        self._publishes = 0
+
+    @initialize(count=st.integers(3, len(PLACES)), seed=st.integers(0, 1 << 16))
+    def begin(self, count: int, seed: int) -> None:
+        self.mesh = Mesh(
+            PLACES[:count],
+            seed=seed,
+            timing=TIMING,
+            rates=RATES[:count],
+            checks_grants=self.checks_grants,
+        )
+        self.mesh.publish(INTENT, 0, "op/first")
+        self._run(4.0)
+
+    def _host(self, number: int) -> Host:
+        return self.mesh.hosts[number % len(self.mesh.hosts)]
+
+    def _run(self, seconds: float) -> None:
+        self.mesh.run(seconds, self._watch)
+
+    def _watch(self) -> None:
+        self.mesh.assert_sole_owners()
+        for host in self.mesh.hosts:
+            if host.lost or host.exited:
+                continue
+            node, directory = host.node, host.node.context.directory
+            offset = self._offset_by_node.get(node, 0)
+            assert directory.next_offset >= offset, "an applied offset went back"
+            version = self._version_by_node.get(node, 0)
+            assert directory.intent_version >= version, "the intent reverted"
+            self._offset_by_node[node] = directory.next_offset
+            self._version_by_node[node] = directory.intent_version
+
+    # Faults
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 0.7, 1.0, 1.3, 2.0, 4.0]))
+    def let_time_go_by(self, seconds: float) -> None:
+        self._run(seconds)
+
+    @rule(number=hosts, seconds=st.sampled_from([0.2, 0.5, 0.9, 1.2, 2.0, 3.0, 9.0]))
+    def pause_for(self, number: int, seconds: float) -> None:
+        host = self._host(number)
+        if host.runs:
+            self.mesh.pause(host)
+            self._run(seconds)
+            self._resume(host)
+
+    @rule(number=hosts)
+    def pause(self, number: int) -> None:
+        if self._host(number).runs:
+            self.mesh.pause(self._host(number))
+
+    @rule(number=hosts)
+    def resume(self, number: int) -> None:
+        self._resume(self._host(number))
+
+    def _resume(self, host: Host) -> None:
+        if host.paused and not host.lost:
+            # What a process is asked before its first step after a pause.
+            self._watch()
+            self.mesh.resume(host)
+
+    @rule(one=hosts, other=hosts, both_ways=st.booleans())
+    def cut(self, one: int, other: int, both_ways: bool) -> None:
+        self.mesh.cut(self._host(one), self._host(other), both_ways)
+
+    @rule(number=hosts)
+    def cut_off(self, number: int) -> None:
+        for other in self.mesh.hosts:
+            self.mesh.cut(self._host(number), other)
+
+    @rule(number=hosts)
+    def cut_from_log(self, number: int) -> None:
+        self.mesh.cuts.add((self._host(number).name, "log"))
+
+    @rule()
+    def heal(self) -> None:
+        self.mesh.heal()
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def lose_messages(self, loss: float) -> None:
+        self.mesh.loss = loss
+
+    @rule(delay=st.sampled_from([0.002, 0.05, 0.4]))
+    def delay_messages(self, delay: float) -> None:
+        self.mesh.link_delay_s = delay
+
+    @rule(up=st.booleans(), loses=st.booleans(), delay=st.sampled_from([0.005, 0.5]))
+    def change_log(self, up: bool, loses: bool, delay: float) -> None:
+        self.mesh.log.up = up
+        self.mesh.log.loses_answers = loses
+        self.mesh.log.delay_s = delay
+
+    @rule(number=hosts)
+    def lose(self, number: int) -> None:
+        self.mesh.lose(self._host(number))
+
+    @rule(number=hosts)
+    def restart(self, number: int) -> None:
+        host = self._host(number)
+        if host.lost or host.exited or not host.paused:
+            self.mesh.lose(host)
+            self.mesh.start(host)
+
+    @rule(number=hosts)
+    def stop(self, number: int) -> None:
+        host = self._host(number)
+        if host.runs:
+            self.mesh._step(host, events.StopRequested())
+
+    @rule(giving=hosts, taking=hosts)
+    def move(self, giving: int, taking: int) -> None:
+        giver, taker = self._host(giving), self._host(taking)
+        if not giver.runs or giver is taker:
+            return
+        node = giver.node
+        served = sorted(node.ownership.served, key=str)[:3]
+        if not served or not node.lease.is_held(giver.local(self.mesh.now)):
+            return
+        directory = node.context.directory
+        slices = tuple(
+            (ref.index, directory.epoch_of(SERVICE, ref.index), taker.node.context.me)
+            for ref in served
+        )
+        record = Move(SERVICE, node.context.me, slices, True)
+        self.mesh._step(giver, events.Submit(node.context.new_record_id(), record))
+
+    @rule(first=st.integers(1, 4), second=st.integers(1, 4))
+    def race_operators(self, first: int, second: int) -> None:
+        version = self.mesh.fold().intent_version
+        for hold in (first, second):
+            self._publishes += 1
+            document = msgspec.json.decode(msgspec.json.encode(INTENT))
+            document["services"][SERVICE]["hold_ms"] = 1000 * hold
+            self.mesh.publish(document, version, f"op/{self._publishes}")
+
+    @rule(number=hosts, key=st.integers(0, 30), again=st.integers(0, 30))
+    def call(self, number: int, key: int, again: int) -> None:
+        host = self._host(number)
+        if not host.runs or SERVICE not in host.node.context.directory.intent.services:
+            return
+        name = f"batch-{key}"
+        self._note(host, self.mesh.call(host, name), name)
+        wall_ms = WALL_MS_AT_ZERO + int(self.mesh.now * 1000)
+        credit = mint_key(wall_ms, self.mesh.rng)
+        for entrance in (host, self._host(again)):
+            known = entrance.node.context.directory.intent.services
+            if entrance.runs and SERVICE in known:
+                request = self.mesh.call(entrance, name, "POST", credit)
+                self._note(entrance, request, name)
+
+    def _note(self, host: Host, request_id: int, key: str) -> None:
+        self._calls.append((host, request_id, key))
+
+    # Promises
+
+    @invariant()
+    def promises_hold(self) -> None:
+        if self.mesh is None:
+            return
+        self._run(0.03)
+        executions = [_as_execution(each) for each in self.mesh.executions]
+        assert not audit.find_double_owners(executions)
+        assert not audit.find_repeats(executions)
+        for host, request_id, key in self._calls:
+            response = host.answers.get(request_id)
+            if response is not None and response.kind is None:
+                assert response.body == f"{key} done".encode(), "a wrong answer"
+
+    def teardown(self) -> None:
+        if self.mesh is None:
+            return
+        mesh = self.mesh
+        mesh.heal()
+        mesh.loss, mesh.link_delay_s = 0.0, 0.002
+        mesh.log.up, mesh.log.loses_answers, mesh.log.delay_s = True, False, 0.005
+        for host in mesh.hosts:
+            if host.paused and not host.lost:
+                self._resume(host)
+            if host.lost or host.exited:
+                mesh.start(host)
+        waited = 0.0
+        while waited < SETTLE_S and not mesh.all_served():
+            self._run(0.25)
+            waited += 0.25
+        assert mesh.all_served(), f"not all served {SETTLE_S:.0f} s after the faults"
+        self._run(1.0)
+        self._assert_nothing_lost()
+
+    def _assert_nothing_lost(self) -> None:
+        """Every accepted intent was replaced by the next one, none was skipped."""
+        fold = self.mesh.fold()
+        assert fold.intent_version >= 1
+        for host in self.mesh.hosts:
+            if not host.exited:
+                known = host.node.context.directory
+                assert known.intent_version == fold.intent_version
+                assert known.intent_document == fold.intent_document
+
+
+def _as_execution(made) -> Execution:
+    return Execution(
+        made.member,
+        str(made.slice),
+        made.epoch,
+        made.key,
+        "",
+        "",
+        made.idempotency_key or "",
+        made.started_at,
+        made.ended_at,
+    )
+
+
+def intents_in(mesh: Mesh) -> int:
+    """Return the number of intents in the log."""
+    opened = (open_envelope(each.envelope) for each in mesh.log.stored)
+    return sum(isinstance(each, IntentRecord) for each in opened)
+
+
+def truthful(kind) -> bool:
+    """Tell whether a kind claims that a request did not run."""
+    return ANSWER_BY_KIND[kind].ran is Ran.NO
--- /dev/null
+++ b/tests/properties/mutations.py
@@ -0,0 +1,143 @@
+"""Copies of the protocol in which one safety rule is switched off."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from unittest.mock import PropertyMock, patch
+
+from rhubarbhall.core import events
+from rhubarbhall.core.context import Timing
+from rhubarbhall.core.directory import Directory
+from rhubarbhall.core.failover import Collector
+from rhubarbhall.core.gate import Gate
+from rhubarbhall.core.handover import Ownership
+from rhubarbhall.core.lease import LeaseKeeper
+from rhubarbhall.core.members import Member
+from rhubarbhall.core.peer_messages import HeartbeatAnswer
+from rhubarbhall.core.witness import Witness
+from rhubarbhall.core.witness_set import WitnessSet
+
+
+def without_majority() -> AbstractContextManager:
+    """One witness is enough for a lease and for a verdict."""
+    return patch.object(Member, "majority", new_callable=PropertyMock, return_value=1)
+
+
+def without_permanence() -> AbstractContextManager:
+    """A witness renews although it has promised not to."""
+
+    def may_renew(self, now, watch):
+        return not self.retired and self._lease.has_tenure(now)
+
+    return patch.object(Witness, "_may_renew", may_renew)
+
+
+def without_silence_from_record() -> AbstractContextManager:
+    """A new witness counts silence from before it became one."""
+    look_at = Witness._look_at
+
+    def look_at_at_once(self, now, member_id):
+        look_at(self, now, member_id)
+        watch = self._watch_by_member.get(member_id)
+        if watch is not None and watch.quiet_since == now:
+            watch.quiet_since = now - 60.0
+
+    return patch.object(Witness, "_look_at", look_at_at_once)
+
+
+def without_predecessors() -> AbstractContextManager:
+    """A new owner serves without the release of the former one."""
+    return patch.object(Directory, "predecessors_of", lambda self, service, index: ())
+
+
+def without_send_time() -> AbstractContextManager:
+    """The lease counts from the answer, not from the heartbeat."""
+    on_peer_message = LeaseKeeper._on_peer_message
+
+    def on_late_answer(self, now, event):
+        message = event.message
+        if isinstance(message, HeartbeatAnswer):
+            message = HeartbeatAnswer(
+                now, message.member, message.renewed, message.next_offset
+            )
+            event = events.PeerMessageReceived(event.sender, message)
+        yield from on_peer_message(self, now, event)
+
+    return patch.object(LeaseKeeper, "_on_peer_message", on_late_answer)
+
+
+def without_drift_margin() -> AbstractContextManager:
+    """A witness waits no longer than the lease lasts on an equal clock."""
+    return patch.object(
+        Timing,
+        "silence_s",
+        property(lambda self: self.lease_s * (1 - self.drift_bound)),
+    )
+
+
+def without_drain_wait() -> AbstractContextManager:
+    """A slice is released although orders of it are still running."""
+    return patch.object(Ownership, "_has_stopped", lambda self, ref, epoch: True)
+
+
+@contextmanager
+def without_tenure() -> Iterator[None]:
+    """A witness that was voted out itself goes on renewing others."""
+    with patch.object(LeaseKeeper, "has_tenure", lambda self, now: True):
+        yield
+
+
+@contextmanager
+def without_closing_age() -> Iterator[None]:
+    """A closed witness counts as silent at once."""
+
+    def is_gone(self, now, witness):
+        return witness in self._context.directory.closed_by_id
+
+    with patch.object(Collector, "_is_gone", is_gone):
+        yield
+
+
+@contextmanager
+def without_check_before_order() -> Iterator[None]:
+    """The lease is looked at when a request comes, not before its order."""
+    with patch.object(Gate, "_may_run", lambda self, now, request: True):
+        yield
+
+
+@contextmanager
+def without_single_steps() -> Iterator[None]:
+    """A witness set changes by several witnesses in one record."""
+
+    def next_set(self, now, member):
+        directory = self._context.directory
+        others = [m for m in directory.everyone.ranked(member.id) if m != member.id]
+        live = tuple(others[:3])
+        return live if set(live) != set(member.witnesses) else None
+
+    with ExitStack() as stack:
+        stack.enter_context(
+            patch.object(Directory, "_check_witness_step", lambda *args: None)
+        )
+        stack.enter_context(patch.object(WitnessSet, "_next_set", next_set))
+        yield
+
+
+@contextmanager
+def without_set_version() -> Iterator[None]:
+    """A verdict counts although it speaks of an earlier witness set."""
+
+    def holds_good(self, verdict):
+        member = self.member_by_id.get(verdict.member)
+        return member is not None and bool(member.witnesses)
+
+    with patch.object(Directory, "_holds_good", holds_good):
+        yield
+
+
+ALL = {
+    name: made
+    for name, made in sorted(globals().items())
+    if name.startswith("without_")
+}
--- /dev/null
+++ b/tests/scenarios/steps/mesh_steps.py
@@ -0,0 +1,328 @@
+"""Steps of the scenarios, on small fakes and a virtual clock."""
+
+from __future__ import annotations
+
+import msgspec
+from behave import given, then, when
+
+from rhubarbhall import audit
+from rhubarbhall.core import events
+from rhubarbhall.core.idempotency import mint_key
+from rhubarbhall.core.records import open_envelope
+from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Mesh
+from tests.properties.machine import _as_execution
+
+PLACES = [
+    ("idukki", "i1"),
+    ("idukki", "i2"),
+    ("wayanad", "w1"),
+    ("wayanad", "w2"),
+    ("kottayam", "k1"),
+    ("kottayam", "k2"),
+]
+
+
+def _watch(context) -> None:
+    context.mesh.assert_sole_owners()
+
+
+def _run(context, seconds: float) -> None:
+    context.mesh.run(seconds, context.watch)
+
+
+def _host(context, number: int):
+    return context.mesh.hosts[number - 1]
+
+
+def _build(context, count: int, checks: bool) -> None:
+    context.mesh = Mesh(PLACES[:count], seed=5, checks_grants=checks)
+    context.watch = lambda: _watch(context)
+    context.mesh.publish(INTENT, 0, "op/first")
+    context.mesh.run_until(context.mesh.all_served)
+    _run(context, 8.0)
+    context.calls = []
+    context.publishes = 0
+
+
+@given("a mesh of {count:d} members")
+def step_mesh(context, count):
+    _build(context, count, checks=True)
+
+
+@given("a mesh of {count:d} members whose targets check nothing")
+def step_unchecked_mesh(context, count):
+    _build(context, count, checks=False)
+
+
+@when("{seconds:g} s go by")
+def step_time(context, seconds):
+    _run(context, seconds)
+
+
+# Faults
+
+
+@when("member {number:d} is lost")
+def step_lose(context, number):
+    host = _host(context, number)
+    context.lost_slices = set(host.node.ownership.served)
+    context.mesh.lose(host)
+
+
+@when("member {number:d} is restarted")
+def step_restart(context, number):
+    context.mesh.lose(_host(context, number))
+    context.mesh.start(_host(context, number))
+
+
+@when("member {number:d} is paused")
+def step_pause(context, number):
+    context.lost_slices = set(_host(context, number).node.ownership.served)
+    context.mesh.pause(_host(context, number))
+
+
+@when("member {number:d} goes on")
+def step_resume(context, number):
+    context.mesh.resume(_host(context, number))
+
+
+@when("member {number:d} is cut off from all others and the log")
+def step_cut_off(context, number):
+    host = _host(context, number)
+    for other in context.mesh.hosts:
+        context.mesh.cut(host, other)
+    context.mesh.cuts.add((host.name, "log"))
+
+
+@when('region "{region}" is parted from the log')
+def step_part_region(context, region):
+    for host in context.mesh.hosts:
+        if host.region == region:
+            context.mesh.cuts.add((host.name, "log"))
+
+
+@when('domain "{domain}" is lost')
+def step_lose_domain(context, domain):
+    for host in context.mesh.hosts:
+        if host.domain == domain:
+            context.mesh.lose(host)
+
+
+@when("the links are healed")
+def step_heal(context):
+    context.mesh.heal()
+
+
+@when("two witnesses of member {number:d} are lost")
+def step_lose_witnesses(context, number):
+    member = _host(context, number).node.context.member
+    for host in context.mesh.hosts:
+        if host.node.context.me in member.witnesses[:2]:
+            context.mesh.lose(host)
+
+
+@when("the log goes down")
+def step_log_down(context):
+    context.mesh.log.up = False
+
+
+@when("the log comes back")
+def step_log_up(context):
+    context.mesh.log.up = True
+    context.mesh.log.loses_answers = False
+
+
+@when("the log loses its answers")
+def step_log_loses(context):
+    context.mesh.log.loses_answers = True
+
+
+@when("the log takes {seconds:g} s for each call")
+def step_log_slow(context, seconds):
+    context.mesh.log.delay_s = seconds
+
+
+@when("the target of member {number:d} freezes")
+def step_freeze(context, number):
+    _host(context, number).target.frozen = True
+
+
+@when("the target of member {number:d} returns")
+def step_thaw(context, number):
+    _host(context, number).target.thaw()
+
+
+@when("member {number:d} is asked to stop")
+def step_stop(context, number):
+    host = _host(context, number)
+    context.stopped_at = context.mesh.now
+    context.mesh._step(host, events.StopRequested())
+
+
+@when("two operators publish against the same version")
+def step_race(context):
+    version = context.mesh.fold().intent_version
+    for hold_ms in (1000, 2000):
+        context.publishes += 1
+        document = msgspec.json.decode(msgspec.json.encode(INTENT))
+        document["services"][SERVICE]["hold_ms"] = hold_ms
+        context.mesh.publish(document, version, f"op/{context.publishes}")
+
+
+@when("the operator publishes that member {number:d} is leaving")
+def step_leaving(context, number):
+    version = context.mesh.fold().intent_version
+    document = msgspec.json.decode(msgspec.json.encode(INTENT))
+    document["leaving"] = [{"targets": f"vm={_host(context, number).name}"}]
+    context.mesh.publish(document, version, f"op/leaving-{number}")
+    context.left_at = context.mesh.now
+
+
+# Callers
+
+
+def _call(context, number: int, key: str, method: str, credit: str | None) -> None:
+    host = _host(context, number)
+    request_id = context.mesh.call(host, key, method, credit)
+    context.calls.append((host, request_id, key))
+
+
+def _new_credit(context) -> str:
+    return mint_key(WALL_MS_AT_ZERO + int(context.mesh.now * 1000), context.mesh.rng)
+
+
+@when('a credit for "{key}" is sent to member {number:d}')
+def step_credit(context, key, number):
+    context.credit = _new_credit(context)
+    _call(context, number, key, "POST", context.credit)
+
+
+@when('the credit for "{key}" is sent again to member {number:d}')
+def step_repeat(context, key, number):
+    _call(context, number, key, "POST", context.credit)
+
+
+@when("lookups for {count:d} keys are sent to member {number:d}")
+def step_lookups(context, count, number):
+    for key in range(count):
+        _call(context, number, f"batch-{key}", "GET", None)
+
+
+@when("the owner of {key} is lost")
+def step_lose_owner(context, key):
+    ref = _slice_of(context, key)
+    owner = context.mesh.servers()[ref][0]
+    for host in context.mesh.hosts:
+        if host.node.context.me == owner:
+            context.mesh.lose(host)
+
+
+def _slice_of(context, key: str):
+    from rhubarbhall.core.directory import SliceRef
+    from rhubarbhall.core.slices import slice_of_key
+
+    return SliceRef(SERVICE, slice_of_key(key, INTENT["services"][SERVICE]["slices"]))
+
+
+# Promises
+
+
+@then("every slice is served within {seconds:g} s")
+def step_served(context, seconds):
+    waited = 0.0
+    while not context.mesh.all_served():
+        assert waited < seconds, f"not all served within {seconds} s"
+        _run(context, 0.01)
+        waited += 0.01
+
+
+@then("the slices of the lost member are served by nobody")
+def step_unserved(context):
+    served = set(context.mesh.servers())
+    assert not served & context.lost_slices, served & context.lost_slices
+
+
+@then("every slice is still served")
+def step_still_served(context):
+    assert context.mesh.all_served()
+
+
+@then("no member was closed")
+def step_none_closed(context):
+    closed = context.mesh.fold().closed_by_id
+    assert not closed, list(closed)
+
+
+@then("the promises hold")
+def step_promises(context):
+    _run(context, 0.5)
+    executions = [_as_execution(each) for each in context.mesh.executions]
+    assert not audit.find_double_owners(executions), "two owners"
+    assert not audit.find_repeats(executions), "ran twice"
+
+
+@then("the credit ran {count:d} time")
+def step_ran(context, count):
+    _run(context, 2.0)
+    ran = [e for e in context.mesh.executions if e.idempotency_key == context.credit]
+    assert len(ran) == count, len(ran)
+
+
+@then("every call was answered")
+def step_all_answered(context):
+    _run(context, 2.0)
+    for host, request_id, key in context.calls:
+        response = host.answers.get(request_id)
+        assert response is not None, f"{key}: no answer"
+        assert response.kind is None, f"{key}: {response.kind}"
+        assert response.body == f"{key} done".encode()
+
+
+@then('the last call is refused as "{kind}"')
+def step_refused(context, kind):
+    _run(context, 6.0)
+    host, request_id, _ = context.calls[-1]
+    response = host.answers[request_id]
+    assert response.kind is not None, response
+    assert response.kind.value == kind, response.kind
+
+
+@then("member {number:d} has ended within {seconds:g} s")
+def step_ended(context, number, seconds):
+    waited = 0.0
+    while not _host(context, number).exited:
+        assert waited < seconds, f"still there after {seconds} s"
+        _run(context, 0.01)
+        waited += 0.01
+
+
+@then("member {number:d} began no work later than {seconds:g} s after that")
+def step_no_new_work(context, number, seconds):
+    name = _host(context, number).name
+    late = [
+        each
+        for each in context.mesh.executions
+        if each.member.startswith(f"{name}-")
+        and each.started_at > context.left_at + seconds
+    ]
+    assert not late, late
+
+
+@then("one of the two intents is in force everywhere")
+def step_one_in_force(context):
+    _run(context, 2.0)
+    fold = context.mesh.fold()
+    void = [
+        each for each in context.mesh.log.stored if each.envelope.id.startswith("op/")
+    ]
+    assert fold.intent_version == len(void) - 1
+    for host in context.mesh.hosts:
+        assert host.node.context.directory.intent_document == fold.intent_document
+
+
+@then("the log holds {count:d} failover record")
+def step_failovers(context, count):
+    kinds = [
+        type(open_envelope(each.envelope)).__name__ for each in context.mesh.log.stored
+    ]
+    assert kinds.count("Failover") == count, kinds.count("Failover")
