--- a/tests/properties/machine.py
+++ b/tests/properties/machine.py
@@ -9,10 +9,9 @@
 from rhubarbhall import audit
 from rhubarbhall.core import events
 from rhubarbhall.core.context import Timing
-from rhubarbhall.core.errors import ANSWER_BY_KIND, Ran
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.node import Node
-from rhubarbhall.core.records import IntentRecord, Move, open_envelope
+from rhubarbhall.core.records import Move
 from rhubarbhall.standins.target import Execution
 from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Host, Mesh
 
@@ -207,7 +206,7 @@
         if self.mesh is None:
             return
         self._run(0.03)
-        executions = [_as_execution(each) for each in self.mesh.executions]
+        executions = [as_execution(each) for each in self.mesh.executions]
         assert not audit.find_double_owners(executions)
         assert not audit.find_repeats(executions)
         for host, request_id, key in self._calls:
@@ -246,7 +245,7 @@
                 assert known.intent_document == fold.intent_document
 
 
-def _as_execution(made) -> Execution:
+def as_execution(made) -> Execution:
     return Execution(
         made.member,
         str(made.slice),
@@ -258,14 +257,3 @@
         made.started_at,
         made.ended_at,
     )
-
-
-def intents_in(mesh: Mesh) -> int:
-    """Return the number of intents in the log."""
-    opened = (open_envelope(each.envelope) for each in mesh.log.stored)
-    return sum(isinstance(each, IntentRecord) for each in opened)
-
-
-def truthful(kind) -> bool:
-    """Tell whether a kind claims that a request did not run."""
-    return ANSWER_BY_KIND[kind].ran is Ran.NO
--- a/tests/properties/mutations.py
+++ b/tests/properties/mutations.py
@@ -41,7 +41,7 @@
         look_at(self, now, member_id)
         watch = self._watch_by_member.get(member_id)
         if watch is not None and watch.quiet_since == now:
-            watch.quiet_since = now - 60.0
+            watch.quiet_since = watch.heard_at = now - 60.0
 
     return patch.object(Witness, "_look_at", look_at_at_once)
 
--- a/tests/scenarios/steps/mesh_steps.py
+++ b/tests/scenarios/steps/mesh_steps.py
@@ -7,10 +7,12 @@
 
 from rhubarbhall import audit
 from rhubarbhall.core import events
+from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.records import open_envelope
+from rhubarbhall.core.slices import slice_of_key
 from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Mesh
-from tests.properties.machine import _as_execution
+from tests.properties.machine import as_execution
 
 PLACES = [
     ("idukki", "i1"),
@@ -218,9 +220,6 @@
 
 
 def _slice_of(context, key: str):
-    from rhubarbhall.core.directory import SliceRef
-    from rhubarbhall.core.slices import slice_of_key
-
     return SliceRef(SERVICE, slice_of_key(key, INTENT["services"][SERVICE]["slices"]))
 
 
@@ -256,7 +255,7 @@
 @then("the promises hold")
 def step_promises(context):
     _run(context, 0.5)
-    executions = [_as_execution(each) for each in context.mesh.executions]
+    executions = [as_execution(each) for each in context.mesh.executions]
     assert not audit.find_double_owners(executions), "two owners"
     assert not audit.find_repeats(executions), "ran twice"
 
