--- a/rhubarbhall/adapters/web.py
+++ b/rhubarbhall/adapters/web.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
-from circuits.web import BaseServer
+from circuits.net.events import disconnect, read
 from circuits.web.events import response as response_event
+from circuits.web.http import HTTP
+
+from rhubarbhall.adapters.sockets import Listener
 
 if TYPE_CHECKING:
+    import socket
+
     from circuits.web.wrappers import Request as WebRequest, Response as WebResponse
 
 JSON = "application/json"
@@ -97,7 +101,44 @@
         self._service.handle(Exchange(self._service, request, response))
 
 
-class WebService(BaseServer):
+class _WebListener(Listener):
+    """The sockets under ``circuits.web``; closed ones take no more writes."""
+
+    def on_accepted(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Wait for the first request."""
+
+    def on_data(self, sock: socket.socket, data: bytes) -> None:
+        """Hand bytes to the HTTP component."""
+        self.fire(read(sock, data))
+
+    def on_closed(self, sock: socket.socket) -> None:
+        """Tell the HTTP component that a connection has ended."""
+        self.fire(disconnect(sock))
+
+    @handler("write", override=True)
+    def write(self, sock: socket.socket, data: bytes) -> None:
+        """Write a part of an answer."""
+        self.send(sock, data)
+
+    @handler("close", override=True)
+    def close(self, sock: socket.socket | None = None) -> None:
+        """Close one connection once it is written out, or everything at once."""
+        if sock is not None:
+            self.finish(sock)
+        else:
+            super().close()
+
+
+class _Http(HTTP):
+    """HTTP of ``circuits.web`` that passes over connections closed meanwhile."""
+
+    @handler("read", override=True)
+    def _on_read(self, sock: socket.socket, data: bytes) -> None:
+        if sock.fileno() >= 0:
+            super()._on_read(sock, data)
+
+
+class WebService(BaseComponent):
     """An HTTP service that answers each request through an `Exchange`.
 
     Parameters
@@ -110,34 +151,39 @@
         Takes each exchange.
     """
 
+    secure = False
+
     def __init__(
         self,
         bind: tuple[str, int],
         channel: str,
         handle: Callable[[Exchange], None],
     ) -> None:
-        super().__init__(bind, channel=channel, display_banner=False)
+        super().__init__(channel=channel)
         self.handle = handle
+        self._listener = _WebListener(bind, channel).register(self)
+        _Http(self, channel=channel).register(self)
         _Dispatch(channel, self).register(self)
 
-    @handler("signal", override=True)
-    def _on_signal(self, *args, **kwargs) -> None:
-        """Leave signals to the program."""
+    @property
+    def host(self) -> str | None:
+        """IP address that the service is bound to."""
+        return self._listener.host
 
-    @handler("ready", override=True)
-    def _on_ready(self, *args, **kwargs) -> None:
-        """Print nothing; the program tells its addresses."""
+    @property
+    def port(self) -> int | None:
+        """Port that the service is bound to."""
+        return self._listener.port
 
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
-        return len(self.server._clients)
+        return len(self._listener._clients)
 
-    def close_socket(self, sock) -> None:
+    def close_socket(self, sock: socket.socket) -> None:
         """Close one connection."""
-        self.server._close(sock)
+        self._listener.drop(sock)
 
     def shut_down(self) -> None:
         """Close the port and every connection."""
-        with contextlib.suppress(AttributeError):
-            self.server.close()
+        self._listener.close()
--- a/rhubarbhall/core/witness_set.py
+++ b/rhubarbhall/core/witness_set.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
@@ -104,14 +105,25 @@
             return tuple(each for each in member.witnesses if each != unfit)
         if len(member.witnesses) < WITNESS_COUNT:
             candidate = self._candidate(now, member)
-            if candidate is not None:
+            if candidate is not None and self._would_be_odd(now, member):
                 return (*member.witnesses, candidate)
+        if len(member.witnesses) == 2 and not self._would_be_odd(now, member):
+            # Two witnesses must both answer and both be there to promise, so
+            # they are worse than one in every way.
+            return member.witnesses[:1]
         if self._is_refused_for_long(now, member):
             # The same set under a new version voids a promise that was given
             # against a member that came back.
             return member.witnesses
         return None
 
+    def _would_be_odd(self, now: Seconds, member: Member) -> bool:
+        """Tell whether there are enough candidates for one or three witnesses."""
+        if not member.witnesses:
+            return True
+        missing = WITNESS_COUNT - len(member.witnesses)
+        return len(list(islice(self._candidates(now, member), missing))) == missing
+
     def _unfit(self, now: Seconds, member: Member) -> MemberId | None:
         """Return a witness that must go, or none."""
         directory = self._context.directory
@@ -152,10 +164,17 @@
     def _first(
         self, now: Seconds, member: Member, place: Callable[[Member], bool]
     ) -> MemberId | None:
+        members = self._context.directory.member_by_id
+        for each in self._candidates(now, member):
+            if place(members[each]):
+                return each
+        return None
+
+    def _candidates(self, now: Seconds, member: Member) -> Iterator[MemberId]:
+        """Yield the members that could become witnesses, in order of rank."""
         directory = self._context.directory
         avoided = {each for each, until in self._avoided_until.items() if now < until}
         taken = {member.id, *member.witnesses, *avoided}
         for each in directory.everyone.ranked(member.id):
-            if each not in taken and place(directory.member_by_id[each]):
-                return each
-        return None
+            if each not in taken and not directory.member_by_id[each].retiring:
+                yield each
