--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,314 @@
+"""Slopes that docs/CAPACITY.md works with: processor time, bytes, memory."""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+
+import msgspec
+
+from benchmarks.report import Table
+from rhubarbhall.adapters.datagrams import DatagramCodec
+from rhubarbhall.adapters.http_wire import (
+    RequestReader,
+    ResponseReader,
+    encode_request,
+    encode_response,
+)
+from rhubarbhall.adapters.log_port import RecordsPage
+from rhubarbhall.core import events
+from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.directory import Directory, SliceRef
+from rhubarbhall.core.intent import DEFAULT_ROUTE
+from rhubarbhall.core.node import Node
+from rhubarbhall.core.peer_messages import Heartbeat, HeartbeatAnswer
+from rhubarbhall.core.records import (
+    Failover,
+    IntentRecord,
+    Join,
+    StoredRecord,
+    Verdict,
+    Witnesses,
+    seal,
+)
+from rhubarbhall.core.requests import Request, Response
+from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.snapshots import encode_directory, restore_directory
+
+REGIONS = 11
+DOMAINS = 32
+TARGET_MEMBERS = 20_000
+TARGET_SLICES = 320_000
+
+
+def _join(number: int) -> Join:
+    domain = number % DOMAINS
+    return Join(
+        member=f"10.1.{number >> 8}.{number & 255}:7100/{number:08x}",
+        calls=f"10.1.{number >> 8}.{number & 255}:7100",
+        peers=f"10.1.{number >> 8}.{number & 255}:7200",
+        region=f"region-{domain % REGIONS}",
+        domain=f"domain-{domain}",
+        labels={"app": "status", "vm": f"vm{number}"},
+        boot="0f0f0f0f-0f0f-0f0f-0f0f-0f0f0f0f0f0f",
+    )
+
+
+class _Fold:
+    """A directory that records are applied to one by one."""
+
+    def __init__(self) -> None:
+        self.directory = Directory()
+        self.bytes = 0
+
+    def add(self, record) -> None:
+        offset = self.directory.next_offset
+        envelope = seal(f"r/{offset}", record)
+        self.bytes += len(msgspec.json.encode(envelope))
+        self.directory.apply(StoredRecord(offset, envelope))
+
+
+def _timed(action, *arguments) -> float:
+    began = time.process_time()
+    action(*arguments)
+    return time.process_time() - began
+
+
+def _build(members: int, slices: int) -> tuple[_Fold, dict[str, float]]:
+    fold = _Fold()
+    costs: dict[str, float] = {}
+
+    def join_all() -> None:
+        for number in range(members):
+            fold.add(_join(number))
+
+    def witness_all() -> None:
+        ids = list(fold.directory.member_by_id)
+        for number, member in enumerate(ids):
+            chosen = tuple(ids[(number + step) % members] for step in (1, 2, 3))
+            for count in (1, 2, 3):
+                fold.add(Witnesses(member, chosen[:count], count - 1))
+
+    tracemalloc.start()
+    costs["join us"] = 1e6 * _timed(join_all) / members
+    costs["member bytes"] = tracemalloc.get_traced_memory()[0] / members
+    tracemalloc.stop()
+    costs["witnesses us"] = 1e6 * _timed(witness_all) / (3 * members)
+    document = {"services": {"s": {"targets": "app=status", "slices": slices}}}
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    costs["assign us a slice"] = (
+        1e6 * _timed(fold.add, IntentRecord(0, document)) / slices
+    )
+    costs["slice bytes"] = (tracemalloc.get_traced_memory()[0] - before) / slices
+    tracemalloc.stop()
+    return fold, costs
+
+
+def _lose_domain(fold: _Fold) -> tuple[int, float, int]:
+    directory = fold.directory
+    lost = [m for m in directory.member_by_id.values() if m.join.domain == "domain-3"]
+    verdicts = tuple(Verdict(m.id, m.witness_version, m.witnesses[:2]) for m in lost)
+    before = fold.bytes
+    took = _timed(fold.add, Failover(verdicts))
+    return len(lost), took, fold.bytes - before
+
+
+def measure_fold() -> list[Table]:
+    table = Table(
+        "The fold",
+        (
+            "members",
+            "slices",
+            "join us",
+            "witnesses us",
+            "assign us a slice",
+            "bytes a member",
+            "bytes a slice",
+            "snapshot KB",
+            "write s",
+            "load s",
+        ),
+    )
+    lost = Table(
+        "A domain lost at once",
+        ("members", "slices", "lost", "records", "record KB", "fold ms"),
+    )
+    for members, slices in ((1_000, 16_000), (TARGET_MEMBERS, TARGET_SLICES)):
+        fold, costs = _build(members, slices)
+        began = time.process_time()
+        snapshot = encode_directory(fold.directory)
+        written = time.process_time() - began
+        loaded = _timed(restore_directory, Directory(), snapshot)
+        table.add(
+            members,
+            slices,
+            costs["join us"],
+            costs["witnesses us"],
+            costs["assign us a slice"],
+            costs["member bytes"],
+            costs["slice bytes"],
+            round(len(snapshot) / 1024),
+            written,
+            loaded,
+        )
+        count, took, size = _lose_domain(fold)
+        lost.add(members, slices, count, 1, size / 1024, 1000 * took)
+    return [table, lost]
+
+
+def _node(members: int, slices: int) -> Node:
+    """Return the core of a member that owns every slice and holds its lease."""
+    join = _join(0)
+    context = Context(join, Timing(), random.Random(1), lambda: 0)
+    node = Node(context, lambda: "never")
+    list(node.start(0.0))
+    list(node.step(0.0, events.TargetFenced()))
+    records = [join, *map(_join, range(1, members))]
+    document = {"services": {"s": {"targets": "vm=vm0", "slices": slices}}}
+    stored = [seal(f"r/{n}", r) for n, r in enumerate([*records])]
+    stored.append(seal("r/intent", IntentRecord(0, document)))
+    page = tuple(StoredRecord(n, each) for n, each in enumerate(stored))
+    list(node.step(0.0, events.RecordsRead(0.0, 0, page, True, 0.0, True)))
+    return node
+
+
+def measure_routing() -> list[Table]:
+    table = Table(
+        "Routing and gate, core only, one request", ("slices", "us", "over the first")
+    )
+    first = None
+    for slices in (100, 10_000, TARGET_SLICES):
+        node = _node(1, slices)
+        service = node.context.directory.intent.services["s"]
+        count = 6_000
+
+        def run_requests(node=node, service=service, count=count, slices=slices):
+            for number in range(count):
+                key = f"batch-{number}"
+                ref = SliceRef("s", slice_of_key(key, slices))
+                request = Request(
+                    number, service, DEFAULT_ROUTE, key, ref, "GET", "/look", (),
+                    b"", "caller", 0.1, 0.9,
+                )  # fmt: skip
+                list(node.step(0.1, events.RequestArrived(request)))
+                answered = events.OrderAnswered(number, Response(200))
+                list(node.step(0.1, answered))
+
+        cost = 1e6 * _timed(run_requests) / count
+        first = first or cost
+        assert node.router.outcomes_by_kind == {"answered": count}
+        table.add(slices, cost, cost / first)
+    return [table]
+
+
+def measure_heartbeat() -> list[Table]:
+    table = Table(
+        "One heartbeat and its answer, both ends, without the sockets",
+        ("way", "us", "bytes on the wire"),
+    )
+    codec = DatagramCodec(b"0123456789abcdef")
+    member, witness = _join(1).member, _join(2).member
+    heartbeat = Heartbeat(123456.789, witness)
+    answer = HeartbeatAnswer(123456.789, member, True, 1_000_000)
+    count = 20_000
+
+    def by_datagram() -> None:
+        for _ in range(count):
+            codec.decode(codec.encode(member, heartbeat))
+            codec.decode(codec.encode(witness, answer))
+
+    sizes = len(codec.encode(member, heartbeat)) + len(codec.encode(witness, answer))
+    cost = 1e6 * _timed(by_datagram) / count
+    table.add("MessagePack datagram, keyed digest", cost, sizes + 2 * 28)
+
+    def by_http() -> int:
+        body = msgspec.json.encode(heartbeat)
+        call = encode_request("POST", "/heartbeat", "10.1.1.1:7200", (), body)
+        RequestReader(4096, 4096).feed(call)
+        reply = encode_response(Response(200, (), msgspec.json.encode(answer)), True)
+        ResponseReader(4096, 4096).feed(reply)
+        return len(call) + len(reply)
+
+    size = by_http()
+
+    def many_by_http() -> None:
+        for _ in range(count):
+            by_http()
+
+    cost = 1e6 * _timed(many_by_http) / count
+    table.add("HTTP with JSON, no digest, kept connection", cost, size + 4 * 40)
+    return [table, _core_share()]
+
+
+def _core_share() -> Table:
+    """Return what the core takes for a second of control in a quiet mesh."""
+    node = _node(4, 16)
+    directory = node.context.directory
+    others = [m for m in directory.member_by_id if m != node.context.me]
+    offset = directory.next_offset
+    stored = []
+    for count in (1, 2, 3):
+        record = Witnesses(node.context.me, tuple(others[:count]), count - 1)
+        stored.append(StoredRecord(offset, seal(f"w/{count}", record)))
+        offset += 1
+    for other in others:
+        watched = Witnesses(other, (node.context.me,), 0)
+        stored.append(StoredRecord(offset, seal(f"w/{other}", watched)))
+        offset += 1
+    read = events.RecordsRead(0.0, 0, tuple(stored), True, 0.0, True)
+    list(node.step(0.0, read))
+    seconds = 30.0
+    now = 1.0
+
+    def be_quiet() -> None:
+        nonlocal now
+        while now < seconds:
+            now += 0.01
+            for command in list(node.step_timers(now)):
+                if isinstance(command, events.ReadLog):
+                    empty = events.RecordsRead(now, 0, (), True, 0.0, True)
+                    list(node.step(now, empty))
+                elif isinstance(command, events.SendPeer):
+                    message = command.message
+                    if isinstance(message, Heartbeat):
+                        answer = HeartbeatAnswer(now, node.context.me, True, offset)
+                        received = events.PeerMessageReceived(message.witness, answer)
+                        list(node.step(now, received))
+                        beat = Heartbeat(now, node.context.me)
+                        received = events.PeerMessageReceived(message.witness, beat)
+                        list(node.step(now, received))
+
+    table = Table("Control in the core of one daemon, nothing happening", ("ms/s",))
+    table.add(1000 * _timed(be_quiet) / (seconds - 1.0))
+    return table
+
+
+def measure_reading() -> list[Table]:
+    """Return the cost of a page of records between daemons."""
+    table = Table("A page of records, encode and decode", ("records", "us", "bytes"))
+    for count in (0, 1, 100):
+        records = tuple(
+            StoredRecord(n, seal(f"r/{n}", Witnesses(_join(n).member, ("a",) * 3, 1)))
+            for n in range(count)
+        )
+        page = RecordsPage(0, count, records)
+        repeats = 2_000
+
+        def exchange(page=page, repeats=repeats) -> None:
+            for _ in range(repeats):
+                msgspec.json.decode(msgspec.json.encode(page), type=RecordsPage)
+
+        cost = 1e6 * _timed(exchange) / repeats
+        table.add(count, cost, len(msgspec.json.encode(page)))
+    return [table]
+
+
+def run() -> list[Table]:
+    return [
+        *measure_fold(),
+        *measure_routing(),
+        *measure_heartbeat(),
+        *measure_reading(),
+    ]
--- /dev/null
+++ b/benchmarks/takeover.py
@@ -0,0 +1,184 @@
+"""Unavailable time for loss, pause and planned stop, with real processes."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from dataclasses import dataclass, field
+
+from benchmarks.processes import Mesh
+from benchmarks.report import Table, quantile
+from benchmarks.steady import Prober
+from rhubarbhall.audit import find_double_owners, find_repeats
+from rhubarbhall.standins.target import Execution
+
+SLICES = 24
+DOCUMENT = {
+    "services": {
+        "status": {
+            "targets": "app=status",
+            "slices": SLICES,
+            "hold_ms": 5000,
+            "deadline_ms": 6000,
+            "routes": [{"path": "/credit", "idempotency_key": "required"}],
+        },
+    }
+}
+PLACES = [
+    ("idukki", "i1"),
+    ("idukki", "i2"),
+    ("wayanad", "w1"),
+    ("wayanad", "w2"),
+    ("kottayam", "k1"),
+    ("kottayam", "k2"),
+]
+ROUNDS = 30
+#: Time for the mesh to settle between two rounds.
+SETTLE_S = 2.5
+PAUSES_S = (0.2, 0.5, 0.9)
+OUTAGE_S = 60.0
+
+
+@dataclass
+class _Round:
+    unavailable_s: list[float] = field(default_factory=list)
+    lost: int = 0
+    false_takeovers: int = 0
+
+
+def run() -> list[Table]:
+    mesh = Mesh(PLACES, 22_000)
+    table = Table(
+        f"Unavailable time of a key, {ROUNDS} rounds each, six daemons, target 2 s",
+        (
+            "fault",
+            "p50 s",
+            "p99 s",
+            "max s",
+            "requests lost",
+            "run twice",
+            "two owners",
+        ),
+    )
+    churn = Table(
+        "Slices moved over slices that had to move", ("fault", "moved", "had to")
+    )
+    pauses = Table("False takeovers", ("pause s", "rounds", "members closed"))
+    outage = Table("Log down", ("seconds", "requests", "answered", "share answered"))
+    try:
+        mesh.publish(DOCUMENT)
+        mesh.wait_served(SLICES)
+        prober = Prober([mesh.calls(n) for n in range(len(PLACES))])
+        for name, fault in (
+            ("kill -9 of a daemon", _kill),
+            ("SIGSTOP for 3 s", _freeze),
+            ("SIGTERM", _stop),
+        ):
+            _measure(mesh, prober, name, fault, table, churn)
+        for pause_s in PAUSES_S:
+            _measure_pauses(mesh, pause_s, pauses)
+        _measure_outage(mesh, prober, outage)
+    finally:
+        mesh.end()
+    return [table, churn, pauses, outage]
+
+
+def _kill(mesh: Mesh, number: int) -> None:
+    mesh.daemons[number].send(signal.SIGKILL)
+    mesh.daemons[number].popen.wait()
+    time.sleep(2.5)
+    mesh.daemons[number].restart()
+
+
+def _freeze(mesh: Mesh, number: int) -> None:
+    mesh.daemons[number].send(signal.SIGSTOP)
+    time.sleep(3.0)
+    mesh.daemons[number].send(signal.SIGCONT)
+
+
+def _stop(mesh: Mesh, number: int) -> None:
+    mesh.daemons[number].send(signal.SIGTERM)
+    mesh.daemons[number].popen.wait(timeout=30)
+    mesh.daemons[number].restart()
+
+
+def _measure(mesh, prober, name, fault, table, churn) -> None:
+    result = _Round()
+    moved = had_to = 0
+    for number in range(ROUNDS):
+        victim = number % len(PLACES)
+        before = _owners(mesh, skip=victim)
+        mine = len(mesh.dump(victim)["served"])
+        prober.begin(avoid=mesh.calls(victim) if fault is not _stop else None)
+        time.sleep(0.3)
+        worker = threading.Thread(target=fault, args=(mesh, victim))
+        worker.start()
+        time.sleep(2.2)
+        after = _owners(mesh, skip=victim)
+        worker.join()
+        found = prober.end()
+        result.unavailable_s.append(found.longest_s)
+        result.lost += found.lost
+        moved += sum(before.get(ref) != owner for ref, owner in after.items())
+        had_to += mine
+        time.sleep(SETTLE_S)
+        _wait_back(mesh)
+    executions = _executions(mesh)
+    table.add(
+        name,
+        quantile(result.unavailable_s, 0.5),
+        quantile(result.unavailable_s, 0.99),
+        max(result.unavailable_s),
+        result.lost,
+        len(find_repeats(executions)),
+        len(find_double_owners(executions)),
+    )
+    churn.add(name, moved, had_to)
+
+
+def _wait_back(mesh: Mesh) -> None:
+    mesh.wait_served(SLICES, 60.0)
+
+
+def _owners(mesh: Mesh, skip: int) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for number in range(len(PLACES)):
+        if number == skip:
+            continue
+        for ref in mesh.dump(number)["served"]:
+            found[ref] = number
+    return found
+
+
+def _executions(mesh: Mesh) -> list[Execution]:
+    return [
+        Execution(**each)
+        for number in range(len(PLACES))
+        for each in mesh.executions(number)
+    ]
+
+
+def _measure_pauses(mesh: Mesh, pause_s: float, table: Table) -> None:
+    before = _members(mesh)
+    for number in range(ROUNDS):
+        daemon = mesh.daemons[number % len(PLACES)]
+        daemon.send(signal.SIGSTOP)
+        time.sleep(pause_s)
+        daemon.send(signal.SIGCONT)
+        time.sleep(0.6)
+    time.sleep(2.0)
+    table.add(pause_s, ROUNDS, len(before - _members(mesh)))
+
+
+def _members(mesh: Mesh) -> set[str]:
+    return {each["member"] for each in mesh.dump(0)["members"]}
+
+
+def _measure_outage(mesh: Mesh, prober: Prober, table: Table) -> None:
+    mesh.set_log_faults("down")
+    prober.begin()
+    time.sleep(OUTAGE_S)
+    found = prober.end()
+    mesh.set_log_faults("none")
+    table.add(OUTAGE_S, found.sent, found.answered, found.answered / found.sent)
