Split hot keys out of their slices, move them, and join them again

Cause: one yard at harvest peak or one booth on a Friday loads the single target that its slice has, whatever the other keys of the slice do.

The state machine splits and merges at random.

Ruled out: replicas of a hot key (two owners), a new hash for the service (moves every key).

With relabelling of running orders switched off the directed test finds two owners.

--- a/rhubarbhall/core/admission.py
+++ b/rhubarbhall/core/admission.py
@@ -196,9 +196,13 @@
         """Free the slot of a running request."""
         self._long_by_running.pop(request_id, None)
 
+    def __iter__(self) -> Iterator[Request]:
+        """Yield the waiting requests."""
+        yield from self._short
+        yield from self._long
+
     def remove_all(self, unwanted: Callable[[Request], bool]) -> Iterator[Request]:
         """Remove and yield the waiting requests for which `unwanted` is true."""
-        for queue in (self._short, self._long):
-            for request in [each for each in queue if unwanted(each)]:
-                queue.remove(request.id)
-                yield request
+        for request in [each for each in self if unwanted(each)]:
+            self.remove(request.id)
+            yield request
--- a/rhubarbhall/core/context.py
+++ b/rhubarbhall/core/context.py
@@ -98,6 +98,8 @@
     timers: TimerService = field(default_factory=TimerService)
     #: Time of the last known contact with the log, own clock.
     log_contact_at: Seconds = float("-inf")
+    #: Load of the own target, as its gate sees it.
+    load_percent: int = 0
     #: Whether new ownership is refused, since a newer schema was read.
     outdated: bool = False
     _record_numbers: itertools.count = field(default_factory=itertools.count)
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -10,14 +10,14 @@
 import enum
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from rhubarbhall.core import records
 from rhubarbhall.core.errors import ConfigurationError
 from rhubarbhall.core.intent import Intent, Service, intent_from_document
 from rhubarbhall.core.members import Member
 from rhubarbhall.core.placement import Ring
-from rhubarbhall.core.slices import NO_OWNER, OwnerTable
+from rhubarbhall.core.slices import NO_OWNER, OwnerTable, slice_of_key
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -28,6 +28,8 @@
 REMEMBERED_IDS = 100_000
 #: Closed members that the fold remembers beyond those still referred to.
 REMEMBERED_CLOSED = 20_000
+#: Keys of one service that may have slices of their own.
+MAX_HOT_KEYS = 1_024
 #: Lost members up to which owner tables are searched once for each.
 MAX_SEARCHED_SINGLY = 16
 
@@ -50,8 +52,7 @@
     offset: Offset
 
 
-@dataclass(frozen=True, slots=True)
-class SliceRef:
+class SliceRef(NamedTuple):
     """One slice of one service."""
 
     service: ServiceName
@@ -128,10 +129,14 @@
 
     # Reading
 
+    def slice_of(self, service: ServiceName, key: str) -> SliceRef:
+        """Return the slice that a key of a keyed service belongs to."""
+        return SliceRef(service, self.table_by_service[service].index_of(key))
+
     def owner_of(self, service: ServiceName, index: SliceIndex) -> MemberId | None:
         """Return the owner of a slice, or none."""
         number = self.table_by_service[service].owners[index]
-        if number == NO_OWNER:
+        if number < 0:
             return None
         return self.id_by_number[number]
 
@@ -191,7 +196,7 @@
         ring = Ring()
         for member in self.member_by_id.values():
             if self._belongs(member, name, region, witnessed):
-                ring.add(member.id, member.join.weight)
+                ring.add_seat(member.seat)
         return ring
 
     def _belongs(
@@ -208,7 +213,7 @@
         for (name, region, witnessed), ring in self._ring_by_pool.items():
             ring.remove(member.id)
             if self._belongs(member, name, region, witnessed):
-                ring.add(member.id, member.join.weight)
+                ring.add_seat(member.seat)
 
     def choose_owner(
         self,
@@ -315,7 +320,7 @@
         """Add a live member to all indexes."""
         self.member_by_id[member.id] = member
         self.id_by_number[member.number] = member.id
-        self.everyone.add(member.id, member.join.weight)
+        self.everyone.add_seat(member.seat)
         self._seat(member)
 
     def _retire(
@@ -379,9 +384,7 @@
 
     def _move(self, record: records.Move, offset: Offset, changes: _Changes) -> None:
         source = self._live(record.source)
-        table = self.table_by_service.get(record.service)
-        if table is None:
-            raise _Void(f"no service {record.service}")
+        table = self._table_of(record.service)
         service = self.intent.services[record.service]
         for index, epoch, target in record.slices:
             member = self.member_by_id.get(target)
@@ -399,6 +402,37 @@
         if not changes.moved:
             raise _Void("no slice in it could be moved")
 
+    def _split(self, record: records.Split, offset: Offset, changes: _Changes) -> None:
+        table = self._table_of(record.service)
+        if record.key in table.index_by_hot_key:
+            raise _Void(f"key {record.key!r} has a slice of its own already")
+        if len(table.index_by_hot_key) >= MAX_HOT_KEYS:
+            raise _Void(f"{MAX_HOT_KEYS} keys have slices of their own already")
+        owner = self._live(record.owner)
+        parent = table.index_of(record.key)
+        if (table.owners[parent], table.epochs[parent]) != (owner.number, record.epoch):
+            raise _Void(f"{record.owner} does not own the key in that epoch")
+        index = table.split_out(record.key, owner.number)
+        changes.moved.append(SliceRef(record.service, index))
+
+    def _merge(self, record: records.Merge, offset: Offset, changes: _Changes) -> None:
+        table = self._table_of(record.service)
+        index = table.index_by_hot_key.get(record.key)
+        if index is None:
+            raise _Void(f"key {record.key!r} has no slice of its own")
+        owner = self._live(record.owner).number
+        parent = slice_of_key(record.key, table.hashed)
+        if not table.owners[index] == table.owners[parent] == owner:
+            raise _Void(f"{record.owner} does not own both slices of the key")
+        table.merge_back(record.key)
+        changes.moved.append(SliceRef(record.service, index))
+
+    def _table_of(self, service: ServiceName) -> OwnerTable:
+        table = self.table_by_service.get(service)
+        if table is None:
+            raise _Void(f"no keyed service {service}")
+        return table
+
     def _declare_lost(
         self, record: records.DeclareLost, offset: Offset, changes: _Changes
     ) -> None:
@@ -429,9 +463,9 @@
     def _check_slices_kept(self, intent: Intent) -> None:
         for name, table in (self.table_by_service | self.dropped_by_service).items():
             service = intent.services.get(name)
-            if service and service.keyed and service.slices != len(table):
+            if service and service.keyed and service.slices != table.hashed:
                 raise _Void(
-                    f"services.{name}.slices cannot change from {len(table)} "
+                    f"services.{name}.slices cannot change from {table.hashed} "
                     f"to {service.slices}"
                 )
 
@@ -522,6 +556,8 @@
     records.Failover: Directory._failover,
     records.Resume: Directory._resume,
     records.Move: Directory._move,
+    records.Split: Directory._split,
+    records.Merge: Directory._merge,
     records.DeclareLost: Directory._declare_lost,
     records.IntentRecord: Directory._intent,
     records.SnapshotChunk: Directory._snapshot,
--- a/rhubarbhall/core/dump.py
+++ b/rhubarbhall/core/dump.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from rhubarbhall.core.slices import NO_OWNER
+from rhubarbhall.core.slices import NO_OWNER, NOT_IN_USE
 
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Directory
@@ -37,6 +37,8 @@
     ----------
     owners : dict
         Slices by the member that owns them; unowned ones under ``""``.
+    hot_keys : dict
+        Keys with a slice of their own, and its owner.
     imbalance : float
         Most slices of one owner over the mean.
     """
@@ -44,6 +46,7 @@
     name: str
     keyed: bool
     slices: int
+    hot_keys: dict[str, str]
     owners: dict[str, int]
     imbalance: float
 
@@ -153,7 +156,7 @@
     counts: dict[str, dict[str, int]] = {}
     for name, table in directory.table_by_service.items():
         counts[name] = {}
-        for number in set(table.owners):
+        for number in set(table.owners) - {NOT_IN_USE}:
             owner = "" if number == NO_OWNER else directory.id_by_number[number]
             counts[name][owner] = table.owners.count(number)
     return counts
@@ -172,6 +175,7 @@
                 name,
                 service.keyed,
                 service.slices if service.keyed else 0,
+                _hot_keys(directory, name),
                 dict(sorted(owners.items())),
                 round(most / mean, 3) if mean else 0.0,
             )
@@ -179,6 +183,16 @@
     return services
 
 
+def _hot_keys(directory: Directory, name: str) -> dict[str, str]:
+    table = directory.table_by_service.get(name)
+    if table is None:
+        return {}
+    return {
+        key: directory.owner_of(name, index) or ""
+        for key, index in table.index_by_hot_key.items()
+    }
+
+
 def _members(directory: Directory) -> list[MemberDump]:
     counts = _slice_counts(directory).values()
     return [
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -8,7 +8,6 @@
 
 from returns.result import Failure, Result, Success
 
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.idempotency import is_from_the_future, minted_ms_of
 from rhubarbhall.core.requests import (
@@ -22,7 +21,6 @@
     Response,
     refusal,
 )
-from rhubarbhall.core.slices import slice_of_key
 
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Directory
@@ -125,7 +123,9 @@
                 service=service,
                 route=route,
                 key=address.key,
-                slice=_slice_of(service, address.key),
+                slice=directory.slice_of(service.name, address.key)
+                if service.keyed
+                else None,
                 method=raw.method,
                 path=address.path,
                 headers=_forwarded_headers(raw),
@@ -159,12 +159,6 @@
     return _Address(service.name, key, "/" + "/".join(parts) + question + query)
 
 
-def _slice_of(service: Service, key: str) -> SliceRef | None:
-    if not service.keyed:
-        return None
-    return SliceRef(service.name, slice_of_key(key, service.slices))
-
-
 def _read_deadline(raw: RawRequest, service: Service) -> Result[Seconds, Response]:
     text = raw.header(DEADLINE_HEADER)
     if text is None:
--- a/rhubarbhall/core/events.py
+++ b/rhubarbhall/core/events.py
@@ -128,6 +128,11 @@
     """Slices that belong elsewhere shall be moved."""
 
 
+@dataclass(frozen=True, slots=True)
+class HotKeysDue(Event):
+    """The sketch of hot keys shall be looked at."""
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotDue(Event):
     """The need of a snapshot shall be looked at."""
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -11,6 +11,7 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.handover import Standing
 from rhubarbhall.core.idempotency import Repeat
+from rhubarbhall.core.records import Merge, Split
 from rhubarbhall.core.requests import OWN_PREFIX, Response, refusal
 
 if TYPE_CHECKING:
@@ -92,6 +93,17 @@
         waiting = sum(each.waiting for each in self._admission_by_service.values())
         return waiting + len(self._held) + len(self._order_by_id)
 
+    @property
+    def load_percent(self) -> int:
+        """Orders running and waiting over the slots of the busiest service."""
+        return max(
+            (
+                100 * (each.running + each.waiting) // each.limit.value
+                for each in self._admission_by_service.values()
+            ),
+            default=0,
+        )
+
     @property
     def admissions(self) -> Mapping[ServiceName, Admission]:
         """Slots and queues of each service."""
@@ -356,9 +368,25 @@
     def _on_record_applied(
         self, now: Seconds, event: events.RecordApplied
     ) -> Iterator[Event]:
-        if event.applied.moved:
+        applied = event.applied
+        if applied.void is None and isinstance(applied.record, Split | Merge):
+            self._relabel(applied.record.service, applied.record.key)
+        if applied.moved:
             yield from self._turn_away_moved()
 
+    def _relabel(self, service: ServiceName, key: str) -> None:
+        """Put requests for a key under the slice that it belongs to now."""
+        ref = self._context.directory.slice_of(service, key)
+        for order in self._order_by_id.values():
+            request = order.request
+            if request.key == key and request.service.name == service:
+                self._ownership.relabel(request.slice, ref)
+                request.slice = ref
+        waiting = self._admission_by_service.get(service)
+        for request in [*self._held.values(), *(waiting or ())]:
+            if request.key == key and request.service.name == service:
+                request.slice = ref
+
     def _on_fenced(self, now: Seconds, event: Event) -> Iterator[Event]:
         yield from self._turn_away_moved()
 
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -9,12 +9,14 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import Closing
+from rhubarbhall.core.directory import Closing, SliceRef
 from rhubarbhall.core.idempotency import OutcomeTable, vouched_from
+from rhubarbhall.core.records import Merge, Split
+from rhubarbhall.core.slices import slice_of_key
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.directory import Applied, SliceRef
+    from rhubarbhall.core.directory import Applied
     from rhubarbhall.core.events import Command, Event, ReleasedSlice
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import Epoch, MemberId, Seconds
@@ -174,6 +176,10 @@
     ) -> Iterator[Event]:
         applied = event.applied
         self._note_closed(now, applied)
+        if applied.void is None and isinstance(applied.record, Split):
+            yield from self._split_out(applied.record, applied.moved[0])
+        elif applied.void is None and isinstance(applied.record, Merge):
+            self._merge_back(applied.record, applied.moved[0])
         for ref in applied.moved:
             self._look_at(now, ref)
         yield from self._finish_take_overs(now)
@@ -203,6 +209,30 @@
             wait += longest * (1 + timing.drift_bound)
         return wait
 
+    def _split_out(self, record: Split, ref: SliceRef) -> Iterator[Event]:
+        """Serve the slice of a hot key on, if this member serves its parent."""
+        parent = self._held_by_slice.get(self._parent_of(record))
+        if record.owner != self._context.me or parent is None:
+            return
+        epoch = self._context.directory.epoch_of(ref.service, ref.index)
+        self._held_by_slice[ref] = _Held(epoch, parent.outcomes.split_out(record.key))
+        yield events.SliceAcquired(ref)
+
+    def _merge_back(self, record: Merge, ref: SliceRef) -> None:
+        parent = self._held_by_slice.get(self._parent_of(record))
+        held = self._held_by_slice.get(ref)
+        if parent is not None and held is not None:
+            parent.outcomes.absorb(held.outcomes)
+
+    def _parent_of(self, record: Split | Merge) -> SliceRef:
+        table = self._context.directory.table_by_service[record.service]
+        return SliceRef(record.service, slice_of_key(record.key, table.hashed))
+
+    def relabel(self, old: SliceRef, new: SliceRef) -> None:
+        """Count an order in flight under another slice."""
+        self.exit(old)
+        self.enter(new)
+
     def _look_at(self, now: Seconds, ref: SliceRef) -> None:
         """Bring the standing of one slice into line with the directory."""
         directory = self._context.directory
--- a/rhubarbhall/core/idempotency.py
+++ b/rhubarbhall/core/idempotency.py
@@ -130,8 +130,7 @@
         if minted < self.vouched_since_ms:
             return Repeat.NOT_VOUCHED, None
         entry = _Entry(digest_of(request), now, minted, None, running=True)
-        self._entry_by_key[self._key(request)] = entry
-        self._bytes += entry.size
+        self._put(self._key(request), entry)
         return Repeat.FIRST, None
 
     def _repeat_of(
@@ -175,10 +174,34 @@
                 self._forget(key, entry)
 
     def _forget(self, key: str, entry: _Entry) -> None:
-        del self._entry_by_key[key]
-        self._bytes -= entry.size
+        self._drop(key)
         self.vouched_since_ms = max(self.vouched_since_ms, entry.minted_ms + 1)
 
+    # Hot keys
+
+    def split_out(self, key: str) -> OutcomeTable:
+        """Move the entries of one key into a table of its own."""
+        child = OutcomeTable(self.vouched_since_ms)
+        for name in [each for each in self._entry_by_key if _key_in(each) == key]:
+            child._put(name, self._drop(name))
+        return child
+
+    def absorb(self, other: OutcomeTable) -> None:
+        """Take all entries of another table in."""
+        self.vouched_since_ms = max(self.vouched_since_ms, other.vouched_since_ms)
+        for name in list(other._entry_by_key):
+            self._put(name, other._drop(name))
+        self._shrink()
+
+    def _put(self, name: str, entry: _Entry) -> None:
+        self._entry_by_key[name] = entry
+        self._bytes += entry.size
+
+    def _drop(self, name: str) -> _Entry:
+        entry = self._entry_by_key.pop(name)
+        self._bytes -= entry.size
+        return entry
+
     # Handing over
 
     def outcomes(self, now: Seconds) -> Iterator[RememberedOutcome]:
@@ -201,11 +224,15 @@
             entry = _Entry(
                 outcome.digest, created_at, minted, outcome.response, running=False
             )
-            self._entry_by_key[outcome.key] = entry
-            self._bytes += entry.size
+            self._put(outcome.key, entry)
         self._shrink()
 
 
+def _key_in(name: str) -> str:
+    """Return the caller's slice key in the name of an entry."""
+    return name.partition("|")[2]
+
+
 def vouched_from(wall_ms: int) -> int:
     """Return since when a table that begins empty now can vouch.
 
--- a/rhubarbhall/core/lease.py
+++ b/rhubarbhall/core/lease.py
@@ -107,7 +107,8 @@
         for witness in member.witnesses:
             address = self._context.peer_address(witness)
             if address is not None:
-                yield events.SendPeer(address, Heartbeat(now, witness))
+                heartbeat = Heartbeat(now, witness, self._context.load_percent)
+                yield events.SendPeer(address, heartbeat)
         yield from self._note_change(now)
         yield from self._resume_if_stuck(now)
 
--- a/rhubarbhall/core/members.py
+++ b/rhubarbhall/core/members.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from rhubarbhall.core.placement import Seat, seat_of
 from rhubarbhall.core.records import Join
 
 #: Label that every target bears besides those of its settings.
@@ -35,6 +36,10 @@
     witnesses: tuple[str, ...] = ()
     witness_version: int = 0
     retiring: bool = False
+    seat: Seat = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.seat = seat_of(self.join.member, self.join.weight)
 
     @property
     def id(self) -> str:
--- a/rhubarbhall/core/node.py
+++ b/rhubarbhall/core/node.py
@@ -14,6 +14,7 @@
 from rhubarbhall.core.follower import Follower
 from rhubarbhall.core.gate import Gate
 from rhubarbhall.core.handover import Ownership
+from rhubarbhall.core.hotkeys import HotKeys
 from rhubarbhall.core.kernel import Kernel
 from rhubarbhall.core.lease import LeaseKeeper
 from rhubarbhall.core.membership import Membership
@@ -86,6 +87,7 @@
             Rebalancer(context, self.lease, self.ownership),
             Snapshotter(context, snapshot_every),
             self.gate,
+            HotKeys(context, self.lease, self.ownership, self.gate),
             self.router,
             self.drain,
             Reporter(context),
--- a/rhubarbhall/core/peer_messages.py
+++ b/rhubarbhall/core/peer_messages.py
@@ -16,10 +16,13 @@
         Time on the sender's monotonic clock, in seconds; echoed by the answer.
     witness : str
         Run that the heartbeat is meant for.
+    load_percent : int
+        Load of the sender's target, as its gate sees it.
     """
 
     sent_at: float
     witness: str
+    load_percent: int = 0
 
 
 class HeartbeatAnswer(msgspec.Struct, frozen=True, tag=2, array_like=True):
@@ -35,12 +38,15 @@
         Whether the lease was renewed.
     next_offset : int
         How far the witness has read the log.
+    load_percent : int
+        Load of the witness's target, as its gate sees it.
     """
 
     sent_at: float
     member: str
     renewed: bool
     next_offset: int
+    load_percent: int = 0
 
 
 class Suspicion(msgspec.Struct, frozen=True, tag=3, array_like=True):
--- a/rhubarbhall/core/placement.py
+++ b/rhubarbhall/core/placement.py
@@ -29,6 +29,11 @@
     weight: float
 
 
+def seat_of(member: str, weight: float) -> Seat:
+    """Return the seat of a member; it is the same in every ring."""
+    return Seat(hash64(member), member, weight)
+
+
 class Ring:
     """Members of one pool in the order of their hashes."""
 
@@ -40,7 +45,11 @@
 
     def add(self, member: str, weight: float) -> None:
         """Seat `member` with a positive `weight`."""
-        insort(self._seats, Seat(hash64(member), member, weight))
+        self.add_seat(seat_of(member, weight))
+
+    def add_seat(self, seat: Seat) -> None:
+        """Add a seat, which other rings may share."""
+        insort(self._seats, seat)
 
     def remove(self, member: str) -> None:
         """Take `member` off the ring if it is seated there."""
--- a/rhubarbhall/core/records.py
+++ b/rhubarbhall/core/records.py
@@ -119,6 +119,33 @@
     predecessors_closed: bool
 
 
+class Split(msgspec.Struct, frozen=True, tag="split", tag_field="kind"):
+    """An owner gives a hot key a slice of its own, which it owns at first.
+
+    Parameters
+    ----------
+    service, key : str
+        The key.
+    owner : str
+        Author and owner of the slice that the key hashes to.
+    epoch : int
+        Present epoch of that slice.
+    """
+
+    service: str
+    key: str
+    owner: str
+    epoch: int
+
+
+class Merge(msgspec.Struct, frozen=True, tag="merge", tag_field="kind"):
+    """An owner puts a key that has cooled back into the slice it hashes to."""
+
+    service: str
+    key: str
+    owner: str
+
+
 class DeclareLost(msgspec.Struct, frozen=True, tag="declare_lost", tag_field="kind"):
     """An operator's word that members are gone for good."""
 
@@ -159,6 +186,8 @@
     Failover,
     Resume,
     Move,
+    Split,
+    Merge,
     DeclareLost,
     IntentRecord,
     SnapshotChunk,
--- a/rhubarbhall/core/slices.py
+++ b/rhubarbhall/core/slices.py
@@ -8,6 +8,8 @@
 from rhubarbhall.core.hashing import hash64
 
 NO_OWNER = -1
+#: Owner of a slice that no key belongs to at present.
+NOT_IN_USE = -2
 MAX_SLICES_PER_SERVICE = 1 << 20
 
 
@@ -32,6 +34,10 @@
     """
 
     def __init__(self, slice_count: int) -> None:
+        #: Slices that keys hash to; those after them are for single hot keys.
+        self.hashed = slice_count
+        self.index_by_hot_key: dict[str, int] = {}
+        self.not_in_use: list[int] = []
         self.owners = array("i", [NO_OWNER]) * slice_count
         self.epochs = array("I", [0]) * slice_count
         #: Earlier owners not yet known to have stopped, oldest first.
@@ -40,6 +46,32 @@
     def __len__(self) -> int:
         return len(self.owners)
 
+    def index_of(self, key: str) -> int:
+        """Return the slice of a key."""
+        index = self.index_by_hot_key.get(key)
+        return slice_of_key(key, self.hashed) if index is None else index
+
+    def split_out(self, key: str, owner: int) -> int:
+        """Give `key` a slice of its own under an epoch that is new to it."""
+        parent_epoch = self.epochs[slice_of_key(key, self.hashed)]
+        if self.not_in_use:
+            index = self.not_in_use.pop()
+        else:
+            index = len(self.owners)
+            self.owners.append(NO_OWNER)
+            self.epochs.append(0)
+        self.epochs[index] = max(self.epochs[index], parent_epoch)
+        self.assign(index, owner)
+        self.index_by_hot_key[key] = index
+        return index
+
+    def merge_back(self, key: str) -> int:
+        """Take the own slice of `key` out of use and return its index."""
+        index = self.index_by_hot_key.pop(key)
+        self.assign(index, NOT_IN_USE)
+        self.not_in_use.append(index)
+        return index
+
     def owned_by(self, owner: int) -> Iterator[int]:
         """Yield the slices whose owner has the number `owner`."""
         position = 0
--- a/rhubarbhall/core/snapshots.py
+++ b/rhubarbhall/core/snapshots.py
@@ -43,6 +43,9 @@
     owners: bytes
     epochs: bytes
     predecessors: dict[int, tuple[int, ...]]
+    hashed: int
+    hot_keys: dict[str, int]
+    not_in_use: tuple[int, ...]
 
 
 class DirectoryState(msgspec.Struct, frozen=True):
@@ -86,6 +89,9 @@
             table.owners.tobytes(),
             table.epochs.tobytes(),
             dict(sorted(table.predecessors.items())),
+            table.hashed,
+            table.index_by_hot_key,
+            tuple(table.not_in_use),
         )
         for name, table in sorted(table_by_service.items())
     }
@@ -116,6 +122,9 @@
 
 def _table(state: TableState) -> OwnerTable:
     table = OwnerTable(0)
+    table.hashed = state.hashed
+    table.index_by_hot_key = dict(state.hot_keys)
+    table.not_in_use = list(state.not_in_use)
     table.owners = array("i", state.owners)
     table.epochs = array("I", state.epochs)
     table.predecessors = dict(state.predecessors)
--- a/rhubarbhall/core/witness.py
+++ b/rhubarbhall/core/witness.py
@@ -159,6 +159,7 @@
                 sender,
                 renewed,
                 self._context.directory.next_offset,
+                self._context.load_percent,
             ),
         )
 
--- a/tests/properties/machine.py
+++ b/tests/properties/machine.py
@@ -9,9 +9,10 @@
 from rhubarbhall import audit
 from rhubarbhall.core import events
 from rhubarbhall.core.context import Timing
+from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.node import Node
-from rhubarbhall.core.records import Move
+from rhubarbhall.core.records import Merge, Move, Split
 from rhubarbhall.standins.target import Execution
 from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Host, Mesh
 
@@ -172,6 +173,33 @@
         record = Move(SERVICE, node.context.me, slices, True)
         self.mesh._step(giver, events.Submit(node.context.new_record_id(), record))
 
+    @rule(number=hosts, key=st.integers(0, 30))
+    def split(self, number: int, key: int) -> None:
+        host, name = self._host(number), f"batch-{key}"
+        node = host.node
+        directory = node.context.directory
+        if not host.runs or SERVICE not in directory.table_by_service:
+            return
+        ref = directory.slice_of(SERVICE, name)
+        if ref in node.ownership.served:
+            epoch = node.ownership.epoch(ref)
+            record = Split(SERVICE, name, node.context.me, epoch)
+            submit = events.Submit(node.context.new_record_id(), record)
+            self.mesh._step(host, submit)
+
+    @rule(number=hosts)
+    def merge(self, number: int) -> None:
+        host = self._host(number)
+        node = host.node
+        table = node.context.directory.table_by_service.get(SERVICE)
+        if not host.runs or table is None:
+            return
+        for name, index in list(table.index_by_hot_key.items()):
+            if SliceRef(SERVICE, index) in node.ownership.served:
+                record = Merge(SERVICE, name, node.context.me)
+                submit = events.Submit(node.context.new_record_id(), record)
+                self.mesh._step(host, submit)
+
     @rule(first=st.integers(1, 4), second=st.integers(1, 4))
     def race_operators(self, first: int, second: int) -> None:
         version = self.mesh.fold().intent_version
--- a/tests/properties/mutations.py
+++ b/tests/properties/mutations.py
@@ -76,6 +76,11 @@
     )
 
 
+def without_relabelling() -> AbstractContextManager:
+    """Orders of a key that was split out still count under its old slice."""
+    return patch.object(Gate, "_relabel", lambda self, service, key: None)
+
+
 def without_drain_wait() -> AbstractContextManager:
     """A slice is released although orders of it are still running."""
     return patch.object(Ownership, "_has_stopped", lambda self, ref, epoch: True)
--- a/tests/properties/test_rules_matter.py
+++ b/tests/properties/test_rules_matter.py
@@ -12,7 +12,14 @@
 from rhubarbhall import audit
 from rhubarbhall.core import events
 from rhubarbhall.core.context import Timing
-from rhubarbhall.core.records import Failover, Move, Resume, Verdict, Witnesses
+from rhubarbhall.core.records import (
+    Failover,
+    Move,
+    Resume,
+    Split,
+    Verdict,
+    Witnesses,
+)
 from rhubarbhall.core.slices import slice_of_key
 from tests.fakes import INTENT, SERVICE, Host, Mesh
 from tests.properties import mutations
@@ -167,6 +174,36 @@
     assert_executions_in_order(mesh)
 
 
+def order_still_running_when_its_key_is_split_out() -> None:
+    """A hot key gets its own slice and is moved while a request of it runs."""
+    mesh = settled_mesh()
+    giver, taker = mesh.hosts[0], mesh.hosts[3]
+    key = key_of(mesh, giver)
+    giver.target.work_s = 1.5
+    mesh.call(giver, key, "POST")
+    mesh.run(0.1)
+    node = giver.node
+    directory = node.context.directory
+    epoch = node.ownership.epoch(directory.slice_of(SERVICE, key))
+    split = Split(SERVICE, key, node.context.me, epoch)
+    mesh._step(giver, events.Submit(node.context.new_record_id(), split))
+    mesh.run(0.2)
+    ref = directory.slice_of(SERVICE, key)
+    slices = (
+        (ref.index, directory.epoch_of(SERVICE, ref.index), taker.node.context.me),
+    )
+    move = Move(SERVICE, node.context.me, slices, True)
+    mesh._step(giver, events.Submit(node.context.new_record_id(), move))
+    for _ in range(8):
+        mesh.run(0.2)
+        mesh.call(taker, key, "POST")
+    mesh.run(2.0)
+    assert len(mesh.executions) == 9, len(mesh.executions)
+    first, *others = sorted(mesh.executions, key=lambda each: each.started_at)
+    late = [each for each in others if each.started_at < first.ended_at]
+    assert not late, late
+
+
 def whole_set_replaced_in_one_record() -> None:
     """A member and its old witnesses have not read that all were exchanged."""
     mesh = settled_mesh()
@@ -254,6 +291,12 @@
             order_still_running_when_its_slice_moves, mutations.without_drain_wait
         )
 
+    def test_orders_follow_a_key_that_is_split_out(self):
+        self.assert_rule_matters(
+            order_still_running_when_its_key_is_split_out,
+            mutations.without_relabelling,
+        )
+
     def test_witness_sets_change_by_one(self):
         self.assert_rule_matters(
             whole_set_replaced_in_one_record, mutations.without_single_steps
