Keep slots by the demand of short work; tell overload from spread

Cause: seen in the trace of benchmarks/crest.py: (1) one slow answer of an ordinary spread counted as overload and shrank the limit to 1; (2) long work of a route that had not been seen yet took every slot; (3) three kept slots are too few for short work that needs four. Two random choices drew the same member twice half the time in pairs.

Change: overload is the mean of a route over its mean in quiet times; routes not yet known run two at a time; slots that short work needed of late are kept beyond those of the intent, one slot always stays open for long work; two choices are distinct.

Ruled out: more kept slots in the intent alone (the right number swings with demand).

--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -12,7 +12,7 @@
 
 from benchmarks.report import Table, quantile
 from benchmarks.virtual_gate import Outcome, VirtualGate, poisson
-from rhubarbhall.core.admission import Admission, ConcurrencyLimit
+from rhubarbhall.core.admission import Admission, ConcurrencyLimit, Work
 
 SLOTS = 10
 WORK_S = 0.02
@@ -34,9 +34,8 @@
     return _Several(
         patch.object(Admission, "expected_wait_s", lambda self, request: 0.0),
         patch.object(ConcurrencyLimit, "note_overload", lambda self, now: None),
-        patch("rhubarbhall.core.admission.DEFAULT_QUEUE", "fifo"),
         patch.object(Admission.__init__, "__defaults__", ("fifo",)),
-        patch("rhubarbhall.core.admission.Durations.is_long", lambda s, r: False),
+        patch("rhubarbhall.core.admission.Durations.work", lambda s, r: Work.SHORT),
     )
 
 
--- a/rhubarbhall/core/admission.py
+++ b/rhubarbhall/core/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -16,26 +18,48 @@
 #: Mean duration from which on a route counts as long work.
 LONG_WORK_S = 0.25
 #: Weight of a new sample in a mean.
-SMOOTHING = 0.2
+SMOOTHING = 0.05
+#: Weight of a sample taken while the target is busy in the quiet mean; lets it
+#: follow a route that has become slower for good.
+BUSY_SMOOTHING = 0.001
 #: Factor by which the limit shrinks on a sign of overload.
-BACKOFF = 0.7
+BACKOFF = 0.8
 #: Time between two reductions of the limit.
-BACKOFF_PAUSE_S = 0.1
-#: How fast the usual latency follows a rise.
-BASELINE_DRIFT = 0.01
+BACKOFF_PAUSE_S = 0.5
+#: Mean duration over that of quiet times which counts as a sign of overload.
+OVERLOAD_INFLATION = 2.0
+#: Samples before a mean says anything.
+MIN_SAMPLES = 20
 #: Turns after which long work goes first although short work waits.
 LONG_TURN = 8
+#: Requests of routes not yet known that may run at a time.
+PROBES = 2
+#: Share of the peak demand of short work that is left after a second.
+PEAK_DECAY_PER_S = 0.97
+#: Time between two steps of its decay, and the longest that one step covers.
+PEAK_STEP_S = 0.5
+MAX_DECAY_S = 600.0
 DEFAULT_QUEUE = "fair"
 #: Routes of one service whose durations are told apart.
 MAX_ROUTES = 256
 
 
+class Work(enum.Enum):
+    """How a request counts against the slots."""
+
+    SHORT = enum.auto()
+    LONG = enum.auto()
+    #: Its route has not been seen to end or to last yet.
+    UNKNOWN = enum.auto()
+
+
 @dataclass(slots=True)
 class _Duration:
-    """Durations of one route: the mean and the usual value."""
+    """Durations of one route, in seconds: of late, and while it was quiet."""
 
     mean_s: Seconds
-    usual_s: Seconds
+    quiet_s: Seconds
+    samples: int = 1
 
 
 class Durations:
@@ -49,34 +73,60 @@
         head = request.path.partition("?")[0].split("/", 2)[1:2]
         return request.method, head[0] if head else ""
 
-    def note(self, request: Request, duration_s: Seconds) -> float:
-        """Take a sample; return how many times the usual value it was."""
+    def note(self, request: Request, duration_s: Seconds, quiet: bool) -> None:
+        """Take a sample.
+
+        Parameters
+        ----------
+        request : Request
+            Of the route that the sample is for.
+        duration_s : float
+            How long it took.
+        quiet : bool
+            Whether the target had few orders at the time.
+        """
         route = self._route(request)
         known = self._duration_by_route.get(route)
         if known is None:
             if len(self._duration_by_route) < MAX_ROUTES:
                 self._duration_by_route[route] = _Duration(duration_s, duration_s)
+            return
+        known.samples += 1
+        # The first samples count evenly, so that none of them stays for long.
+        weight = max(SMOOTHING, 1 / known.samples)
+        known.mean_s += weight * (duration_s - known.mean_s)
+        if not quiet and known.samples > MIN_SAMPLES:
+            weight = BUSY_SMOOTHING
+        known.quiet_s += weight * (duration_s - known.quiet_s)
+
+    def note_lasting(self, request: Request, so_far_s: Seconds) -> None:
+        """Learn from a request that is still running, if nothing is known yet."""
+        route = self._route(request)
+        if route not in self._duration_by_route:
+            self.note(request, so_far_s, quiet=True)
+
+    def inflation(self, request: Request) -> float:
+        """Return the present mean of a route over that of quiet times."""
+        known = self._duration_by_route.get(self._route(request))
+        if known is None or known.samples < MIN_SAMPLES:
             return 1.0
-        known.mean_s += SMOOTHING * (duration_s - known.mean_s)
-        inflation = duration_s / max(known.usual_s, 1e-4)
-        if duration_s < known.usual_s:
-            known.usual_s += SMOOTHING * (duration_s - known.usual_s)
-        else:
-            known.usual_s += BASELINE_DRIFT * (duration_s - known.usual_s)
-        return inflation
+        return known.mean_s / max(known.quiet_s, 1e-6)
 
     def mean_s(self, request: Request) -> Seconds | None:
         """Return the mean duration of the request's route, if it is known."""
         known = self._duration_by_route.get(self._route(request))
         return known.mean_s if known else None
 
-    def is_long(self, request: Request) -> bool:
-        """Tell whether the request counts as long work."""
-        work = request.route.work
-        if work != "learned":
-            return work == "long"
-        mean = self.mean_s(request)
-        return mean is not None and mean >= LONG_WORK_S
+    def work(self, request: Request) -> Work:
+        """Return how the request counts."""
+        declared = request.route.work
+        if declared != "learned":
+            return Work.LONG if declared == "long" else Work.SHORT
+        known = self._duration_by_route.get(self._route(request))
+        if known is None:
+            full = len(self._duration_by_route) >= MAX_ROUTES
+            return Work.SHORT if full else Work.UNKNOWN
+        return Work.LONG if known.mean_s >= LONG_WORK_S else Work.SHORT
 
 
 class ConcurrencyLimit:
@@ -113,7 +163,9 @@
     """Decides which requests of one service wait and which run next.
 
     Long work never takes the slots that are kept for short work, and one
-    turn in a few is its own, so that neither class starves the other.
+    turn in a few is its own, so that neither class starves the other. Work of
+    which nothing is known yet may only run a few at a time, outside the kept
+    slots, until its route has shown how long it takes.
 
     Parameters
     ----------
@@ -127,79 +179,151 @@
         self._service = service
         self.limit = ConcurrencyLimit(service.slots)
         self.durations = Durations()
-        self._short = policies.queueing.create(queue, service.queue)
-        self._long = policies.queueing.create(queue, service.queue)
-        self._long_by_running: dict[RequestId, bool] = {}
+        self._queue_by_work = {
+            work: policies.queueing.create(queue, service.queue) for work in Work
+        }
+        self._work_by_running: dict[RequestId, Work] = {}
+        self._running_by_work: Counter[Work] = Counter()
         self._turn = 0
+        self._short_peak = 0.0
+        self._decayed_at: Seconds = 0.0
 
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return len(self._short) + len(self._long)
+        return sum(map(len, self._queue_by_work.values()))
 
     @property
     def running(self) -> int:
         """Number of running requests."""
-        return len(self._long_by_running)
+        return len(self._work_by_running)
 
     @property
     def long_running(self) -> int:
         """Number of running requests that count as long work."""
-        return sum(self._long_by_running.values())
+        return self._running_by_work[Work.LONG]
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the target has few orders for its limit."""
+        return 2 * self.running <= self.limit.value
 
     def expected_wait_s(self, request: Request) -> Seconds:
         """Return how long the request would wait for a slot."""
-        long = self.durations.is_long(request)
-        slots = self._long_slots() if long else self.limit.value
-        ahead = len(self._long) if long else len(self._short)
+        work = self.durations.work(request)
+        mean = self.durations.mean_s(request)
+        if mean is None:
+            return 0.0
+        slots = self.limit.value if work is Work.SHORT else self._open_slots()
+        ahead = len(self._queue_by_work[work])
         if ahead == 0 and self.running < slots:
             return 0.0
-        mean = self.durations.mean_s(request) or 0.0
         return mean * (ahead + 1) / max(1, slots)
 
     def push(self, request: Request) -> Request | None:
         """Let a request wait; return the one that has to give way, if any."""
-        queue = self._long if self.durations.is_long(request) else self._short
-        return queue.push(request)
+        work = self.durations.work(request)
+        return self._queue_by_work[work].push(request)
 
     def remove(self, request_id: RequestId) -> Request | None:
         """Remove a waiting request."""
-        return self._short.remove(request_id) or self._long.remove(request_id)
+        for queue in self._queue_by_work.values():
+            request = queue.remove(request_id)
+            if request is not None:
+                return request
+        return None
 
     def next_requests(self) -> Iterator[Request]:
         """Yield waiting requests as long as there are slots for them."""
-        while (queue := self._next_queue()) is not None:
-            request = queue.pop()
-            self._long_by_running[request.id] = queue is self._long
+        self._sort_out_known()
+        self._note_short_demand()
+        while (work := self._next_work()) is not None:
+            request = self._queue_by_work[work].pop()
+            self._work_by_running[request.id] = work
+            self._running_by_work[work] += 1
             yield request
 
-    def _long_slots(self) -> int:
-        return max(1, self.limit.value - self._service.short_slots)
-
-    def _next_queue(self) -> policies.QueuePolicy | None:
+    def _sort_out_known(self) -> None:
+        """Put waiting requests whose routes are known by now where they belong."""
+        unknown = self._queue_by_work[Work.UNKNOWN]
+        if not len(unknown):
+            return
+        for request in list(unknown):
+            work = self.durations.work(request)
+            queue = self._queue_by_work[work]
+            if work is not Work.UNKNOWN and len(queue) < self._service.queue:
+                unknown.remove(request.id)
+                queue.push(request)
+
+    def _open_slots(self) -> int:
+        """Return the slots that are not kept for short work.
+
+        Kept are those that the intent names and those that short work has
+        needed of late. One slot always stays open, so long work goes on.
+        """
+        kept = self._service.short_slots * self.limit.value // self.limit.maximum
+        return max(1, self.limit.value - max(kept, int(self._short_peak)))
+
+    def _note_short_demand(self) -> None:
+        waiting = len(self._queue_by_work[Work.SHORT])
+        demand = self._running_by_work[Work.SHORT] + waiting
+        self._short_peak = max(self._short_peak, float(demand))
+
+    def _forget_short_demand(self, now: Seconds) -> None:
+        passed = now - self._decayed_at
+        if passed >= PEAK_STEP_S:
+            self._decayed_at = now
+            self._short_peak *= PEAK_DECAY_PER_S ** min(passed, MAX_DECAY_S)
+
+    def _next_work(self) -> Work | None:
         if self.running >= self.limit.value:
             return None
-        long_may_run = len(self._long) and self.long_running < self._long_slots()
-        if not len(self._short):
-            return self._long if long_may_run else None
+        running = self._running_by_work
+        not_short = running[Work.LONG] + running[Work.UNKNOWN]
+        room = not_short < self._open_slots()
+        if room and self._has(Work.UNKNOWN) and running[Work.UNKNOWN] < PROBES:
+            return Work.UNKNOWN
+        long_may_run = room and self._has(Work.LONG)
+        if not self._has(Work.SHORT):
+            return Work.LONG if long_may_run else None
         self._turn += 1
         if long_may_run and self._turn % LONG_TURN == 0:
-            return self._long
-        return self._short
+            return Work.LONG
+        return Work.SHORT
+
+    def _has(self, work: Work) -> bool:
+        return len(self._queue_by_work[work]) > 0
 
-    def reclassify(self, request_id: RequestId) -> None:
+    def note_lasting(self, request: Request, so_far_s: Seconds) -> None:
         """Count a running request as long work from now on."""
-        if request_id in self._long_by_running:
-            self._long_by_running[request_id] = True
+        work = self._work_by_running.get(request.id)
+        if work is None or work is Work.LONG or request.route.work == "short":
+            return
+        self.durations.note_lasting(request, so_far_s)
+        self._work_by_running[request.id] = Work.LONG
+        self._running_by_work[work] -= 1
+        self._running_by_work[Work.LONG] += 1
 
     def finish(self, request_id: RequestId) -> None:
         """Free the slot of a running request."""
-        self._long_by_running.pop(request_id, None)
+        work = self._work_by_running.pop(request_id, None)
+        if work is not None:
+            self._running_by_work[work] -= 1
+
+    def note_answer(self, now: Seconds, request: Request, took_s: Seconds) -> None:
+        """Learn from an answer; called before `finish`."""
+        self._forget_short_demand(now)
+        self.durations.note(request, took_s, self.is_quiet)
+        full = self.running >= self.limit.value
+        if full and self.durations.inflation(request) >= OVERLOAD_INFLATION:
+            self.limit.note_overload(now)
+        else:
+            self.limit.note_success()
 
     def __iter__(self) -> Iterator[Request]:
         """Yield the waiting requests."""
-        yield from self._short
-        yield from self._long
+        for queue in self._queue_by_work.values():
+            yield from queue
 
     def remove_all(self, unwanted: Callable[[Request], bool]) -> Iterator[Request]:
         """Remove and yield the waiting requests for which `unwanted` is true."""
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -25,8 +25,6 @@
 
 #: Time between looks at deadlines and held requests.
 LOOK_S = 0.02
-#: Inflation of latency that is taken as a sign of overload.
-OVERLOAD_INFLATION = 6.0
 #: Header by which a target says that it refused an order unrun.
 SHED_HEADER = "target-not-run"
 
@@ -235,19 +233,9 @@
             response = refusal(ErrorKind.TARGET_REFUSED)
         else:
             response = _without_own_headers(event.response)
-            self._learn(now, order, admission)
+            admission.note_answer(now, order.request, now - order.sent_at)
         yield from self._close_order(now, order, response)
 
-    def _learn(self, now: Seconds, order: _Order, admission: Admission) -> None:
-        inflation = admission.durations.note(order.request, now - order.sent_at)
-        if (
-            inflation >= OVERLOAD_INFLATION
-            and admission.running >= admission.limit.value
-        ):
-            admission.limit.note_overload(now)
-        else:
-            admission.limit.note_success()
-
     def _on_order_failed(
         self, now: Seconds, event: events.OrderFailed
     ) -> Iterator[Command | Event]:
@@ -312,7 +300,7 @@
     def _look_at_order(self, now: Seconds, order: _Order) -> Iterator[Command | Event]:
         request = order.request
         if now - order.sent_at >= LONG_WORK_S:
-            self._admission(request).reclassify(request.id)
+            self._admission(request).note_lasting(request, now - order.sent_at)
         if now >= request.deadline and not order.answered:
             yield events.CancelOrder(request.id)
             order.answered = True
--- a/rhubarbhall/plugins/balancing.py
+++ b/rhubarbhall/plugins/balancing.py
@@ -24,8 +24,9 @@
         rng: random.Random,
     ) -> MemberId:
         """Return one of `members`."""
-        first = rng.choice(members)
-        second = rng.choice(members)
+        if len(members) == 1:
+            return members[0]
+        first, second = rng.sample(members, 2)
         if load_by_member.get(second, 0) < load_by_member.get(first, 0):
             return second
         return first
--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from rhubarbhall.core.admission import PROBES, Admission, ConcurrencyLimit
+from rhubarbhall.core.directory import SliceRef
+from rhubarbhall.core.intent import DEFAULT_ROUTE, Route, intent_from_document
+from rhubarbhall.core.requests import Request
+
+SHORT = Route(work="short")
+LONG = Route(work="long")
+
+
+def admission(**changes) -> Admission:
+    table = {"targets": "a=b", "slots": 10, "short_slots": 3, "queue": 8, **changes}
+    return Admission(intent_from_document({"services": {"s": table}}).services["s"])
+
+
+_numbers = iter(range(1, 1_000_000))
+
+
+def request(admitted: Admission, route=SHORT, caller="c", path="/look") -> Request:
+    return Request(
+        next(_numbers), admitted._service, route, "k", SliceRef("s", 0), "GET", path,
+        (), b"", caller, 0.0, 1.0,
+    )  # fmt: skip
+
+
+class AdmissionTests(unittest.TestCase):
+    def setUp(self):
+        self.admission = admission()
+
+    def start(self, count: int, route: Route, **changes) -> list[Request]:
+        """Push requests one by one and return those that may run."""
+        running = []
+        for _ in range(count):
+            self.admission.push(request(self.admission, route, **changes))
+            running += self.admission.next_requests()
+        return running
+
+    def test_long_work_leaves_the_kept_slots_free(self):
+        self.assertEqual(len(self.start(20, LONG, caller="planner")), 7)
+        self.assertEqual(len(self.start(3, SHORT)), 3)
+
+    def test_slots_that_short_work_needed_of_late_are_kept_too(self):
+        short = self.start(8, SHORT)
+        for each in short:
+            self.admission.finish(each.id)
+        self.assertEqual(len(self.start(9, LONG)), 2)
+
+    def test_what_short_work_needed_is_forgotten_in_time(self):
+        short = self.start(8, SHORT)
+        for step, each in enumerate(short):
+            self.admission.note_answer(60.0 * step, each, 0.02)
+            self.admission.finish(each.id)
+        self.assertEqual(len(self.start(9, LONG)), 7)
+
+    def test_long_work_is_never_starved(self):
+        self.start(10, SHORT)
+        self.admission.push(request(self.admission, LONG))
+        started = []
+        for _ in range(40):
+            oldest = next(iter(self.admission._work_by_running))
+            self.admission.finish(oldest)
+            self.admission.push(request(self.admission, SHORT))
+            started += self.admission.next_requests()
+        self.assertIn(LONG, [each.route for each in started])
+
+    def test_work_of_an_unknown_route_is_tried_a_few_at_a_time(self):
+        running = self.start(6, DEFAULT_ROUTE, path="/new")
+        self.assertEqual(len(running), PROBES)
+        self.admission.note_answer(0.1, running[0], 0.02)
+        self.admission.finish(running[0].id)
+        self.assertEqual(len(list(self.admission.next_requests())), 4)
+
+    def test_a_route_that_lasts_counts_as_long_before_it_ends(self):
+        first, _ = self.start(2, DEFAULT_ROUTE, path="/pull")
+        self.admission.note_lasting(first, 0.3)
+        self.assertEqual(self.admission.long_running, 1)
+        self.assertEqual(len(self.start(10, DEFAULT_ROUTE, path="/pull")), 5)
+
+    def test_the_greediest_caller_gives_way_in_a_full_queue(self):
+        self.start(10, SHORT)
+        for _ in range(8):
+            self.admission.push(request(self.admission, caller="greedy"))
+        evicted = self.admission.push(request(self.admission, caller="modest"))
+        self.assertEqual(evicted.caller, "greedy")
+        again = self.admission.push(request(self.admission, caller="greedy"))
+        self.assertEqual(again.caller, "greedy")
+
+    def test_callers_are_served_in_turn(self):
+        self.start(10, SHORT)
+        for caller in ("a", "a", "a", "b"):
+            self.admission.push(request(self.admission, caller=caller))
+        for running in list(self.admission._work_by_running)[:2]:
+            self.admission.finish(running)
+        served = [each.caller for each in self.admission.next_requests()]
+        self.assertEqual(served, ["a", "b"])
+
+    def test_the_expected_wait_grows_with_the_queue(self):
+        (first,) = self.start(1, SHORT)
+        self.admission.note_answer(0.0, first, 0.1)
+        self.start(10, SHORT)
+        waits = []
+        for _ in range(4):
+            waits.append(self.admission.expected_wait_s(request(self.admission)))
+            self.admission.push(request(self.admission))
+        self.assertEqual(waits, sorted(waits))
+        self.assertGreater(waits[-1], waits[0])
+
+
+class LimitTests(unittest.TestCase):
+    def test_an_ordinary_spread_of_durations_is_no_overload(self):
+        admitted = admission(short_slots=0)
+        rng = random.Random(6)
+        for step in range(3_000):
+            admitted.push(request(admitted))
+            list(admitted.next_requests())
+            if admitted.running == 10:
+                oldest = next(iter(admitted._work_by_running))
+                took = rng.expovariate(50.0)
+                admitted.note_answer(0.01 * step, request(admitted), took)
+                admitted.finish(oldest)
+        self.assertGreaterEqual(admitted.limit.value, 8)
+
+    def test_a_crowded_target_gets_less(self):
+        admitted = admission(short_slots=0, slots=20)
+        for step in range(60):
+            (each,) = self._start(admitted, 1)
+            admitted.note_answer(0.01 * step, each, 0.02)
+            admitted.finish(each.id)
+        running = self._start(admitted, 20)
+        for step in range(200):
+            each = running.pop(0)
+            admitted.note_answer(1.0 + 0.1 * step, each, 0.02 * len(running) / 4)
+            admitted.finish(each.id)
+            running += self._start(admitted, 1)
+        self.assertLess(admitted.limit.value, 12)
+        self.assertGreaterEqual(admitted.limit.value, 1)
+
+    def _start(self, admitted: Admission, count: int) -> list[Request]:
+        running = []
+        for _ in range(count):
+            admitted.push(request(admitted))
+            running += admitted.next_requests()
+        return running
+
+    def test_the_limit_comes_back(self):
+        limit = ConcurrencyLimit(10)
+        for step in range(20):
+            limit.note_overload(float(step))
+        self.assertEqual(limit.value, 1)
+        for _ in range(200):
+            limit.note_success()
+        self.assertEqual(limit.value, 10)
--- /dev/null
+++ b/tests/core/test_balancing.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from rhubarbhall.core.balancing import EJECT_AFTER, Balancer
+from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.records import IntentRecord, Join, StoredRecord, seal
+from rhubarbhall.core.requests import Response
+
+DOCUMENT = {
+    "services": {"s": {"targets": "app=s", "keyed": False, "slots": 10}},
+    "preferences": {"regions": ["west"]},
+}
+PLACES = {"a": "south", "b": "south", "c": "west", "d": "north"}
+NOBODY: frozenset[str] = frozenset()
+
+
+class BalancerTests(unittest.TestCase):
+    def setUp(self):
+        joins = [
+            Join(name, f"{name}:1", f"{name}:2", region, f"d-{name}", {"app": "s"})
+            for name, region in PLACES.items()
+        ]
+        self.context = Context(joins[0], Timing(), random.Random(5), lambda: 0)
+        for offset, record in enumerate([*joins, IntentRecord(0, DOCUMENT)]):
+            stored = StoredRecord(offset, seal(f"r{offset}", record))
+            self.context.directory.apply(stored)
+        self.balancer = Balancer(self.context)
+        self.service = self.context.directory.intent.services["s"]
+
+    def choose(self, exclude=NOBODY) -> str | None:
+        return self.balancer.choose(100.0, self.service, exclude)
+
+    def fill(self, count: int) -> Counter[str]:
+        chosen: Counter[str] = Counter()
+        for _ in range(count):
+            member = self.choose()
+            self.balancer.note_sent(100.0, member)
+            chosen[member] += 1
+        return chosen
+
+    def test_the_nearest_go_first_and_are_filled_evenly(self):
+        chosen = self.fill(12)
+        self.assertEqual(set(chosen), {"a", "b"})
+        self.assertLessEqual(abs(chosen["a"] - chosen["b"]), 1)
+
+    def test_what_the_nearest_cannot_take_spills_to_the_preferred_region(self):
+        chosen = self.fill(24)
+        self.assertGreater(chosen["c"], 0)
+        self.assertEqual(chosen["d"], 0)
+
+    def test_a_failing_member_is_left_out_for_a_while(self):
+        for _ in range(EJECT_AFTER):
+            self.balancer.note_sent(100.0, "b")
+            self.balancer.note_outcome(100.0, "b", None)
+        self.assertEqual({self.choose() for _ in range(50)}, {"a"})
+        later = {self.balancer.choose(110.0, self.service, NOBODY) for _ in range(50)}
+        self.assertEqual(later, {"a", "b"})
+
+    def test_ejection_never_takes_most_of_the_members(self):
+        for member in PLACES:
+            for _ in range(EJECT_AFTER):
+                self.balancer.note_outcome(100.0, member, None)
+        self.assertIsNotNone(self.choose())
+
+    def test_a_tried_member_is_not_chosen_again(self):
+        self.assertEqual(self.choose(frozenset({"a", "b", "c"})), "d")
+        self.assertIsNone(self.choose(frozenset(PLACES)))
+
+    def test_a_new_member_starts_slowly(self):
+        self.fill(2)
+        for member in ("a", "b"):
+            for _ in range(2):
+                self.balancer.note_outcome(100.0, member, Response(200))
+        join = Join("e", "e:1", "e:2", "south", "d-a", {"app": "s"})
+        offset = self.context.directory.next_offset
+        self.context.directory.apply(StoredRecord(offset, seal("e", join)))
+        chosen: Counter[str] = Counter()
+        for _ in range(300):
+            member = self.choose()
+            chosen[member] += 1
+            self.balancer.note_sent(100.0, member)
+            self.balancer.note_outcome(100.0, member, Response(200))
+        self.assertLess(chosen["e"], 300 / 4)
