Start only members slowly that have just joined

Cause: a test filled two targets 9 to 3. The second member that a daemon ever chose counted as new and got a tenth of its share for ten seconds.

Change: slow start counts from the member's join record.

--- a/rhubarbhall/core/balancing.py
+++ b/rhubarbhall/core/balancing.py
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class _Standing:
-    """How a member has fared from here."""
+    """How a member has fared from here; `seen_at` is when it joined."""
 
     seen_at: Seconds
     in_flight: int = 0
@@ -130,13 +130,14 @@
     def _standing(self, now: Seconds, member: MemberId) -> _Standing:
         standing = self._standing_by_member.get(member)
         if standing is None:
-            standing = _Standing(self._first_seen(now))
+            standing = _Standing(seen_at=now - SLOW_START_S)
             self._standing_by_member[member] = standing
         return standing
 
-    def _first_seen(self, now: Seconds) -> Seconds:
-        # Members found at the start are not new; only this daemon is.
-        return now if self._standing_by_member else now - SLOW_START_S
+    def note_joined(self, now: Seconds, members: tuple[MemberId, ...]) -> None:
+        """Let members that have just joined start slowly."""
+        for member in members:
+            self._standing_by_member[member] = _Standing(seen_at=now)
 
     def note_sent(self, now: Seconds, member: MemberId) -> None:
         """Count a request that goes to `member`."""
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -256,6 +256,7 @@
     def _on_record_applied(
         self, now: Seconds, event: events.RecordApplied
     ) -> Iterator[Command | Event]:
+        self._balancer.note_joined(now, event.applied.joined)
         closed = event.applied.closed
         if not closed:
             return
--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -77,6 +77,7 @@
         join = Join("e", "e:1", "e:2", "south", "d-a", {"app": "s"})
         offset = self.context.directory.next_offset
         self.context.directory.apply(StoredRecord(offset, seal("e", join)))
+        self.balancer.note_joined(100.0, ("e",))
         chosen: Counter[str] = Counter()
         for _ in range(300):
             member = self.choose()
