--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -26,6 +26,7 @@
     wait_in_force,
 )
 from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
+from rhubarbhall.programs.tables import text_table
 
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Directory
@@ -69,17 +70,6 @@
     click.echo(msgspec.json.format(msgspec.json.encode(value)).decode())
 
 
-def _table(header: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
-    lines = [header, *[tuple(map(str, row)) for row in rows]]
-    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
-    return "\n".join(
-        "  ".join(
-            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
-        ).rstrip()
-        for line in lines
-    )
-
-
 def _read_document(file: str) -> dict[str, Any]:
     """Read and check an intent file; every mistake is told at once."""
     document = document_from_toml(Path(file).read_text(encoding="utf-8"), file)
@@ -204,13 +194,13 @@
         f"{directory.next_offset}\n"
     )
     header = ("MEMBER", "REGION", "DOMAIN", "LEASE", "SLICES", "INTENT")
-    click.echo(_table(header, [msgspec.structs.astuple(each) for each in members]))
+    click.echo(text_table(header, [msgspec.structs.astuple(each) for each in members]))
     click.echo()
     header = ("SERVICE", "KEYED", "SLICES", "UNOWNED", "IMBALANCE")
     rows = [
         (s.name, s.keyed, s.slices, s.owners.get("", 0), s.imbalance) for s in services
     ]
-    click.echo(_table(header, rows))
+    click.echo(text_table(header, rows))
 
 
 def _dumps(directory: Directory) -> dict[str, NodeDump]:
--- /dev/null
+++ b/rhubarbhall/programs/load.py
@@ -0,0 +1,92 @@
+"""``rhubarb-load``: open-loop load from a mix, with verdicts at its end."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import click
+import msgspec
+
+from rhubarbhall.loadtool.generator import LoadRun
+from rhubarbhall.loadtool.mix import mix_from_toml
+from rhubarbhall.loadtool.results import LoadReport, judge, summarize
+from rhubarbhall.programs.estate import fetch
+from rhubarbhall.programs.loop import Loop
+from rhubarbhall.programs.options import ADDRESS, option, run
+from rhubarbhall.programs.tables import text_table
+from rhubarbhall.standins.target import EXECUTIONS_PATH, Execution
+
+EXIT_BROKEN = 1
+
+
+def _addresses(text: str) -> list[str]:
+    return [ADDRESS.convert(each.strip(), None, None) for each in text.split(",")]
+
+
+def _executions(targets: list[str]) -> list[Execution]:
+    found: list[Execution] = []
+    for target in targets:
+        data = fetch(target, "GET", EXECUTIONS_PATH)
+        found += msgspec.json.decode(data, type=list[Execution])
+    return found
+
+
+def _print_report(report: LoadReport) -> None:
+    header = ("KIND", "SENT", "ANSWERED", "PER S", "P50 MS", "P99 MS", "MAX MS", "ELSE")
+    rows = [
+        (
+            kind.name,
+            kind.sent,
+            kind.answered,
+            kind.goodput_per_s,
+            kind.p50_ms,
+            kind.p99_ms,
+            kind.max_ms,
+            ", ".join(f"{n} {k}" for k, n in kind.outcomes.items() if k != "answered"),
+        )
+        for kind in report.kinds
+    ]
+    click.echo(text_table(header, rows))
+    for each in report.promises:
+        verdict = "held" if not each.problems else "BROKEN"
+        click.echo(f"promise: {each.promise}: {verdict}")
+        for problem in each.problems[:5]:
+            click.echo(f"    {problem}")
+
+
+@click.command("rhubarb-load")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@option("--entrances", required=True, help="Addresses for callers, with commas.")
+@option("--targets", default="", help="Stand-ins to ask what they ran.")
+@option("--seed", type=int, default=1)
+@option("--connections", type=click.IntRange(1, 10_000), default=256)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def command(file, entrances, targets, seed, connections, as_json) -> int:
+    """Send the mix in FILE and judge the promises by what came back."""
+    mix = mix_from_toml(Path(file).read_text(encoding="utf-8"), file)
+    loop = Loop()
+    began = time.monotonic()
+    load = LoadRun(mix, _addresses(entrances), seed, loop.stop, connections)
+    loop.add(load)
+    loop.run()
+    seconds = max(mix.seconds, time.monotonic() - began)
+    executions = _executions(_addresses(targets)) if targets else None
+    report = LoadReport(
+        round(seconds, 3),
+        tuple(
+            summarize(name, result, mix.seconds)
+            for name, result in load.result_by_kind.items()
+        ),
+        judge(load.outcomes, executions),
+    )
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        _print_report(report)
+    return 0 if report.kept else EXIT_BROKEN
+
+
+def main() -> None:
+    """Run the program."""
+    run(command)
--- a/rhubarbhall/standins/callers.py
+++ b/rhubarbhall/standins/callers.py
@@ -36,7 +36,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Sent:
+class Sent:
+    """A request on its way.
+
+    Parameters
+    ----------
+    method, service, key : str
+        What was asked.
+    mark : str
+        Path that only this request has.
+    idempotency_key : str, optional
+        Key against repeats.
+    sent_at : float
+        Monotonic clock, in seconds.
+    """
+
     method: str
     service: str
     key: str
@@ -44,6 +58,11 @@
     idempotency_key: str | None
     sent_at: Seconds
 
+    @property
+    def path(self) -> str:
+        """Path as a daemon takes it."""
+        return f"/{self.service}/{self.key}{self.mark}".replace("//", "/")
+
 
 class Callers:
     """Sends requests to all daemons and notes what came back.
@@ -98,7 +117,7 @@
         number = next(self._numbers)
         kind = "credit" if idempotency_key else "look"
         mark = f"/{kind}/{number}"
-        sent = _Sent(method, service, key, mark, idempotency_key, time.monotonic())
+        sent = Sent(method, service, key, mark, idempotency_key, time.monotonic())
         self._fetch(sent)
 
     def _entrance_for(self, key: str) -> Address:
@@ -107,8 +126,7 @@
             return owner
         return self._rng.choice(self.entrances)
 
-    def _fetch(self, sent: _Sent) -> None:
-        path = f"/{sent.service}/{sent.key}{sent.mark}".replace("//", "/")
+    def _fetch(self, sent: Sent) -> None:
         headers = ()
         if sent.idempotency_key:
             headers = ((IDEMPOTENCY_HEADER, sent.idempotency_key),)
@@ -117,16 +135,16 @@
         self._client.fetch(
             entrance,
             sent.method,
-            path,
+            sent.path,
             headers,
             b"",
             CALL_TIMEOUT_S,
             lambda outcome: self._note(sent, outcome),
         )
 
-    def _note(self, sent: _Sent, outcome: Response | Failed) -> None:
+    def _note(self, sent: Sent, outcome: Response | Failed) -> None:
         self.in_flight -= 1
-        self.outcomes.append(_outcome_of(sent, outcome))
+        self.outcomes.append(outcome_of(sent, outcome))
         if isinstance(outcome, Response):
             for name, value in outcome.headers:
                 if name.lower() == OWNER_HEADER.lower():
@@ -135,7 +153,8 @@
             self._fetch(sent)
 
 
-def _outcome_of(sent: _Sent, outcome: Response | Failed) -> Outcome:
+def outcome_of(sent: Sent, outcome: Response | Failed) -> Outcome:
+    """Return what a caller was told, for the ledger."""
     status, kind, ran, echoed = 0, "", "unknown", ""
     if isinstance(outcome, Failed):
         kind = f"connection_{outcome.kind}"
