Let the state machine restart daemons whose stop ends late

Cause: 250 further random runs found 'not all served 32 s after the faults' with targets that check nothing.

Change: the machine starts what a planned stop has ended during the settling too. The bound and all checks stay.

Conclusion: the case is allowed; the fault was the test's.

--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -10,6 +10,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from unittest.mock import patch
 
+from benchmarks.plots import plot_crest
 from benchmarks.report import Table, quantile
 from benchmarks.virtual_gate import Outcome, VirtualGate, poisson
 from rhubarbhall.core.admission import Admission, ConcurrencyLimit, Work
@@ -169,6 +170,7 @@
 
 
 def run() -> list[Table]:
-    crest, _ = measure_crest()
-    short, _ = measure_short_behind_long()
+    crest, goodput_by_way = measure_crest()
+    short, short_by_way = measure_short_behind_long()
+    plot_crest(goodput_by_way, short_by_way)
     return [*crest, *measure_surge(), *short]
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass, field
 
+from benchmarks.plots import plot_takeover
 from benchmarks.processes import Mesh
 from benchmarks.report import Table, quantile
 from benchmarks.steady import Prober
@@ -44,7 +45,6 @@
 class _Round:
     unavailable_s: list[float] = field(default_factory=list)
     lost: int = 0
-    false_takeovers: int = 0
 
 
 def run() -> list[Table]:
@@ -66,6 +66,7 @@
     )
     pauses = Table("False takeovers", ("pause s", "rounds", "members closed"))
     outage = Table("Log down", ("seconds", "requests", "answered", "share answered"))
+    unavailable_by_fault: dict[str, list[float]] = {}
     try:
         mesh.publish(DOCUMENT)
         mesh.wait_served(SLICES)
@@ -75,7 +76,10 @@
             ("SIGSTOP for 3 s", _freeze),
             ("SIGTERM", _stop),
         ):
-            _measure(mesh, prober, name, fault, table, churn)
+            unavailable_by_fault[name] = _measure(
+                mesh, prober, name, fault, table, churn
+            )
+        plot_takeover(unavailable_by_fault)
         for pause_s in PAUSES_S:
             _measure_pauses(mesh, pause_s, pauses)
         _measure_outage(mesh, prober, outage)
@@ -103,7 +107,7 @@
     mesh.daemons[number].restart()
 
 
-def _measure(mesh, prober, name, fault, table, churn) -> None:
+def _measure(mesh, prober, name, fault, table, churn) -> list[float]:
     result = _Round()
     moved = had_to = 0
     for number in range(ROUNDS):
@@ -135,6 +139,7 @@
         len(find_double_owners(executions)),
     )
     churn.add(name, moved, had_to)
+    return result.unavailable_s
 
 
 def _wait_back(mesh: Mesh) -> None:
--- a/tests/properties/machine.py
+++ b/tests/properties/machine.py
@@ -252,16 +252,27 @@
         for host in mesh.hosts:
             if host.paused and not host.lost:
                 self._resume(host)
-            if host.lost or host.exited:
+            if host.lost:
                 mesh.start(host)
         waited = 0.0
         while waited < SETTLE_S and not mesh.all_served():
+            self._start_stopped()
             self._run(0.25)
             waited += 0.25
         assert mesh.all_served(), f"not all served {SETTLE_S:.0f} s after the faults"
         self._run(1.0)
         self._assert_nothing_lost()
 
+    def _start_stopped(self) -> None:
+        """Start what a planned stop has ended, however late the stop came about.
+
+        With every daemon asked to stop and parted from the log, the stops end
+        only after the faults do, and then nobody is left to serve.
+        """
+        for host in self.mesh.hosts:
+            if host.exited:
+                self.mesh.start(host)
+
     def _assert_nothing_lost(self) -> None:
         """Every accepted intent was replaced by the next one, none was skipped."""
         fold = self.mesh.fold()
