Keep a lease through a change of witnesses; relay by fours; poll directly

Cause: a golden file showed three live members losing their leases for 0.02 to 0.04 s each when their sets grew: the majority was counted anew with a witness that had not answered yet. The relay tree with 16 children, each reading four times a second, would cost a relaying daemon some 25 KB/s, over the budget of 9.

Change: a proof of the lease once made stays until it lapses. That is safe: a witness counts silence from reading a new set, which was submitted after the proof was sent. Relayed reading once a second with four children. The poller calls the project's own sockets directly.

--- a/rhubarbhall/adapters/datagrams.py
+++ b/rhubarbhall/adapters/datagrams.py
@@ -94,6 +94,17 @@
         self.received = 0
         self.rejected = 0
 
+    def takes_directly(self, sock: socket.socket) -> bool:
+        """Tell whether the poller may call for a socket."""
+        return True
+
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read all datagrams that have come; called by the poller."""
+        self._read()
+
+    def on_writable(self, sock: socket.socket) -> None:
+        """Do nothing: datagrams are sent at once or lost."""
+
     def _read(self) -> None:
         while True:
             try:
--- /dev/null
+++ b/rhubarbhall/adapters/poller.py
@@ -0,0 +1,64 @@
+"""A poller that hands readable and writable sockets straight to their component.
+
+The poller of circuits fires an event for each, whose dispatch costs about as much as
+the work that follows it.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from typing import TYPE_CHECKING, Protocol
+
+from circuits.core.pollers import EPoll
+
+if TYPE_CHECKING:
+    from circuits import BaseComponent
+
+
+class DirectSource(Protocol):
+    """A component that takes its sockets without events."""
+
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read from a socket."""
+
+    def on_writable(self, sock: socket.socket) -> None:
+        """Write what waits for a socket."""
+
+
+class DirectPoll(EPoll):
+    """Calls sources that allow it, and fires events for all others."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._source_by_socket: dict[socket.socket, DirectSource] = {}
+
+    def addReader(self, source: BaseComponent, fd: socket.socket) -> None:  # noqa: N802
+        """Watch a socket for input."""
+        super().addReader(source, fd)
+        self._note_source(source, fd)
+
+    def addWriter(self, source: BaseComponent, fd: socket.socket) -> None:  # noqa: N802
+        """Watch a socket for room."""
+        super().addWriter(source, fd)
+        self._note_source(source, fd)
+
+    def _note_source(self, source: BaseComponent, fd: socket.socket) -> None:
+        if hasattr(source, "on_readable") and source.takes_directly(fd):
+            self._source_by_socket[fd] = source
+
+    def discard(self, fd: socket.socket) -> None:
+        """Watch a socket no more."""
+        self._source_by_socket.pop(fd, None)
+        super().discard(fd)
+
+    def _process(self, fileno: int, event: int) -> None:
+        fd = self._map.get(fileno)
+        source = self._source_by_socket.get(fd)
+        if source is None or event & self._disconnected_flag:
+            super()._process(fileno, event)
+            return
+        if event & select.EPOLLIN:
+            source.on_readable(fd)
+        if event & select.EPOLLOUT and fd in self._source_by_socket:
+            source.on_writable(fd)
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -42,6 +42,18 @@
         """Learn that a connection has ended."""
         raise NotImplementedError
 
+    def takes_directly(self, sock: socket.socket) -> bool:
+        """Tell whether the poller may call for a socket; not for the listening one."""
+        return sock is not self._sock
+
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read from a socket; called by the poller."""
+        self._read(sock)
+
+    def on_writable(self, sock: socket.socket) -> None:
+        """Write what waits for a socket; called by the poller."""
+        self._on_write(sock)
+
     def _read(self, sock: socket.socket) -> None:
         if sock not in self._clients:
             return
--- a/rhubarbhall/core/follower.py
+++ b/rhubarbhall/core/follower.py
@@ -19,7 +19,9 @@
 #: Members of a failure domain that read the log itself.
 READERS_PER_DOMAIN = 2
 #: Members that pull from one relaying member.
-RELAY_FANOUT = 16
+RELAY_FANOUT = 4
+#: Time between two reads from a relaying member.
+RELAY_READ_S = 1.0
 #: Time for which a place in the relay tree is kept.
 TREE_AGE_S = 5.0
 #: Time after which a read counts as lost.
@@ -32,6 +34,7 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self._outstanding_since: Seconds | None = None
+        self._read_at: Seconds = float("-inf")
         self._asked_peer: Address | None = None
         self._failures = 0
         self._parent: Address | None = None
@@ -62,10 +65,13 @@
             return
         if since is not None:
             self._failures += 1
-        yield self._read(now, self._source(now))
+        source = self._source(now)
+        if source is None or now - self._read_at >= RELAY_READ_S:
+            yield self._read(now, source)
 
     def _read(self, now: Seconds, peer: Address | None) -> Command:
         self._outstanding_since = now
+        self._read_at = now
         self._asked_peer = peer
         if self._scan is not None:
             if peer is not None:
@@ -203,5 +209,6 @@
             isinstance(event.message, HeartbeatAnswer)
             and event.message.next_offset > known
             and self._outstanding_since is None
+            and now - self._read_at >= RELAY_READ_S
         ):
             yield self._read(now, self._context.peer_address(event.sender))
--- a/rhubarbhall/core/lease.py
+++ b/rhubarbhall/core/lease.py
@@ -13,6 +13,7 @@
     from rhubarbhall.core.context import Context
     from rhubarbhall.core.events import Command, Event
     from rhubarbhall.core.kernel import Handler
+    from rhubarbhall.core.members import Member
     from rhubarbhall.types import MemberId, RecordId, Seconds
 
 #: Members that may resume themselves in a second, so that the log keeps up.
@@ -34,6 +35,7 @@
         self._context = context
         self._renewed_at_by_witness: dict[MemberId, Seconds] = {}
         self._answered_at_by_witness: dict[MemberId, Seconds] = {}
+        self._majority_at: Seconds = _NEVER
         self._log_read_at: Seconds = _NEVER
         self._resumed_at: Seconds = _NEVER
         self._resume_pending: RecordId | None = None
@@ -57,13 +59,20 @@
 
     def held_since_send(self) -> Seconds:
         """Return the send time of the newest proof that the lease rests on."""
-        member = self._context.member
-        if member is None:
+        if self._context.member is None:
             return _NEVER
-        proofs = [self._log_read_at, self._resumed_at]
+        return max(self._log_read_at, self._resumed_at, self._majority_at)
+
+    def _note_majority(self, member: Member) -> None:
+        """Take the present renewals as a proof if they make a majority.
+
+        A proof outlasts a change of the set: a witness counts silence from
+        reading the new set, which was submitted after the proof was sent, so
+        it promises nothing before the proof has lapsed.
+        """
         if member.witnesses:
-            proofs.append(self._majority_renewed_at(member.witnesses, member.majority))
-        return max(proofs)
+            proof = self._majority_renewed_at(member.witnesses, member.majority)
+            self._majority_at = max(self._majority_at, proof)
 
     def _majority_renewed_at(self, witnesses: tuple[str, ...], majority: int) -> float:
         times = [self._renewed_at_by_witness.get(each, _NEVER) for each in witnesses]
@@ -125,6 +134,8 @@
             return
         known = self._renewed_at_by_witness.get(event.sender, _NEVER)
         self._renewed_at_by_witness[event.sender] = max(known, answer.sent_at)
+        if self._context.member is not None:
+            self._note_majority(self._context.member)
         yield from self._note_change(now)
 
     def _on_records_read(
@@ -171,6 +182,7 @@
         closed = self._context.directory.closed_by_id[self._context.me]
         self._renewed_at_by_witness.clear()
         self._answered_at_by_witness.clear()
+        self._majority_at = _NEVER
         self._log_read_at = _NEVER
         self._resumed_at = _NEVER
         self._resume_pending = None
--- a/rhubarbhall/programs/loop.py
+++ b/rhubarbhall/programs/loop.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from circuits import BaseComponent, Manager, handler
-from circuits.core.pollers import EPoll
+
+from rhubarbhall.adapters.poller import DirectPoll
 
 #: Longest time between two looks for a signal.
 SIGNAL_CHECK_S = 0.1
@@ -23,7 +24,7 @@
 
     def __init__(self, on_stop: Callable[[], None] | None = None) -> None:
         self.manager = Manager()
-        EPoll().register(self.manager)
+        DirectPoll().register(self.manager)
         _Signals(on_stop or self.stop).register(self.manager)
 
     def add(self, component: BaseComponent) -> None:
