Close the earlier run in a slot whatever the order of their joins

The trace: a daemon crashed right after sending its join; its successor read the log to the end, saw no former run and joined; then the log, slow, took the first join. That run was live in the directory, owned slices and had no witness, so nobody could notice that it was gone.

Change: a join tells when its run started on the monotonic clock of its boot; the fold closes the earlier run in the same slot and voids the join of an earlier one. The field supersedes goes.

Ruled out: closing members that stay without witnesses (a member alone has none).

--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -122,6 +122,7 @@
             boot=settings.boot,
             checks_grants=settings.checks_grants,
             weight=settings.weight,
+            started_at=self.now(),
         )
         return Context(
             join,
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -125,6 +125,7 @@
         self.everyone = Ring()
         self.next_number = 0
         self.seen_ids: OrderedDict[RecordId, None] = OrderedDict()
+        self._newest_by_calls: dict[str, MemberId] = {}
         self._ring_by_pool: dict[tuple[ServiceName, str | None, bool], Ring] = {}
 
     # Reading
@@ -308,18 +309,30 @@
     def _join(self, record: records.Join, offset: Offset, changes: _Changes) -> None:
         if record.member in self.member_by_id or record.member in self.closed_by_id:
             raise _Void(f"member {record.member} has joined before")
+        former = self.run_in_slot(record)
+        if former is not None and former.join.started_at >= record.started_at:
+            # The append of a run that has ended can come after its successor's.
+            raise _Void(f"{former.id} is a later run in the same slot")
         number = self.next_number
         self.next_number += 1
         self.seat_member(Member(number, record))
         changes.joined.append(record.member)
-        if record.supersedes in self.member_by_id:
-            self._close([record.supersedes], Closing.SUPERSEDED, offset, changes)
+        if former is not None:
+            self._close([former.id], Closing.SUPERSEDED, offset, changes)
         self._assign_unowned(changes)
 
+    def run_in_slot(self, join: records.Join) -> Member | None:
+        """Return the live run on the same boot of the same VM, if there is one."""
+        member = self.member_by_id.get(self._newest_by_calls.get(join.calls, ""))
+        if member is None or not join.boot or member.join.boot != join.boot:
+            return None
+        return member
+
     def seat_member(self, member: Member) -> None:
         """Add a live member to all indexes."""
         self.member_by_id[member.id] = member
         self.id_by_number[member.number] = member.id
+        self._newest_by_calls[member.join.calls] = member.id
         self.everyone.add_seat(member.seat)
         self._seat(member)
 
@@ -499,6 +512,8 @@
             if member is None:
                 continue
             region_by_number[member.number] = member.join.region
+            if self._newest_by_calls.get(member.join.calls) == member_id:
+                del self._newest_by_calls[member.join.calls]
             self.closed_by_id[member_id] = ClosedMember(member, reason, offset)
             self.everyone.remove(member_id)
             changes.closed.append(member_id)
--- a/rhubarbhall/core/membership.py
+++ b/rhubarbhall/core/membership.py
@@ -94,28 +94,12 @@
         yield from ()
 
     def _join(self, now: Seconds) -> Iterator[Event]:
-        former = self._former_run()
+        former = self._context.directory.run_in_slot(self._context.join)
         if former is not None and now < self._started_at + self._unchecked_wait_s():
             return
-        self._context.join = msgspec.structs.replace(
-            self._context.join, supersedes=former
-        )
         self._pending = self._context.new_record_id()
         yield events.Submit(self._pending, self._context.join)
 
-    def _former_run(self) -> MemberId | None:
-        """Return the run that held this port on this boot, if it is still live.
-
-        This process holds the exclusive port, so that run has ended. A run on
-        another boot may still go on elsewhere; witnesses judge it.
-        """
-        join = self._context.join
-        for member in self._context.directory.member_by_id.values():
-            same_slot = member.join.calls == join.calls
-            if same_slot and join.boot and member.join.boot == join.boot:
-                return member.id
-        return None
-
     def _unchecked_wait_s(self) -> Seconds:
         """Return how long orders of the former run may still have effects."""
         if self._context.join.checks_grants:
@@ -137,17 +121,17 @@
             yield events.Joined()
         else:
             yield Note(203, {"reason": event.void})
-            self._become_new_run()
+            self._become_new_run(now)
 
     def _on_fenced(self, now: Seconds, event: events.Fenced) -> Iterator[Command]:
         if not self.stopping:
             yield Note(204, {"member": self._context.me, "reason": event.reason})
-        self._become_new_run()
+        self._become_new_run(now)
 
-    def _become_new_run(self) -> None:
+    def _become_new_run(self, now: Seconds) -> None:
         self._pending = None
         self._fenced_target = False
         self._fence_sent_at = None
         self._context.join = msgspec.structs.replace(
-            self._context.join, member=self._new_member_id(), supersedes=None
+            self._context.join, member=self._new_member_id(), started_at=now
         )
--- a/rhubarbhall/core/records.py
+++ b/rhubarbhall/core/records.py
@@ -13,6 +13,9 @@
 class Join(msgspec.Struct, frozen=True, tag="join", tag_field="kind"):
     """A daemon starts; it owns nothing yet.
 
+    A later run on the same boot of the same VM closes the earlier one: it holds
+    the exclusive port for callers, so the earlier one has ended.
+
     Parameters
     ----------
     member : str
@@ -29,8 +32,8 @@
         Whether its target checks grants itself.
     weight : float
         Its share of slices against others.
-    supersedes : str, optional
-        Former run in the same slot, known to have ended.
+    started_at : float
+        When the run started, on the monotonic clock of its boot, in seconds.
     """
 
     member: str
@@ -42,7 +45,7 @@
     boot: str = ""
     checks_grants: bool = True
     weight: float = 1.0
-    supersedes: str | None = None
+    started_at: float = 0.0
 
 
 class Retire(msgspec.Struct, frozen=True, tag="retire", tag_field="kind"):
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -176,9 +176,17 @@
     def test_nobody_is_a_witness_of_itself(self):
         self.assertIsNotNone(self.log.add(Witnesses("a", ("a",), 0)).void)
 
-    def test_a_restart_closes_the_run_that_it_supersedes(self):
-        applied = self.log.join("a2", supersedes="a")
-        self.assertEqual(applied.closed, ("a",))
+    def test_a_restart_closes_the_earlier_run_however_late_their_joins_come(self):
+        slot = {"calls": "vm9:1", "boot": "boot-9"}
+        self.log.join("first", started_at=10.0, **slot)
+        applied = self.log.join("second", started_at=20.0, **slot)
+        self.assertEqual(applied.closed, ("first",))
+        late = self.log.join("between", started_at=15.0, **slot)
+        self.assertIn("second is a later run", late.void)
+        other_boot = self.log.join("other", calls="vm9:1", boot="boot-10")
+        self.assertEqual(other_boot.closed, ())
+        unknown_boot = self.log.join("unknown", calls="vm9:1", boot="")
+        self.assertEqual(unknown_boot.closed, ())
         self.assertIn("joined before", self.log.join("a").void)
 
     def test_a_move_keeps_the_chain_of_unclosed_owners(self):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -228,6 +228,7 @@
             labels={"app": SERVICE, "vm": host.name},
             boot=host.name,
             checks_grants=self.checks_grants,
+            started_at=host.local(self.now),
         )
         seeds = tuple(f"{other}:2" for other in self.host_by_name if other != host.name)
         context = Context(
--- a/tests/scenarios/pairs.feature
+++ b/tests/scenarios/pairs.feature
@@ -108,3 +108,13 @@
     And member 2 is restarted
     Then every slice is served within 4 s
     And the promises hold
+
+  Scenario: The join of a run that has ended reaches the log late
+    Given a mesh of 4 members
+    When the log takes 0.5 s for each call
+    And member 2 is restarted
+    And 0.7 s go by
+    And member 2 is restarted
+    And the log takes 0.005 s for each call
+    Then every slice is served within 8 s
+    And 40 s later no member is without witnesses
--- a/tests/scenarios/steps/mesh_steps.py
+++ b/tests/scenarios/steps/mesh_steps.py
@@ -325,3 +325,11 @@
         type(open_envelope(each.envelope)).__name__ for each in context.mesh.log.stored
     ]
     assert kinds.count("Failover") == count, kinds.count("Failover")
+
+
+@then("{seconds:g} s later no member is without witnesses")
+def step_all_witnessed(context, seconds):
+    _run(context, seconds)
+    members = context.mesh.fold().member_by_id.values()
+    alone = [member.id for member in members if not member.witnesses]
+    assert not alone, f"nobody would notice the loss of {alone}"
