--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -7,20 +7,12 @@
 
 from benchmarks.load import request_bytes, run_load
 from benchmarks.path import FAST_TARGET
-from benchmarks.processes import HOST, Mesh
+from benchmarks.processes import HOST, SIX_PLACES, Mesh
 from benchmarks.report import Table
 
 SLICES = 24
 REST_S = 15.0
 LOAD_S = 3.0
-PLACES = [
-    ("idukki", "i1"),
-    ("idukki", "i2"),
-    ("wayanad", "w1"),
-    ("wayanad", "w2"),
-    ("kottayam", "k1"),
-    ("kottayam", "k2"),
-]
 BUDGET_CPU_SHARE = 0.025
 
 
@@ -44,7 +36,7 @@
         ("reads the log every", "CPU share", "of the budget", "datagrams sent/s", "MB"),
     )
     for read_s in ("0.1", "0.25", "1.0"):
-        mesh = Mesh(PLACES, 23_000, daemon_flags=("--read-s", read_s))
+        mesh = Mesh(SIX_PLACES, 23_000, daemon_flags=("--read-s", read_s))
         try:
             mesh.publish(_document(20, 64))
             mesh.wait_served(SLICES)
@@ -52,7 +44,9 @@
             cpu = sum(d.cpu_s() for d in mesh.daemons)
             sent = _datagrams(mesh, 0)
             time.sleep(REST_S)
-            cpu = (sum(d.cpu_s() for d in mesh.daemons) - cpu) / len(PLACES) / REST_S
+            cpu = (
+                (sum(d.cpu_s() for d in mesh.daemons) - cpu) / len(SIX_PLACES) / REST_S
+            )
             rate = (_datagrams(mesh, 0) - sent) / REST_S
             memory = max(d.resident_mb() for d in mesh.daemons)
             table.add(f"{read_s} s", cpu, cpu / BUDGET_CPU_SHARE, rate, memory)
@@ -71,7 +65,7 @@
         ("answer", _document(100, 64), FAST_TARGET),
         ("refusal, queue full", _document(1, 0), "target"),
     ):
-        mesh = Mesh(PLACES[:1], 23_500, target=target)
+        mesh = Mesh(SIX_PLACES[:1], 23_500, target=target)
         try:
             mesh.publish(document)
             mesh.wait_served(SLICES)
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -13,6 +13,15 @@
 from pathlib import Path
 
 HOST = "127.0.0.1"
+#: Region and domain of six VMs.
+SIX_PLACES = [
+    ("idukki", "i1"),
+    ("idukki", "i2"),
+    ("wayanad", "w1"),
+    ("wayanad", "w2"),
+    ("kottayam", "k1"),
+    ("kottayam", "k2"),
+]
 MESH_KEY = "a-key-for-benchmarks"
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,7 +19,7 @@
 from rhubarbhall.adapters.log_port import RecordsPage
 from rhubarbhall.core import events
 from rhubarbhall.core.context import Context, Timing
-from rhubarbhall.core.directory import Directory, SliceRef
+from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.peer_messages import Heartbeat, HeartbeatAnswer
@@ -33,7 +33,7 @@
     seal,
 )
 from rhubarbhall.core.requests import Request, Response
-from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.slices import SliceRef, slice_of_key
 from rhubarbhall.core.snapshots import encode_directory, restore_directory
 
 REGIONS = 11
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.plots import plot_takeover
-from benchmarks.processes import Mesh
+from benchmarks.processes import SIX_PLACES, Mesh
 from benchmarks.report import Table, quantile
 from benchmarks.steady import Prober
 from rhubarbhall.audit import find_double_owners, find_repeats
@@ -26,14 +26,6 @@
         },
     }
 }
-PLACES = [
-    ("idukki", "i1"),
-    ("idukki", "i2"),
-    ("wayanad", "w1"),
-    ("wayanad", "w2"),
-    ("kottayam", "k1"),
-    ("kottayam", "k2"),
-]
 ROUNDS = 30
 #: Time for the mesh to settle between two rounds.
 SETTLE_S = 2.5
@@ -48,7 +40,7 @@
 
 
 def run() -> list[Table]:
-    mesh = Mesh(PLACES, 22_000)
+    mesh = Mesh(SIX_PLACES, 22_000)
     table = Table(
         f"Unavailable time of a key, {ROUNDS} rounds each, six daemons, target 2 s",
         (
@@ -70,7 +62,7 @@
     try:
         mesh.publish(DOCUMENT)
         mesh.wait_served(SLICES)
-        prober = Prober([mesh.calls(n) for n in range(len(PLACES))])
+        prober = Prober([mesh.calls(n) for n in range(len(SIX_PLACES))])
         for name, fault in (
             ("kill -9 of a daemon", _kill),
             ("SIGSTOP for 3 s", _freeze),
@@ -111,7 +103,7 @@
     result = _Round()
     moved = had_to = 0
     for number in range(ROUNDS):
-        victim = number % len(PLACES)
+        victim = number % len(SIX_PLACES)
         before = _owners(mesh, skip=victim)
         mine = len(mesh.dump(victim)["served"])
         prober.begin(avoid=mesh.calls(victim) if fault is not _stop else None)
@@ -148,7 +140,7 @@
 
 def _owners(mesh: Mesh, skip: int) -> dict[str, int]:
     found: dict[str, int] = {}
-    for number in range(len(PLACES)):
+    for number in range(len(SIX_PLACES)):
         if number == skip:
             continue
         for ref in mesh.dump(number)["served"]:
@@ -159,7 +151,7 @@
 def _executions(mesh: Mesh) -> list[Execution]:
     return [
         Execution(**each)
-        for number in range(len(PLACES))
+        for number in range(len(SIX_PLACES))
         for each in mesh.executions(number)
     ]
 
@@ -167,7 +159,7 @@
 def _measure_pauses(mesh: Mesh, pause_s: float, table: Table) -> None:
     before = _members(mesh)
     for number in range(ROUNDS):
-        daemon = mesh.daemons[number % len(PLACES)]
+        daemon = mesh.daemons[number % len(SIX_PLACES)]
         daemon.send(signal.SIGSTOP)
         time.sleep(pause_s)
         daemon.send(signal.SIGCONT)
--- a/benchmarks/virtual_gate.py
+++ b/benchmarks/virtual_gate.py
@@ -10,11 +10,10 @@
 
 from benchmarks.slopes import single_node
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.intent import Route
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.requests import Request, Response
-from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.slices import SliceRef, slice_of_key
 
 SLICES = 64
 
--- a/rhubarbhall/adapters/peers_port.py
+++ b/rhubarbhall/adapters/peers_port.py
@@ -12,7 +12,6 @@
 from rhubarbhall.adapters.log_port import READ_LIMIT, READ_TIMEOUT_S, page_to_event
 from rhubarbhall.adapters.signing import SIGNATURE_HEADER, sign
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.events import ReleasedSlice, RememberedOutcome
 from rhubarbhall.core.requests import (
@@ -24,6 +23,7 @@
     SERVICE_HEADER,
     Response,
 )
+from rhubarbhall.core.slices import SliceRef
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.client import Call, Failed, HttpClient
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -76,30 +76,28 @@
         if buffer:
             buffer.append(data)
             return
-        try:
-            sent = sock.send(data)
-        except OSError as error:
-            if error.errno not in _TRY_AGAIN:
-                self.drop(sock)
-                return
-            sent = 0
-        if sent < len(data):
-            self._buffers[sock].append(data[sent:])
+        left = self._send_now(sock, data)
+        if left:
+            self._buffers[sock].append(left)
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
 
+    def _send_now(self, sock: socket.socket, data: bytes) -> bytes:
+        """Send what the socket takes and return the rest; drop a broken one."""
+        try:
+            return data[sock.send(data) :]
+        except OSError as error:
+            if error.errno in _TRY_AGAIN:
+                return data
+            self.drop(sock)
+            return b""
+
     def _write(self, sock: socket.socket, data: bytes) -> None:
         if sock not in self._clients:
             return
-        try:
-            sent = sock.send(data)
-        except OSError as error:
-            if error.errno not in _TRY_AGAIN:
-                self.drop(sock)
-                return
-            sent = 0
-        if sent < len(data):
-            self._buffers[sock].appendleft(data[sent:])
+        left = self._send_now(sock, data)
+        if left:
+            self._buffers[sock].appendleft(left)
 
     def finish(self, sock: socket.socket) -> None:
         """Close a connection once everything was written."""
--- a/rhubarbhall/core/events.py
+++ b/rhubarbhall/core/events.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.directory import Applied, SliceRef
+    from rhubarbhall.core.directory import Applied
     from rhubarbhall.core.errors import ErrorKind
     from rhubarbhall.core.peer_messages import PeerMessage
     from rhubarbhall.core.records import Envelope, Record, StoredRecord
     from rhubarbhall.core.requests import Request, Response
+    from rhubarbhall.core.slices import SliceRef
     from rhubarbhall.types import (
         Address,
         Epoch,
--- a/rhubarbhall/core/failover.py
+++ b/rhubarbhall/core/failover.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import Closing
+from rhubarbhall.core.members import Closing
 from rhubarbhall.core.peer_messages import LogHint, Promise, PromiseRequest, Suspicion
 from rhubarbhall.core.records import Failover, Verdict
 from rhubarbhall.core.witness import send_to_member
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import Closing, SliceRef
 from rhubarbhall.core.idempotency import OutcomeTable, vouched_from
+from rhubarbhall.core.members import Closing
 from rhubarbhall.core.records import Merge, Split
-from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.slices import SliceRef, slice_of_key
 from rhubarbhall.core.timers import OnDemandTimer
 
 if TYPE_CHECKING:
--- a/rhubarbhall/core/hotkeys.py
+++ b/rhubarbhall/core/hotkeys.py
@@ -7,10 +7,9 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.peer_messages import Heartbeat, HeartbeatAnswer
 from rhubarbhall.core.records import Merge, Move, Split
-from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.slices import SliceRef, slice_of_key
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
--- a/rhubarbhall/core/members.py
+++ b/rhubarbhall/core/members.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from rhubarbhall.core.placement import Seat, seat_of
 from rhubarbhall.core.records import Join
 
+if TYPE_CHECKING:
+    from rhubarbhall.types import Offset
+
 #: Label that every target bears besides those of its settings.
 REGION_LABEL = "region"
 DOMAIN_LABEL = "domain"
@@ -61,3 +66,21 @@
     def majority(self) -> int:
         """Number of witnesses that make a majority."""
         return len(self.witnesses) // 2 + 1
+
+
+class Closing(enum.StrEnum):
+    """Why a member ended."""
+
+    LEFT = "left"
+    SUPERSEDED = "superseded"
+    FAILED_OVER = "failed_over"
+    DECLARED_LOST = "declared_lost"
+
+
+@dataclass(frozen=True, slots=True)
+class ClosedMember:
+    """A member that ended."""
+
+    member: Member
+    reason: Closing
+    offset: Offset
--- a/rhubarbhall/core/rebalance.py
+++ b/rhubarbhall/core/rebalance.py
@@ -11,12 +11,11 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.directory import SliceRef
     from rhubarbhall.core.events import Command, Event
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
-    from rhubarbhall.core.slices import OwnerTable
+    from rhubarbhall.core.slices import OwnerTable, SliceRef
     from rhubarbhall.types import MemberId, RecordId, Seconds, ServiceName
 
 #: Time between looks at slices that must go.
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -10,8 +10,8 @@
 from rhubarbhall.core.errors import ANSWER_BY_KIND, ErrorKind, Ran
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.directory import SliceRef
     from rhubarbhall.core.intent import Route, Service
+    from rhubarbhall.core.slices import SliceRef
     from rhubarbhall.types import RequestId, Seconds
 
 #: What the names of this system's own headers begin with, in lower case.
--- a/rhubarbhall/core/slices.py
+++ b/rhubarbhall/core/slices.py
@@ -4,9 +4,13 @@
 
 from array import array
 from collections.abc import Iterator
+from typing import TYPE_CHECKING, NamedTuple
 
 from rhubarbhall.core.hashing import hash64
 
+if TYPE_CHECKING:
+    from rhubarbhall.types import ServiceName, SliceIndex
+
 NO_OWNER = -1
 #: Owner of a slice that no key belongs to at present.
 NOT_IN_USE = -2
@@ -24,6 +28,16 @@
     return hash64(key) % slice_count
 
 
+class SliceRef(NamedTuple):
+    """One slice of one service."""
+
+    service: ServiceName
+    index: SliceIndex
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.index}"
+
+
 class OwnerTable:
     """Owner and epoch of each slice of one service, held in flat arrays.
 
--- a/rhubarbhall/core/snapshots.py
+++ b/rhubarbhall/core/snapshots.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from rhubarbhall.core.directory import ClosedMember, Closing, Directory
+from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import intent_from_document
-from rhubarbhall.core.members import Member
+from rhubarbhall.core.members import ClosedMember, Closing, Member
 from rhubarbhall.core.records import Join, SnapshotChunk, StoredRecord, open_envelope
 from rhubarbhall.core.slices import OwnerTable
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -4,9 +4,9 @@
 import unittest
 
 from rhubarbhall.core.admission import PROBES, Admission, ConcurrencyLimit
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.intent import DEFAULT_ROUTE, Route, intent_from_document
 from rhubarbhall.core.requests import Request
+from rhubarbhall.core.slices import SliceRef
 
 SHORT = Route(work="short")
 LONG = Route(work="long")
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from rhubarbhall.core.directory import Closing, Directory
+from rhubarbhall.core.directory import Directory
+from rhubarbhall.core.members import Closing
 from rhubarbhall.core.records import (
     SCHEMA,
     DeclareLost,
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -4,7 +4,6 @@
 import unittest
 import uuid
 
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.idempotency import (
     CLOCK_SKEW_MS,
@@ -18,6 +17,7 @@
 )
 from rhubarbhall.core.intent import DEFAULT_ROUTE, intent_from_toml
 from rhubarbhall.core.requests import Request, Response, refusal
+from rhubarbhall.core.slices import SliceRef
 
 SERVICE = intent_from_toml('[services.s]\ntargets = "a=b"\n').services["s"]
 WALL_MS = 1_800_000_000_000
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,7 +10,7 @@
 
 from rhubarbhall.core import events
 from rhubarbhall.core.context import Context, Timing
-from rhubarbhall.core.directory import Directory, SliceRef
+from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.records import (
@@ -22,12 +22,21 @@
     seal,
 )
 from rhubarbhall.core.requests import Request, Response
-from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.slices import SliceRef, slice_of_key
 from rhubarbhall.core.snapshots import encode_directory
 
 TICK_S = 0.01
 WALL_MS_AT_ZERO = 1_800_000_000_000
 SERVICE = "status"
+#: Region and domain of six VMs.
+SIX_PLACES = [
+    ("idukki", "i1"),
+    ("idukki", "i2"),
+    ("wayanad", "w1"),
+    ("wayanad", "w2"),
+    ("kottayam", "k1"),
+    ("kottayam", "k2"),
+]
 INTENT = {
     "services": {
         SERVICE: {"targets": "app=status", "slices": 12, "hold_ms": 4000},
--- a/tests/properties/test_rules_matter.py
+++ b/tests/properties/test_rules_matter.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager
 
-from hypothesis import HealthCheck, Phase, Verbosity, settings
+from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from rhubarbhall import audit
@@ -21,34 +21,18 @@
     Witnesses,
 )
 from rhubarbhall.core.slices import slice_of_key
-from tests.fakes import INTENT, SERVICE, Host, Mesh
+from tests.fakes import INTENT, SERVICE, SIX_PLACES, Host, Mesh
 from tests.properties import mutations
 from tests.properties.machine import TIMING, OwnershipMachine, as_execution
-from tests.properties.test_ownership import UncheckedOwnershipMachine
-
-PLACES = [
-    ("idukki", "i1"),
-    ("idukki", "i2"),
-    ("wayanad", "w1"),
-    ("wayanad", "w2"),
-    ("kottayam", "k1"),
-    ("kottayam", "k2"),
-]
+from tests.properties.test_ownership import SETTINGS, UncheckedOwnershipMachine
+
 BITE = settings(
-    max_examples=80,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    verbosity=Verbosity.quiet,
-    print_blob=False,
-    suppress_health_check=list(HealthCheck),
-    phases=[Phase.generate],
+    SETTINGS, max_examples=80, stateful_step_count=30, phases=[Phase.generate]
 )
 
 
 def settled_mesh(timing: Timing = TIMING, **options) -> Mesh:
-    mesh = Mesh(PLACES, seed=3, timing=timing, **options)
+    mesh = Mesh(SIX_PLACES, seed=3, timing=timing, **options)
     mesh.publish(INTENT, 0, "op/first")
     mesh.run_until(mesh.all_served)
     mesh.run(8.0)
@@ -106,7 +90,7 @@
     """The member's clock is slow, those of its witnesses are fast."""
     timing = Timing(lease_s=10.0, heartbeat_s=0.25, collect_s=0.0)
     rates = [0.976, 1.024, 1.024, 1.024, 1.024, 1.024]
-    mesh = Mesh(PLACES, seed=3, timing=timing, rates=rates)
+    mesh = Mesh(SIX_PLACES, seed=3, timing=timing, rates=rates)
     mesh.publish(INTENT, 0, "op/first")
     mesh.run_until(mesh.all_served)
     mesh.run(8.0)
--- a/tests/scenarios/steps/mesh_steps.py
+++ b/tests/scenarios/steps/mesh_steps.py
@@ -7,22 +7,12 @@
 
 from rhubarbhall import audit
 from rhubarbhall.core import events
-from rhubarbhall.core.directory import SliceRef
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.records import open_envelope
-from rhubarbhall.core.slices import slice_of_key
-from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Mesh
+from rhubarbhall.core.slices import SliceRef, slice_of_key
+from tests.fakes import INTENT, SERVICE, SIX_PLACES, WALL_MS_AT_ZERO, Mesh
 from tests.properties.machine import as_execution
 
-PLACES = [
-    ("idukki", "i1"),
-    ("idukki", "i2"),
-    ("wayanad", "w1"),
-    ("wayanad", "w2"),
-    ("kottayam", "k1"),
-    ("kottayam", "k2"),
-]
-
 
 def _watch(context) -> None:
     context.mesh.assert_sole_owners()
@@ -37,7 +27,7 @@
 
 
 def _build(context, count: int, checks: bool) -> None:
-    context.mesh = Mesh(PLACES[:count], seed=5, checks_grants=checks)
+    context.mesh = Mesh(SIX_PLACES[:count], seed=5, checks_grants=checks)
     context.watch = lambda: _watch(context)
     context.mesh.publish(INTENT, 0, "op/first")
     context.mesh.run_until(context.mesh.all_served)
