Spread witnesses over places for good, and repairs over time

Cause: a new test lost one of three domains of a region with ten members each: not all served in 2 s. Members that joined together had taken two witnesses from one domain, the first they saw, and kept them, so that a loss of that domain took a majority. Separately, 1,875 members would rewrite their sets at once after a domain of 625 is lost, and hold up the log for the next loss.

Change: a full set that another candidate would spread over more places or domains exchanges one witness, looked at every 3 s; after a loss of eight or more in one record, repairs are spread so that they take 100 records a second.

Ruled out: choosing all three only once everyone has joined (nobody knows when).

--- a/rhubarbhall/core/witness_set.py
+++ b/rhubarbhall/core/witness_set.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+import enum
+from collections.abc import Iterator, Mapping
 from itertools import islice
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from rhubarbhall.core import events
 from rhubarbhall.core.peer_messages import HeartbeatAnswer
@@ -25,10 +26,50 @@
 REFUSAL_S = 3.0
 #: Time without a lease after which a witness that does not answer is replaced.
 SILENT_S = 1.0
+#: Time between looks at whether the set could be spread wider.
+PLACE_LOOK_S = 3.0
+#: Losses in one record from which on repairs are spread over time.
+MANY_LOST = 8
+#: Records that the members which miss one lost witness write, on average.
+RECORDS_PER_LOSS = 6
+#: Records a second that repairs after a large loss may take of the log.
+REPAIRS_PER_S = 100.0
 #: Time for which a witness that did not answer is not chosen again.
 AVOIDED_S = 30.0
 
 
+class _Place(enum.Enum):
+    """Where a witness stands, as its member sees it."""
+
+    OWN_DOMAIN = enum.auto()
+    OWN_REGION = enum.auto()
+    ELSEWHERE = enum.auto()
+
+
+class _Spread(NamedTuple):
+    """How widely a set is spread; the larger the better."""
+
+    places: int
+    domains: int
+
+    def is_full(self, count: int) -> bool:
+        """Tell whether `count` witnesses could not be spread wider."""
+        return self.places == self.domains == count
+
+
+def _place(member: Member, witness: Member) -> _Place:
+    if witness.join.domain == member.join.domain:
+        return _Place.OWN_DOMAIN
+    if witness.join.region == member.join.region:
+        return _Place.OWN_REGION
+    return _Place.ELSEWHERE
+
+
+def _spread(member: Member, witnesses: list[Member]) -> _Spread:
+    places = {_place(member, each) for each in witnesses}
+    return _Spread(len(places), len({each.join.domain for each in witnesses}))
+
+
 class WitnessSet:
     """Chooses witnesses for this member: own domain, own region, elsewhere.
 
@@ -43,6 +84,8 @@
         self._context = context
         self._lease = lease
         self._pending: RecordId | None = None
+        self._repair_at: Seconds = float("-inf")
+        self._place_at: Seconds = float("-inf")
         self._refused_since: dict[MemberId, Seconds] = {}
         self._avoided_until: dict[MemberId, Seconds] = {}
 
@@ -69,7 +112,13 @@
         member = self._context.member
         if member is None:
             return
-        if set(event.applied.closed) & set(member.witnesses):
+        closed = event.applied.closed
+        if len(closed) >= MANY_LOST:
+            # Several members miss each lost one, and all have read this record
+            # at once; the log must stay free for the next loss.
+            spread = len(closed) * RECORDS_PER_LOSS / REPAIRS_PER_S
+            self._repair_at = now + self._context.rng.random() * spread
+        if set(closed) & set(member.witnesses):
             yield from self._improve(now)
 
     def _on_peer_message(
@@ -92,6 +141,8 @@
         member = self._context.member
         if member is None or self._pending is not None:
             return
+        if now < self._repair_at and self._lease.is_held(now):
+            return
         wanted = self._next_set(now, member)
         if wanted is not None:
             self._pending = self._context.new_record_id()
@@ -104,13 +155,17 @@
         if unfit is not None:
             return tuple(each for each in member.witnesses if each != unfit)
         if len(member.witnesses) < WITNESS_COUNT:
-            candidate = self._candidate(now, member)
+            candidate = self._candidate(now, member, member.witnesses)
             if candidate is not None and self._would_be_odd(now, member):
                 return (*member.witnesses, candidate)
         if len(member.witnesses) == 2 and not self._would_be_odd(now, member):
             # Two witnesses must both answer and both be there to promise, so
             # they are worse than one in every way.
             return member.witnesses[:1]
+        if len(member.witnesses) == WITNESS_COUNT:
+            misplaced = self._misplaced(now, member)
+            if misplaced is not None:
+                return tuple(each for each in member.witnesses if each != misplaced)
         if self._is_refused_for_long(now, member):
             # The same set under a new version voids a promise that was given
             # against a member that came back.
@@ -144,30 +199,37 @@
             for witness in member.witnesses
         )
 
-    def _candidate(self, now: Seconds, member: Member) -> MemberId | None:
-        join = member.join
-        places: list[Callable[[Member], bool]] = [
-            lambda other: other.join.domain == join.domain,
-            lambda other: (
-                other.join.region == join.region and other.join.domain != join.domain
-            ),
-            lambda other: other.join.region != join.region,
-        ]
-        members = self._context.directory.member_by_id
-        for place in places:
-            if not any(place(members[witness]) for witness in member.witnesses):
-                found = self._first(now, member, place)
-                if found is not None:
-                    return found
-        return self._first(now, member, lambda other: True)
-
-    def _first(
-        self, now: Seconds, member: Member, place: Callable[[Member], bool]
+    def _candidate(
+        self, now: Seconds, member: Member, kept: tuple[MemberId, ...]
     ) -> MemberId | None:
+        """Return the member that goes best with the witnesses that are kept."""
         members = self._context.directory.member_by_id
+        best, best_spread = None, None
         for each in self._candidates(now, member):
-            if place(members[each]):
-                return each
+            spread = _spread(member, [members[one] for one in (*kept, each)])
+            if best_spread is None or spread > best_spread:
+                best, best_spread = each, spread
+            if spread.is_full(len(kept) + 1):
+                break
+        return best
+
+    def _misplaced(self, now: Seconds, member: Member) -> MemberId | None:
+        """Return a witness in whose place another would spread the set wider."""
+        if now < self._place_at:
+            return None
+        self._place_at = now + PLACE_LOOK_S
+        members = self._context.directory.member_by_id
+        present = _spread(member, [members[each] for each in member.witnesses])
+        if present.is_full(WITNESS_COUNT):
+            return None
+        for witness in reversed(member.witnesses):
+            kept = tuple(each for each in member.witnesses if each != witness)
+            candidate = self._candidate(now, member, kept)
+            if candidate is None:
+                return None
+            changed = [members[each] for each in (*kept, candidate)]
+            if _spread(member, changed) > present:
+                return witness
         return None
 
     def _candidates(self, now: Seconds, member: Member) -> Iterator[MemberId]:
