--- a/rhubarbhall/core/admission.py
+++ b/rhubarbhall/core/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -159,6 +158,34 @@
             self._limit = max(1.0, self._limit * BACKOFF)
 
 
+class _Lane:
+    """Waiting and running requests of one class of work."""
+
+    __slots__ = ("queue", "running", "waiting")
+
+    def __init__(self, queue: policies.QueuePolicy) -> None:
+        self.queue = queue
+        self.running = 0
+        self.waiting = 0
+
+    def push(self, request: Request) -> Request | None:
+        """Let a request wait; return the one that has to give way, if any."""
+        evicted = self.queue.push(request)
+        self.waiting += evicted is None
+        return evicted
+
+    def pop(self) -> Request:
+        """Take the next request out."""
+        self.waiting -= 1
+        return self.queue.pop()
+
+    def remove(self, request_id: RequestId) -> Request | None:
+        """Take a waiting request out, if it is here."""
+        request = self.queue.remove(request_id)
+        self.waiting -= request is not None
+        return request
+
+
 class Admission:
     """Decides which requests of one service wait and which run next.
 
@@ -179,29 +206,34 @@
         self._service = service
         self.limit = ConcurrencyLimit(service.slots)
         self.durations = Durations()
-        self._queue_by_work = {
-            work: policies.queueing.create(queue, service.queue) for work in Work
-        }
-        self._work_by_running: dict[RequestId, Work] = {}
-        self._running_by_work: Counter[Work] = Counter()
+        self._short, self._long, self._unknown = (
+            _Lane(policies.queueing.create(queue, service.queue)) for _ in range(3)
+        )
+        self._lanes = (self._short, self._long, self._unknown)
+        self._lane_by_running: dict[RequestId, _Lane] = {}
         self._turn = 0
         self._short_peak = 0.0
         self._decayed_at: Seconds = 0.0
 
+    def _lane(self, work: Work) -> _Lane:
+        if work is Work.SHORT:
+            return self._short
+        return self._long if work is Work.LONG else self._unknown
+
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return sum(map(len, self._queue_by_work.values()))
+        return self._short.waiting + self._long.waiting + self._unknown.waiting
 
     @property
     def running(self) -> int:
         """Number of running requests."""
-        return len(self._work_by_running)
+        return len(self._lane_by_running)
 
     @property
     def long_running(self) -> int:
         """Number of running requests that count as long work."""
-        return self._running_by_work[Work.LONG]
+        return self._long.running
 
     @property
     def is_quiet(self) -> bool:
@@ -210,50 +242,47 @@
 
     def expected_wait_s(self, request: Request) -> Seconds:
         """Return how long the request would wait for a slot."""
-        work = self.durations.work(request)
+        lane = self._lane(self.durations.work(request))
+        if not lane.waiting and self.running < self._open_slots():
+            return 0.0
         mean = self.durations.mean_s(request)
         if mean is None:
             return 0.0
-        slots = self.limit.value if work is Work.SHORT else self._open_slots()
-        ahead = len(self._queue_by_work[work])
-        if ahead == 0 and self.running < slots:
+        slots = self.limit.value if lane is self._short else self._open_slots()
+        if not lane.waiting and self.running < slots:
             return 0.0
-        return mean * (ahead + 1) / max(1, slots)
+        return mean * (lane.waiting + 1) / slots
 
     def push(self, request: Request) -> Request | None:
         """Let a request wait; return the one that has to give way, if any."""
-        work = self.durations.work(request)
-        return self._queue_by_work[work].push(request)
+        return self._lane(self.durations.work(request)).push(request)
 
     def remove(self, request_id: RequestId) -> Request | None:
         """Remove a waiting request."""
-        for queue in self._queue_by_work.values():
-            request = queue.remove(request_id)
+        for lane in self._lanes:
+            request = lane.remove(request_id)
             if request is not None:
                 return request
         return None
 
     def next_requests(self) -> Iterator[Request]:
         """Yield waiting requests as long as there are slots for them."""
-        self._sort_out_known()
         self._note_short_demand()
-        while (work := self._next_work()) is not None:
-            request = self._queue_by_work[work].pop()
-            self._work_by_running[request.id] = work
-            self._running_by_work[work] += 1
+        if self._unknown.waiting:
+            self._sort_out_known()
+        while self.waiting and (lane := self._next_lane()) is not None:
+            request = lane.pop()
+            self._lane_by_running[request.id] = lane
+            lane.running += 1
             yield request
 
     def _sort_out_known(self) -> None:
         """Put waiting requests whose routes are known by now where they belong."""
-        unknown = self._queue_by_work[Work.UNKNOWN]
-        if not len(unknown):
-            return
-        for request in list(unknown):
-            work = self.durations.work(request)
-            queue = self._queue_by_work[work]
-            if work is not Work.UNKNOWN and len(queue) < self._service.queue:
-                unknown.remove(request.id)
-                queue.push(request)
+        for request in list(self._unknown.queue):
+            lane = self._lane(self.durations.work(request))
+            if lane is not self._unknown and lane.waiting < self._service.queue:
+                self._unknown.remove(request.id)
+                lane.push(request)
 
     def _open_slots(self) -> int:
         """Return the slots that are not kept for short work.
@@ -261,13 +290,14 @@
         Kept are those that the intent names and those that short work has
         needed of late. One slot always stays open, so long work goes on.
         """
-        kept = self._service.short_slots * self.limit.value // self.limit.maximum
-        return max(1, self.limit.value - max(kept, int(self._short_peak)))
+        limit = self.limit.value
+        kept = self._service.short_slots * limit // self.limit.maximum
+        return max(1, limit - max(kept, int(self._short_peak)))
 
     def _note_short_demand(self) -> None:
-        waiting = len(self._queue_by_work[Work.SHORT])
-        demand = self._running_by_work[Work.SHORT] + waiting
-        self._short_peak = max(self._short_peak, float(demand))
+        demand = self._short.running + self._short.waiting
+        if demand > self._short_peak:
+            self._short_peak = float(demand)
 
     def _forget_short_demand(self, now: Seconds) -> None:
         passed = now - self._decayed_at
@@ -275,40 +305,37 @@
             self._decayed_at = now
             self._short_peak *= PEAK_DECAY_PER_S ** min(passed, MAX_DECAY_S)
 
-    def _next_work(self) -> Work | None:
+    def _next_lane(self) -> _Lane | None:
         if self.running >= self.limit.value:
             return None
-        running = self._running_by_work
-        not_short = running[Work.LONG] + running[Work.UNKNOWN]
-        room = not_short < self._open_slots()
-        if room and self._has(Work.UNKNOWN) and running[Work.UNKNOWN] < PROBES:
-            return Work.UNKNOWN
-        long_may_run = room and self._has(Work.LONG)
-        if not self._has(Work.SHORT):
-            return Work.LONG if long_may_run else None
+        if not self._long.waiting and not self._unknown.waiting:
+            return self._short
+        room = self._long.running + self._unknown.running < self._open_slots()
+        if room and self._unknown.waiting and self._unknown.running < PROBES:
+            return self._unknown
+        long_may_run = room and self._long.waiting > 0
+        if not self._short.waiting:
+            return self._long if long_may_run else None
         self._turn += 1
         if long_may_run and self._turn % LONG_TURN == 0:
-            return Work.LONG
-        return Work.SHORT
-
-    def _has(self, work: Work) -> bool:
-        return len(self._queue_by_work[work]) > 0
+            return self._long
+        return self._short
 
     def note_lasting(self, request: Request, so_far_s: Seconds) -> None:
         """Count a running request as long work from now on."""
-        work = self._work_by_running.get(request.id)
-        if work is None or work is Work.LONG or request.route.work == "short":
+        lane = self._lane_by_running.get(request.id)
+        if lane is None or lane is self._long or request.route.work == "short":
             return
         self.durations.note_lasting(request, so_far_s)
-        self._work_by_running[request.id] = Work.LONG
-        self._running_by_work[work] -= 1
-        self._running_by_work[Work.LONG] += 1
+        self._lane_by_running[request.id] = self._long
+        lane.running -= 1
+        self._long.running += 1
 
     def finish(self, request_id: RequestId) -> None:
         """Free the slot of a running request."""
-        work = self._work_by_running.pop(request_id, None)
-        if work is not None:
-            self._running_by_work[work] -= 1
+        lane = self._lane_by_running.pop(request_id, None)
+        if lane is not None:
+            lane.running -= 1
 
     def note_answer(self, now: Seconds, request: Request, took_s: Seconds) -> None:
         """Learn from an answer; called before `finish`."""
@@ -322,8 +349,8 @@
 
     def __iter__(self) -> Iterator[Request]:
         """Yield the waiting requests."""
-        for queue in self._queue_by_work.values():
-            yield from queue
+        for lane in self._lanes:
+            yield from lane.queue
 
     def remove_all(self, unwanted: Callable[[Request], bool]) -> Iterator[Request]:
         """Remove and yield the waiting requests for which `unwanted` is true."""
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -61,7 +61,7 @@
         self.admission.push(request(self.admission, LONG))
         started = []
         for _ in range(40):
-            oldest = next(iter(self.admission._work_by_running))
+            oldest = next(iter(self.admission._lane_by_running))
             self.admission.finish(oldest)
             self.admission.push(request(self.admission, SHORT))
             started += self.admission.next_requests()
@@ -93,7 +93,7 @@
         self.start(10, SHORT)
         for caller in ("a", "a", "a", "b"):
             self.admission.push(request(self.admission, caller=caller))
-        for running in list(self.admission._work_by_running)[:2]:
+        for running in list(self.admission._lane_by_running)[:2]:
             self.admission.finish(running)
         served = [each.caller for each in self.admission.next_requests()]
         self.assertEqual(served, ["a", "b"])
@@ -118,7 +118,7 @@
             admitted.push(request(admitted))
             list(admitted.next_requests())
             if admitted.running == 10:
-                oldest = next(iter(admitted._work_by_running))
+                oldest = next(iter(admitted._lane_by_running))
                 took = rng.expovariate(50.0)
                 admitted.note_answer(0.01 * step, request(admitted), took)
                 admitted.finish(oldest)
