--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-NAMES = ("caller_port", "path", "slopes", "control", "crest", "takeover")
+NAMES = ("caller_port", "path", "slopes", "control", "crest", "imbalance", "takeover")
 RESULTS = Path(__file__).with_name("results")
 
 
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -22,6 +22,7 @@
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 CALLER_HEADER = "Rhubarb-Caller"
 HOP_HEADER = "Rhubarb-Hop"
+RETRY_HEADER = "Retry-After"
 KIND_HEADER = "Rhubarb-Kind"
 SERVICE_HEADER = "Rhubarb-Service"
 KEY_HEADER = "Rhubarb-Key"
@@ -126,7 +127,7 @@
         body["detail"] = detail
     headers = [("Content-Type", PROBLEM_TYPE), (KIND_HEADER, kind.value)]
     if spec.retry_after_s is not None:
-        headers.append(("Retry-After", str(spec.retry_after_s)))
+        headers.append((RETRY_HEADER, str(spec.retry_after_s)))
     if owner is not None:
         headers.append((OWNER_HEADER, owner))
     return Response(spec.status, tuple(headers), msgspec.json.encode(body), kind)
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -8,8 +8,14 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.requests import OWNER_HEADER, Request, Response, refusal
+from rhubarbhall.core.errors import ANSWER_BY_KIND, ErrorKind
+from rhubarbhall.core.requests import (
+    OWNER_HEADER,
+    RETRY_HEADER,
+    Request,
+    Response,
+    refusal,
+)
 from rhubarbhall.core.retry import RetryBudget
 from rhubarbhall.core.timers import OnDemandTimer
 
@@ -26,6 +32,8 @@
 RETRY_PAUSE_S = 0.04
 #: Time by which a daemon in front waits longer than the deadline it passes on.
 FORWARD_MARGIN_S = 0.05
+#: Whole seconds over which the repeats of refused requests are spread.
+RETRY_SPREAD_S = 2
 
 # Refusals after which the request may find its owner elsewhere or later.
 _HELD_KINDS = frozenset(
@@ -218,8 +226,24 @@
         self._held.discard(request.id)
         name = response.kind.value if response.kind else "answered"
         self.outcomes_by_kind[name] = self.outcomes_by_kind.get(name, 0) + 1
+        if not request.hops:
+            response = self._with_jitter(response)
         yield events.Answer(request.id, self._with_owner(journey, response))
 
+    def _with_jitter(self, response: Response) -> Response:
+        """Spread the repeats of callers that were refused together."""
+        if response.kind is None:
+            return response
+        base_s = ANSWER_BY_KIND[response.kind].retry_after_s
+        if base_s is None:
+            return response
+        after_s = base_s + self._context.rng.randrange(RETRY_SPREAD_S + 1)
+        headers = tuple(
+            (name, str(after_s) if name == RETRY_HEADER else value)
+            for name, value in response.headers
+        )
+        return Response(response.status, headers, response.body, response.kind)
+
     def _with_owner(self, journey: _Journey, response: Response) -> Response:
         """Add the address of the owner, where the next request may go straight."""
         member = self._context.directory.member_by_id.get(journey.member or "")
