Run what may not repeat once in services without keys too

Cause: the booking desk and the deposits of the second user are not divided by key. A request with an idempotency key went to any target there, and nobody remembered it; a new test sent one deposit five times and saw five executions.

Change: in a service without keys the idempotency key itself is hashed to slices, which have owners, leases, outcomes and handovers like any others; other requests are balanced as before.

Ruled out: refusing idempotency keys there (the deposits need them), remembering at the entrance (another entrance would not know).

--- a/rhubarbhall/adapters/peers_port.py
+++ b/rhubarbhall/adapters/peers_port.py
@@ -265,7 +265,7 @@
             (HOP_HEADER, me),
             (SIGNATURE_HEADER, signed),
         ]
-        if request.slice is not None:
+        if request.service.keyed:
             headers.append((KEY_HEADER, quote(request.key, safe="")))
         return tuple(headers)
 
--- a/rhubarbhall/adapters/target_port.py
+++ b/rhubarbhall/adapters/target_port.py
@@ -193,9 +193,10 @@
         (ORDER_DEADLINE_HEADER, f"{order.deadline:.6f}"),
         (SERVICE_HEADER, request.service.name),
     ]
+    if request.service.keyed:
+        headers.append((KEY_HEADER, quote(request.key, safe="")))
     if request.slice is not None:
         headers += [
-            (KEY_HEADER, quote(request.key, safe="")),
             (SLICE_HEADER, str(request.slice)),
             (EPOCH_HEADER, str(order.epoch)),
         ]
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -293,17 +293,17 @@
     def _check_slices_kept(self, intent: Intent) -> None:
         for name, table in (self.table_by_service | self.dropped_by_service).items():
             service = intent.services.get(name)
-            if service and service.keyed and service.slices != table.hashed:
+            if service and service.slices != table.hashed:
                 raise _Void(
                     f"services.{name}.slices cannot change from {table.hashed} "
                     f"to {service.slices}"
                 )
 
     def _fit_tables(self) -> None:
-        keyed = {n: s for n, s in self.intent.services.items() if s.keyed}
-        for name in self.table_by_service.keys() - keyed.keys():
+        services = self.intent.services
+        for name in self.table_by_service.keys() - services.keys():
             self.dropped_by_service[name] = self.table_by_service.pop(name)
-        for name, service in keyed.items():
+        for name, service in services.items():
             if name in self.table_by_service:
                 continue
             dropped = self.dropped_by_service.pop(name, None)
--- a/rhubarbhall/core/directory_state.py
+++ b/rhubarbhall/core/directory_state.py
@@ -46,7 +46,11 @@
     # Reading
 
     def slice_of(self, service: ServiceName, key: str) -> SliceRef:
-        """Return the slice that a key of a keyed service belongs to."""
+        """Return the slice that a key belongs to.
+
+        In a service without keys only requests with an idempotency key have an
+        owner; that key is what divides them.
+        """
         return SliceRef(service, self.table_by_service[service].index_of(key))
 
     def owner_of(self, service: ServiceName, index: SliceIndex) -> MemberId | None:
--- a/rhubarbhall/core/dump.py
+++ b/rhubarbhall/core/dump.py
@@ -167,14 +167,14 @@
     services = []
     for name, service in sorted(directory.intent.services.items()):
         owners = counts.get(name, {})
-        eligible = len(directory.pool(name, witnessed=False)) if service.keyed else 0
+        eligible = len(directory.pool(name, witnessed=False))
         most = max((n for owner, n in owners.items() if owner), default=0)
         mean = service.slices / eligible if eligible else 0.0
         services.append(
             ServiceDump(
                 name,
                 service.keyed,
-                service.slices if service.keyed else 0,
+                service.slices,
                 _hot_keys(directory, name),
                 dict(sorted(owners.items())),
                 round(most / mean, 3) if mean else 0.0,
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Directory
     from rhubarbhall.core.intent import Route, Service
+    from rhubarbhall.core.slices import SliceRef
     from rhubarbhall.types import RequestId, Seconds
 
 MAX_KEY_LENGTH = 256
@@ -123,9 +124,7 @@
                 service=service,
                 route=route,
                 key=address.key,
-                slice=directory.slice_of(service.name, address.key)
-                if service.keyed
-                else None,
+                slice=_slice_of(directory, service, address.key, key),
                 method=raw.method,
                 path=address.path,
                 headers=_forwarded_headers(raw),
@@ -159,6 +158,15 @@
     return _Address(service.name, key, "/" + "/".join(parts) + question + query)
 
 
+def _slice_of(
+    directory: Directory, service: Service, key: str, idempotency_key: str | None
+) -> SliceRef | None:
+    owner_key = key if service.keyed else idempotency_key
+    if owner_key is None:
+        return None
+    return directory.slice_of(service.name, owner_key)
+
+
 def _read_deadline(raw: RawRequest, service: Service) -> Result[Seconds, Response]:
     text = raw.header(DEADLINE_HEADER)
     if text is None:
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -368,12 +368,12 @@
         ref = self._context.directory.slice_of(service, key)
         for order in self._order_by_id.values():
             request = order.request
-            if request.key == key and request.service.name == service:
+            if request.owner_key == key and request.service.name == service:
                 self._ownership.relabel(request.slice, ref)
                 request.slice = ref
         waiting = self._admission_by_service.get(service)
         for request in [*self._held.values(), *(waiting or ())]:
-            if request.key == key and request.service.name == service:
+            if request.owner_key == key and request.service.name == service:
                 request.slice = ref
 
     def _on_fenced(self, now: Seconds, event: Event) -> Iterator[Event]:
--- a/rhubarbhall/core/hotkeys.py
+++ b/rhubarbhall/core/hotkeys.py
@@ -133,7 +133,7 @@
 
     def _on_admit(self, now: Seconds, event: events.Admit) -> Iterator[Event]:
         self._seen += 1
-        if event.request.slice is not None and self._seen % SAMPLE == 0:
+        if event.request.service.keyed and self._seen % SAMPLE == 0:
             self._sketch.add(event.request.service.name, event.request.key)
         yield from ()
 
--- a/rhubarbhall/core/intent.py
+++ b/rhubarbhall/core/intent.py
@@ -78,7 +78,8 @@
     targets : Selector
         Members whose targets serve it, by their labels.
     keyed : bool
-        Whether each key has one owner.
+        Whether each key has one owner. Otherwise only requests with an
+        idempotency key have one, which remembers their outcomes.
     slices : int
         Number of slices that the keys are divided into.
     slots : int
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -70,7 +70,7 @@
     key : str
         Key of a keyed service; empty otherwise.
     slice : SliceRef, optional
-        Slice of the key.
+        Slice of `owner_key`.
     method, path : str
         As the target will see them.
     headers : tuple of (str, str)
@@ -102,6 +102,11 @@
     idempotency_key: str | None = None
     hops: int = 0
 
+    @property
+    def owner_key(self) -> str | None:
+        """What decides who owns the request; none when any target may run it."""
+        return self.key if self.service.keyed else self.idempotency_key
+
 
 def refusal(kind: ErrorKind, detail: str = "", owner: str | None = None) -> Response:
     """Return the answer for an error kind as ``application/problem+json``.
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -151,7 +151,7 @@
             return None
         if request.slice is not None:
             # A key may have got a slice of its own since the request came.
-            request.slice = directory.slice_of(request.service.name, request.key)
+            request.slice = directory.slice_of(request.service.name, request.owner_key)
             return directory.owner_of(request.slice.service, request.slice.index)
         if request.hops:
             return self._context.me
--- a/rhubarbhall/programs/demo.py
+++ b/rhubarbhall/programs/demo.py
@@ -32,6 +32,7 @@
 NO_NEW_WORK_S = 3.0
 IN_FORCE_S = 9.0
 KEYS = 120
+SERVICE = "status"
 ALL_SLICES = 48
 
 _PLACES = (
@@ -100,7 +101,7 @@
         for region, domain in _PLACES:
             self.estate.add_vm(Place(region, domain, {"app": "status"}))
         entrances = [vm.calls for vm in self.estate.vm_by_name.values()]
-        self.callers = Callers(client, entrances, "status", "accounts", KEYS, seed=1)
+        self.callers = Callers(client, entrances, SERVICE, "accounts", KEYS, seed=1)
         self._document = document_from_toml(_INTENT)
         self._version = 0
         self._promises: list[_Promise] = []
@@ -177,10 +178,12 @@
         )
 
     def _all_served(self) -> bool:
-        return sum(self.estate.slices_by_vm().values()) == ALL_SLICES
+        return sum(self.estate.slices_by_vm(SERVICE).values()) == ALL_SLICES
 
     def _show_owners(self) -> None:
-        owners = ", ".join(f"{vm} {n}" for vm, n in self.estate.slices_by_vm().items())
+        owners = ", ".join(
+            f"{vm} {n}" for vm, n in self.estate.slices_by_vm(SERVICE).items()
+        )
         counts = Counter(each.ran for each in self.callers.outcomes)
         lost = sum(1 for each in self.callers.outcomes if each.status == 0)
         self._say(
@@ -210,7 +213,7 @@
         self._document["leaving"] = [{"targets": f"vm={name}"}]
         began = time.monotonic()
         yield from self._publish(f"{name} is leaving")
-        yield lambda: not self.estate.slices_by_vm()[name]
+        yield lambda: not self.estate.slices_by_vm(SERVICE)[name]
         self._say(f"{name} owns nothing after {time.monotonic() - began:.2f} s")
         yield self._pause(NO_NEW_WORK_S + 1.0)
         vm = self.estate.vm_by_name[name]
--- a/rhubarbhall/standins/estate.py
+++ b/rhubarbhall/standins/estate.py
@@ -133,10 +133,10 @@
             for vm in self.vm_by_name.values()
         )
 
-    def slices_by_vm(self) -> dict[str, int]:
-        """Return the number of slices that each daemon serves."""
+    def slices_by_vm(self, service: str) -> dict[str, int]:
+        """Return the number of slices of a service that each daemon serves."""
         return {
-            name: len(vm.daemon.node.ownership.served)
+            name: sum(ref.service == service for ref in vm.daemon.node.ownership.served)
             for name, vm in sorted(self.vm_by_name.items())
         }
 
--- a/tests/adapters/test_daemon.py
+++ b/tests/adapters/test_daemon.py
@@ -89,7 +89,7 @@
         self.loop.manager._running = True
         self.turn_until(self._all_joined)
         self.estate.publish("test/1", 0, DOCUMENT)
-        self.turn_until(lambda: sum(self.estate.slices_by_vm().values()) == 8)
+        self.turn_until(lambda: sum(self.estate.slices_by_vm("status").values()) == 8)
         self.turn_until(self._all_witnessed)
 
     def _close(self):
@@ -258,6 +258,17 @@
         self.assertEqual(len(self.executions()), 1)
         assert_at_most_once(self.executions())
 
+    def test_a_repeat_runs_once_in_a_service_without_keys_too(self):
+        minted = mint_key(int(time.time() * 1000), random.Random(3))
+        headers = {IDEMPOTENCY_HEADER.replace("-", "_"): minted}
+        answers = [
+            self.call(vm, "POST", "/accounts/deposit", **headers)
+            for vm in ("vm1", "vm2", "vm3", "vm1", "vm2")
+        ]
+        self.assertEqual({each.status for each in answers}, {200})
+        self.assertEqual({each.body for each in answers}, {answers[0].body})
+        self.assertEqual(len(self.executions()), 1)
+
     def test_a_target_that_sheds_is_told_as_not_run(self):
         for vm in self.estate.vm_by_name.values():
             vm.target.set_faults(TargetFaults(shed=True))
@@ -325,7 +336,7 @@
         self.turn_until(lambda: bool(ended))
         del self.estate.vm_by_name["vm2"]
         # A move that evens out may be under way, so this need not hold at once.
-        self.turn_until(lambda: sum(self.estate.slices_by_vm().values()) == 8)
+        self.turn_until(lambda: sum(self.estate.slices_by_vm("status").values()) == 8)
         self.assertEqual(self.call("vm1", "GET", "/status/b/x").status, 200)
 
 
