Let keys from fast clocks wait, so that new credits run right after a takeover

Cause: after a loss new credits were refused as not vouched for one second more than the takeover took, since keys up to 0.5 s ahead were let in and clocks of daemons were taken to differ by as much.

Change: the entrance holds a request until its own clock shows the time in the key, up to 2 s; daemons' clocks are taken to differ by 0.1 s at the most.

Ruled out: trusting a caller's word that it is a first attempt (a paused entrance could run it after a repeat had run elsewhere and its owner was lost).

--- a/rhubarbhall/audit.py
+++ b/rhubarbhall/audit.py
@@ -7,11 +7,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhall.core.errors import ErrorKind
+
 if TYPE_CHECKING:
     from rhubarbhall.standins.target import Execution
     from rhubarbhall.types import Seconds
 
 
+_OWNER_IS_THERE = frozenset(
+    {ErrorKind.OUTCOME_NOT_VOUCHED, ErrorKind.REQUEST_IN_PROGRESS}
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What a caller was told of one request.
@@ -109,11 +116,13 @@
     """Return the longest time that somebody waited for one key, and the key.
 
     A wait begins when a request is sent and lasts until a request for the
-    same key has been answered, through all refusals in between.
+    same key has been answered, through all refusals in between. Refusals by an
+    owner that is there and cannot vouch for a repeat do not count.
     """
     by_key: dict[str, list[Outcome]] = defaultdict(list)
     for outcome in outcomes:
-        by_key[outcome.key].append(outcome)
+        if outcome.kind not in _OWNER_IS_THERE:
+            by_key[outcome.key].append(outcome)
     worst = (0.0, "")
     for key, found in by_key.items():
         found.sort(key=lambda each: each.sent_at)
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -9,7 +9,11 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.idempotency import is_from_the_future, minted_ms_of
+from rhubarbhall.core.idempotency import (
+    is_from_the_future,
+    minted_ms_of,
+    time_to_come_s,
+)
 from rhubarbhall.core.requests import (
     CALLER_HEADER,
     DEADLINE_HEADER,
@@ -134,6 +138,7 @@
                 deadline=now + deadline_s,
                 idempotency_key=key,
                 hops=1 if raw.from_daemon else 0,
+                not_before=now + _time_to_come_s(raw, key, wall_ms),
             )
         )
     )
@@ -167,6 +172,11 @@
     return directory.slice_of(service.name, owner_key)
 
 
+def _time_to_come_s(raw: RawRequest, key: str | None, wall_ms: int) -> Seconds:
+    # The daemon in front has waited already.
+    return 0.0 if raw.from_daemon else time_to_come_s(key, wall_ms)
+
+
 def _read_deadline(raw: RawRequest, service: Service) -> Result[Seconds, Response]:
     text = raw.header(DEADLINE_HEADER)
     if text is None:
@@ -193,7 +203,7 @@
         detail = f"{text[:64]!r} is not a UUID of version 7"
         return Failure(refusal(ErrorKind.BAD_IDEMPOTENCY_KEY, detail))
     if not raw.from_daemon and is_from_the_future(minted, wall_ms):
-        detail = f"{text!r} bears a time that has not come yet"
+        detail = f"{text!r} bears a time too far ahead"
         return Failure(refusal(ErrorKind.BAD_IDEMPOTENCY_KEY, detail))
     return Success(text)
 
--- a/rhubarbhall/core/idempotency.py
+++ b/rhubarbhall/core/idempotency.py
@@ -19,13 +19,16 @@
     from rhubarbhall.types import Seconds
 
 #: Largest difference between the wall clocks of two daemons, in milliseconds.
-CLOCK_SKEW_MS = 500
+CLOCK_SKEW_MS = 100
+#: How far the clock of a caller may be ahead, in milliseconds.
+MAX_AHEAD_MS = 2_000
 #: How long an outcome is remembered.
 WINDOW_S = 600.0
 #: Memory for the outcomes of one slice, in bytes.
 MAX_BYTES_PER_SLICE = 256 * 1024
 #: Memory that an entry takes besides the body of its answer, in bytes.
 ENTRY_BYTES = 300
+_MS_PER_S = 1_000.0
 
 
 class Repeat(enum.Enum):
@@ -236,12 +239,18 @@
 def vouched_from(wall_ms: int) -> int:
     """Return since when a table that begins empty now can vouch.
 
-    A key is refused when it bears a time later than the entrance's clock by
-    more than the skew, so keys used before now bear a time before this one.
+    The entrance holds a request until its own clock shows the time in the key,
+    so keys used before now bear a time before this one.
     """
-    return wall_ms + 2 * CLOCK_SKEW_MS
+    return wall_ms + CLOCK_SKEW_MS
 
 
 def is_from_the_future(minted_ms: int, wall_ms: int) -> bool:
-    """Tell whether a key bears a time that no right clock shows yet."""
-    return minted_ms > wall_ms + CLOCK_SKEW_MS
+    """Tell whether a key bears a time that is too far ahead to wait for."""
+    return minted_ms > wall_ms + MAX_AHEAD_MS
+
+
+def time_to_come_s(key: str | None, wall_ms: int) -> Seconds:
+    """Return how long it takes until the time in a key has come, in seconds."""
+    minted_ms = minted_ms_of(key) if key else None
+    return 0.0 if minted_ms is None else max(0, minted_ms - wall_ms) / _MS_PER_S
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -85,6 +85,8 @@
         Key against repeats.
     hops : int
         Daemons that passed it on already.
+    not_before : float
+        When the time in its idempotency key has come, own monotonic clock.
     """
 
     id: RequestId
@@ -101,6 +103,7 @@
     deadline: Seconds
     idempotency_key: str | None = None
     hops: int = 0
+    not_before: Seconds = 0.0
 
     @property
     def owner_key(self) -> str | None:
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -114,7 +114,12 @@
         journey = _Journey(event.request)
         self._journey_by_id[event.request.id] = journey
         self._budget_by_service[event.request.service.name].note_request()
-        yield from self._send(now, journey)
+        if now < event.request.not_before:
+            journey.retry_at = event.request.not_before
+            journey.refusal = refusal(ErrorKind.DEADLINE_UNREACHABLE)
+            self._held.add(event.request.id)
+        else:
+            yield from self._send(now, journey)
 
     # Finding the owner
 
--- a/tests/adapters/test_daemon.py
+++ b/tests/adapters/test_daemon.py
@@ -258,6 +258,15 @@
         self.assertEqual(len(self.executions()), 1)
         assert_at_most_once(self.executions())
 
+    def test_a_key_from_a_clock_that_is_ahead_waits_for_its_time(self):
+        ahead_ms = 400
+        sent_ms = int(time.time() * 1000)
+        minted = mint_key(sent_ms + ahead_ms, random.Random(4))
+        answer = self.credit("vm1", "b", minted)
+        self.assertEqual(answer.status, 200)
+        self.assertGreaterEqual(int(time.time() * 1000), sent_ms + ahead_ms)
+        self.assertEqual(len(self.executions()), 1)
+
     def test_a_repeat_runs_once_in_a_service_without_keys_too(self):
         minted = mint_key(int(time.time() * 1000), random.Random(3))
         headers = {IDEMPOTENCY_HEADER.replace("-", "_"): minted}
