Remember answers that came too late, and cancellations that came in time

Cause: a new test repeated a credit whose answer had come after its deadline and got 'not vouched for', although the owner had the answer by then.

Change: the outcome of an order is noted when it closes, also after its caller was told; a cancelled order of the stand-ins ends at once.

Conclusion: fewer repeats end as unknown; what is unknown stays so.

--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -263,8 +263,10 @@
             self._ownership.exit(request.slice)
         admission = self._admission(request)
         admission.finish(request.id)
+        # Noted even when the caller has been answered: a repeat may then get the
+        # answer that came too late, or run, if the target says that this did not.
+        self._note_outcome(request, response)
         if not order.answered:
-            self._note_outcome(request, response)
             yield self._finished(request, response)
         yield from self._dispatch(now, admission)
 
--- a/rhubarbhall/standins/target.py
+++ b/rhubarbhall/standins/target.py
@@ -201,9 +201,10 @@
 
     def _cancel(self, exchange: Exchange) -> WebReply:
         call = msgspec.json.decode(exchange.body, type=CancelCall)
-        for order in list(self._order_by_number.values()):
+        for number, order in list(self._order_by_number.items()):
             if order.number == call.order:
                 order.cancelled = True
+                self._end_order(number)
         return WebReply(b"{}")
 
     def _list_executions(self, exchange: Exchange) -> WebReply:
@@ -295,7 +296,10 @@
         if self.faults.frozen:
             self._ended_while_frozen.append(number)
             return
-        order = self._order_by_number.pop(number)
+        order = self._order_by_number.pop(number, None)
+        if order is None:
+            # It was cancelled before its work was done.
+            return
         now = time.monotonic()
         if self._may_take_effect(order, now):
             self.executions.append(_execution(order, now))
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -94,6 +94,36 @@
         self.assertEqual(owner.answers[again].status, 200)
         self.assertEqual(self.ran("k1"), 1)
 
+    def credit_that_ends_late(
+        self, work_s: float, answer_delay_s: float
+    ) -> tuple[Host, str]:
+        """Send a credit whose answer comes after its deadline."""
+        owner = self.owner_of("k1")
+        owner.target.work_s = work_s
+        owner.target.answer_delay_s = answer_delay_s
+        minted = mint_key(WALL_MS_AT_ZERO + int(self.mesh.now * 1000), self.mesh.rng)
+        request = self.mesh.call(owner, "k1", "POST", minted, deadline_s=0.5)
+        self.mesh.run(2.0)
+        self.assertEqual(owner.answers[request].kind.value, "deadline_passed")
+        owner.target.work_s = 0.01
+        return owner, minted
+
+    def repeat(self, owner: Host, minted: str):
+        request = self.mesh.call(owner, "k1", "POST", minted)
+        self.mesh.run(1.0)
+        return owner.answers[request]
+
+    def test_an_answer_that_came_too_late_is_given_to_the_repeat(self):
+        owner, minted = self.credit_that_ends_late(0.3, answer_delay_s=0.4)
+        self.assertEqual(self.repeat(owner, minted).status, 200)
+        self.assertEqual(self.ran("k1"), 1)
+
+    def test_a_credit_that_was_cancelled_in_time_runs_when_repeated(self):
+        owner, minted = self.credit_that_ends_late(0.8, answer_delay_s=0.1)
+        self.assertEqual(self.ran("k1"), 0)
+        self.assertEqual(self.repeat(owner, minted).status, 200)
+        self.assertEqual(self.ran("k1"), 1)
+
     def test_a_deadline_that_passes_is_told_and_nothing_runs_later(self):
         owner = self.owner_of("k1")
         owner.target.work_s = 2.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -85,6 +85,9 @@
     ended_at: float
 
 
+NOT_RUN = Response(499, (("Target-Not-Run", "1"),))
+
+
 class FakeTarget:
     """A target that works on orders for a while and then has its effect."""
 
@@ -93,21 +96,22 @@
         self.host = host
         self.checks_grants = checks_grants
         self.work_s = 0.005
+        self.answer_delay_s = TICK_S
         self.sheds = False
         self.frozen = False
         self._stuck: list[Callable[[], None]] = []
         self.grant_until = float("-inf")
         self.fence = 0
-        self._cancelled: set[int] = set()
+        self._running: dict[int, events.SendOrder] = {}
 
     def begin(self, order: events.SendOrder) -> None:
         if self.frozen:
             self._stuck.append(lambda: self.begin(order))
             return
         if self.sheds:
-            shed = Response(503, (("Target-Not-Run", "1"),))
-            self._answer(order, shed)
+            self._answer(order, NOT_RUN)
             return
+        self._running[order.request.id] = order
         fence = self.fence
         self.grant_until = max(self.grant_until, order.grant_until)
         started = self.mesh.now
@@ -124,11 +128,13 @@
         if self.frozen:
             self._stuck.append(lambda: self._end(order, fence, started))
             return
+        if self._running.pop(order.request.id, None) is None:
+            return
         now = self.host.local(self.mesh.now)
         lapsed = self.checks_grants and now >= self.grant_until
         late = now >= order.deadline
-        if fence != self.fence or lapsed or late or order.request.id in self._cancelled:
-            self._answer(order, Response(499, (("Target-Not-Run", "1"),)))
+        if fence != self.fence or lapsed or late:
+            self._answer(order, NOT_RUN)
             return
         request = order.request
         self.mesh.executions.append(
@@ -146,10 +152,12 @@
 
     def _answer(self, order: events.SendOrder, response: Response) -> None:
         answered = events.OrderAnswered(order.request.id, response)
-        self.mesh.deliver(self.host, answered, TICK_S)
+        self.mesh.deliver(self.host, answered, self.answer_delay_s)
 
     def cancel(self, request_id: int) -> None:
-        self._cancelled.add(request_id)
+        order = self._running.pop(request_id, None)
+        if order is not None and not self.frozen:
+            self._answer(order, NOT_RUN)
 
 
 @dataclass
