Cut nothing at a planned stop; read the log when requests wait for news

Change: waiting connections are accepted before the socket closes, and served for half a second; idle ones are read once more before they close. An entrance that holds requests reads the log at once, every 0.05 s at the most. The probes try another entrance when one refuses the connection, as callers do.

The new test was reset before and gets 200 after.

--- a/benchmarks/steady.py
+++ b/benchmarks/steady.py
@@ -82,12 +82,15 @@
 
     def _probe(self, key: str, credit: bool) -> None:
         choices = [each for each in self._addresses if each != self._avoid]
-        address = self._rng.choice(choices)
+        self._rng.shuffle(choices)
         sent_at = time.monotonic()
         with self._lock:
             self._found.sent += 1
             self._waiting_since.setdefault(key, sent_at)
-        outcome = self._call(address, key, credit)
+        for address in choices:
+            outcome = self._call(address, key, credit)
+            if outcome != "refused connection":
+                break
         with self._lock:
             self._note(key, outcome)
 
--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -211,7 +211,11 @@
                 self.drop(sock)
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections on which nothing is under way.
+
+        What has come in meanwhile is read first, so that no request is cut.
+        """
         for sock, connection in list(self._connection_by_sock.items()):
+            self._read(sock)
             if connection.current is None and not connection.reader.in_message:
                 self.finish(sock)
--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -46,6 +46,8 @@
 CALLER_SWEEP_S = 1.0
 #: Time for the last answers to be written before the process ends.
 LAST_WORDS_S = 0.5
+#: Time between looks at callers that still wait then.
+LAST_LOOK_S = 0.1
 _MS_PER_S = 1000
 
 
@@ -217,8 +219,7 @@
             if isinstance(event, _Sweep):
                 event.sweep()
             elif isinstance(event, _End):
-                self.shut_down()
-                self._on_exit()
+                self._end_if_quiet()
             else:
                 self.handle(event)
 
@@ -318,9 +319,17 @@
 
     def _do_exit(self, command: events.Exit) -> None:
         self.callers.stop_listening()
-        self.callers.close_idle()
         self.node.context.timers.at(self.now() + LAST_WORDS_S, _End())
 
+    def _end_if_quiet(self) -> None:
+        """End once no caller waits for anything; requests until then are served."""
+        self.callers.close_idle()
+        if self.callers.connections:
+            self.node.context.timers.at(self.now() + LAST_LOOK_S, _End())
+            return
+        self.shut_down()
+        self._on_exit()
+
     def shut_down(self) -> None:
         """Close every port at once, as a crash of the process would."""
         self._ended = True
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -161,12 +161,25 @@
         self.on_accepted(sock, peer)
 
     def stop_listening(self) -> None:
-        """Accept no more connections; those open go on."""
+        """Accept no more connections; those open go on.
+
+        Connections that wait to be accepted are taken first, since closing the
+        socket would cut them.
+        """
         if self._sock is not None:
+            self._accept_waiting()
             self._poller.discard(self._sock)
             self._sock.close()
             self._sock = None
 
+    def _accept_waiting(self) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            self._on_accept_done(sock)
+
     @handler("close", override=True)
     def close(self, sock: socket.socket | None = None) -> None:
         """Close one connection, or everything."""
--- a/rhubarbhall/core/events.py
+++ b/rhubarbhall/core/events.py
@@ -178,6 +178,11 @@
     peer: Address | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReadWanted(Event):
+    """A part waits for news; the log shall be read soon."""
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsRead(Event):
     """Answer to `ReadLog`.
--- a/rhubarbhall/core/follower.py
+++ b/rhubarbhall/core/follower.py
@@ -24,6 +24,8 @@
 RELAY_READ_S = 1.0
 #: Time for which a place in the relay tree is kept.
 TREE_AGE_S = 5.0
+#: Time between two reads while requests wait for news.
+WANTED_READ_S = 0.05
 #: Time after which a read counts as lost.
 READ_TIMEOUT_S = 1.0
 
@@ -46,6 +48,7 @@
         return {
             events.Started: self._on_started,
             events.ReadDue: self._on_read_due,
+            events.ReadWanted: self._on_read_wanted,
             events.RecordsRead: self._on_records_read,
             events.ReadFailed: self._on_read_failed,
             events.SnapshotRead: self._on_snapshot_read,
@@ -69,6 +72,10 @@
         if source is None or now - self._read_at >= RELAY_READ_S:
             yield self._read(now, source)
 
+    def _on_read_wanted(self, now: Seconds, event: Event) -> Iterator[Command]:
+        if self._outstanding_since is None and now - self._read_at >= WANTED_READ_S:
+            yield self._read(now, self._source(now))
+
     def _read(self, now: Seconds, peer: Address | None) -> Command:
         self._outstanding_since = now
         self._read_at = now
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -224,6 +224,8 @@
             return
         journey.retry_at = now + RETRY_PAUSE_S
         self._held.add(request.id)
+        # The owner has changed or is about to; the log knows first.
+        yield events.ReadWanted()
 
     def _answer(self, journey: _Journey, response: Response) -> Iterator[Command]:
         request = journey.request
--- a/tests/adapters/test_daemon.py
+++ b/tests/adapters/test_daemon.py
@@ -14,7 +14,8 @@
 from rhubarbhall.adapters.client import Failed, HttpClient
 from rhubarbhall.adapters.clock import Clock
 from rhubarbhall.core.context import Timing
-from rhubarbhall.core.events import Event
+from rhubarbhall.core.drain import Stage
+from rhubarbhall.core.events import Event, Exit
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.requests import IDEMPOTENCY_HEADER, Response
 from rhubarbhall.core.timers import TimerService
@@ -336,6 +337,26 @@
         self.assertEqual(answer.status, 404)
         self.assertIn(b"/metrics", answer.body)
 
+    def test_a_stop_answers_connections_that_nobody_has_accepted_yet(self):
+        daemon = self.estate.vm_by_name["vm2"].daemon
+        host, _, port = daemon.settings.calls.rpartition(":")
+        request = b"GET /status/b/x HTTP/1.1\r\nHost: h\r\n\r\n"
+        ended: list[bool] = []
+        daemon._on_exit = lambda: ended.append(True)
+        daemon.request_stop()
+        self.turn_until(lambda: daemon.node.drain.stage is Stage.LEAVING)
+        # The loop stands still: these wait in the queue of the listening socket.
+        waiting = [socket.create_connection((host, int(port))) for _ in range(5)]
+        for sock in waiting:
+            sock.sendall(request)
+        daemon._do_exit(Exit())
+        self.turn_until(lambda: bool(ended))
+        del self.estate.vm_by_name["vm2"]
+        for sock in waiting:
+            sock.settimeout(GIVE_UP_S)
+            self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 200"))
+            sock.close()
+
     def test_a_stop_drains_and_ends(self):
         ended: list[bool] = []
         daemon = self.estate.vm_by_name["vm2"].daemon
