Use the field's words in names

Change: pending requests, slice status, releasing, parent slice, deployment; programs and tests follow; the dump's field letting_go is releasing.

Conclusion: no behaviour changed.

--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -45,7 +45,7 @@
 #: Time between looks at silent connections of callers.
 CALLER_SWEEP_S = 1.0
 #: Time for the last answers to be written before the process ends.
-LAST_WORDS_S = 0.5
+FINAL_ANSWERS_S = 0.5
 #: Time between looks at callers that still wait then.
 LAST_LOOK_S = 0.1
 _MS_PER_S = 1000
@@ -319,7 +319,7 @@
 
     def _do_exit(self, command: events.Exit) -> None:
         self.callers.stop_listening()
-        self.node.context.timers.at(self.now() + LAST_WORDS_S, _End())
+        self.node.context.timers.at(self.now() + FINAL_ANSWERS_S, _End())
 
     def _end_if_quiet(self) -> None:
         """End once no caller waits for anything; requests until then are served."""
--- a/rhubarbhall/core/balancing.py
+++ b/rhubarbhall/core/balancing.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class _Standing:
+class _MemberStats:
     """How a member has fared from here; `seen_at` is when it joined."""
 
     seen_at: Seconds
@@ -55,7 +55,7 @@
     def __init__(self, context: Context, policy: str = DEFAULT_POLICY) -> None:
         self._context = context
         self._policy = policies.balancing.create(policy)
-        self._standing_by_member: dict[MemberId, _Standing] = {}
+        self._stats_by_member: dict[MemberId, _MemberStats] = {}
         self._members_by_service: dict[ServiceName, tuple[int, list[MemberId]]] = {}
 
     def choose(
@@ -94,8 +94,8 @@
         return kept
 
     def _is_ejected(self, now: Seconds, member: MemberId) -> bool:
-        standing = self._standing_by_member.get(member)
-        return standing is not None and now < standing.ejected_until
+        stats = self._stats_by_member.get(member)
+        return stats is not None and now < stats.ejected_until
 
     def _by_distance(self, members: list[MemberId]) -> list[list[MemberId]]:
         directory = self._context.directory
@@ -112,63 +112,61 @@
         return [rings[0] + rings[1], rings[2], rings[3]]
 
     def _is_full(self, member: MemberId, service: Service) -> bool:
-        standing = self._standing_by_member.get(member)
-        return standing is not None and (
-            standing.in_flight >= SPILL_SHARE * service.slots
-        )
+        stats = self._stats_by_member.get(member)
+        return stats is not None and (stats.in_flight >= SPILL_SHARE * service.slots)
 
     def _draw(self, now: Seconds, members: list[MemberId]) -> MemberId:
         load_by_member = {each: self._load(now, each) for each in members}
         return self._policy.choose(members, load_by_member, self._context.rng)
 
     def _load(self, now: Seconds, member: MemberId) -> float:
-        standing = self._standing(now, member)
-        age = now - standing.seen_at
+        stats = self._stats(now, member)
+        age = now - stats.seen_at
         share = max(SLOW_START_FLOOR, min(1.0, age / SLOW_START_S))
-        return (standing.in_flight + 1) / share
+        return (stats.in_flight + 1) / share
 
-    def _standing(self, now: Seconds, member: MemberId) -> _Standing:
-        standing = self._standing_by_member.get(member)
-        if standing is None:
-            standing = _Standing(seen_at=now - SLOW_START_S)
-            self._standing_by_member[member] = standing
-        return standing
+    def _stats(self, now: Seconds, member: MemberId) -> _MemberStats:
+        stats = self._stats_by_member.get(member)
+        if stats is None:
+            stats = _MemberStats(seen_at=now - SLOW_START_S)
+            self._stats_by_member[member] = stats
+        return stats
 
     def note_joined(self, now: Seconds, members: tuple[MemberId, ...]) -> None:
         """Let members that have just joined start slowly."""
         for member in members:
-            self._standing_by_member[member] = _Standing(seen_at=now)
+            self._stats_by_member[member] = _MemberStats(seen_at=now)
 
     def note_sent(self, now: Seconds, member: MemberId) -> None:
         """Count a request that goes to `member`."""
-        self._standing(now, member).in_flight += 1
+        self._stats(now, member).in_flight += 1
 
     def note_outcome(
         self, now: Seconds, member: MemberId, response: Response | None
     ) -> None:
         """Count an answer, or a failure when `response` is none."""
-        standing = self._standing(now, member)
-        standing.in_flight = max(0, standing.in_flight - 1)
+        stats = self._stats(now, member)
+        stats.in_flight = max(0, stats.in_flight - 1)
         if response is not None and response.status < 500:
-            standing.failures = 0
-            standing.ejections = 0
+            stats.failures = 0
+            stats.ejections = 0
             return
-        standing.failures += 1
-        if standing.failures >= EJECT_AFTER:
-            standing.failures = 0
-            pause = min(MAX_EJECT_S, EJECT_S * 2**standing.ejections)
-            standing.ejections += 1
-            standing.ejected_until = now + pause
+        stats.failures += 1
+        if stats.failures >= EJECT_AFTER:
+            stats.failures = 0
+            pause = min(MAX_EJECT_S, EJECT_S * 2**stats.ejections)
+            stats.ejections += 1
+            stats.ejected_until = now + pause
 
     def forget(self, members: tuple[MemberId, ...]) -> None:
         """Drop what is known of members that have ended."""
         for member in members:
-            self._standing_by_member.pop(member, None)
+            self._stats_by_member.pop(member, None)
 
     def in_flight(self) -> dict[MemberId, int]:
         """Return the requests in flight by member."""
         return {
-            member: standing.in_flight
-            for member, standing in self._standing_by_member.items()
-            if standing.in_flight
+            member: stats.in_flight
+            for member, stats in self._stats_by_member.items()
+            if stats.in_flight
         }
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -73,7 +73,7 @@
 
 
 class Directory(DirectoryState):
-    """State of the estate at one offset of the log, and how records change it."""
+    """State of the deployment at one offset of the log, and how records change it."""
 
     def apply(self, stored: records.StoredRecord) -> Applied:
         """Apply the record at `next_offset` and report what it did.
--- a/rhubarbhall/core/drain.py
+++ b/rhubarbhall/core/drain.py
@@ -122,7 +122,7 @@
     def _nothing_left(self) -> bool:
         if self._context.me is None or self._gate.busy:
             return False
-        if self._ownership.letting_go or self._ownership.taking_over:
+        if self._ownership.releasing or self._ownership.taking_over:
             return False
         return not self._owns_what_others_could_take()
 
--- a/rhubarbhall/core/dump.py
+++ b/rhubarbhall/core/dump.py
@@ -87,7 +87,7 @@
     appends_pending: int
     served: tuple[str, ...]
     taking_over: tuple[TakeOverDump, ...]
-    letting_go: tuple[str, ...]
+    releasing: tuple[str, ...]
     watched: tuple[str, ...]
     requests_in_flight: int
     forwarded: int
@@ -118,7 +118,7 @@
         appends_pending=node.appender.pending,
         served=tuple(sorted(map(str, node.ownership.served))),
         taking_over=_take_overs(node, now),
-        letting_go=tuple(sorted(map(str, node.ownership.letting_go))),
+        releasing=tuple(sorted(map(str, node.ownership.releasing))),
         watched=tuple(sorted(node.witness.watched)),
         requests_in_flight=node.router.in_flight,
         forwarded=node.router.forwarded,
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -9,7 +9,7 @@
 from rhubarbhall.core import events
 from rhubarbhall.core.admission import LONG_WORK_S, Admission
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.handover import Standing
+from rhubarbhall.core.handover import SliceStatus
 from rhubarbhall.core.idempotency import Repeat
 from rhubarbhall.core.records import Merge, Split
 from rhubarbhall.core.requests import OWN_PREFIX, Response, refusal
@@ -130,10 +130,10 @@
     def _refuse_or_hold(self, now: Seconds, request: Request) -> Response | None:
         """Return a refusal, or hold the request, or neither."""
         if request.slice is not None:
-            standing = self._ownership.standing(request.slice)
-            if standing is Standing.NOT_MINE:
+            status = self._ownership.status(request.slice)
+            if status is SliceStatus.NOT_MINE:
                 return refusal(ErrorKind.NOT_OWNER)
-            if standing is Standing.SERVING and self._lease.is_held(now):
+            if status is SliceStatus.SERVING and self._lease.is_held(now):
                 return None
         elif self._lease.is_held(now):
             return None
@@ -194,7 +194,7 @@
             return False
         if request.slice is None:
             return True
-        return self._ownership.standing(request.slice) is Standing.SERVING
+        return self._ownership.status(request.slice) is SliceStatus.SERVING
 
     def _order(self, now: Seconds, request: Request) -> Command:
         deadline = request.deadline
@@ -394,7 +394,7 @@
     def _is_moved(self, request: Request) -> bool:
         if request.slice is None:
             return False
-        return self._ownership.standing(request.slice) is not Standing.SERVING
+        return self._ownership.status(request.slice) is not SliceStatus.SERVING
 
 
 def _without_own_headers(response: Response) -> Response:
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -1,4 +1,4 @@
-"""Ownership of slices by this member: taking over, serving, letting go."""
+"""Ownership of slices by this member: taking over, serving, releasing."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 RELEASED_AGE_S = 60.0
 
 
-class Standing(enum.Enum):
+class SliceStatus(enum.Enum):
     """How this member stands to a slice."""
 
     NOT_MINE = enum.auto()
@@ -89,7 +89,7 @@
         self._context = context
         self._take_over_by_slice: dict[SliceRef, _TakeOver] = {}
         self._held_by_slice: dict[SliceRef, _Held] = {}
-        self._let_go_by_slice: dict[SliceRef, _Held] = {}
+        self._released_by_slice: dict[SliceRef, _Held] = {}
         self._not_before_by_slice: dict[SliceRef, Seconds] = {}
         self._in_flight_by_slice: Counter[SliceRef] = Counter()
         self._asked_by_member: dict[MemberId, _Asked] = {}
@@ -109,13 +109,13 @@
 
     # Reading
 
-    def standing(self, ref: SliceRef) -> Standing:
+    def status(self, ref: SliceRef) -> SliceStatus:
         """Return how this member stands to a slice."""
         if ref in self._held_by_slice:
-            return Standing.SERVING
+            return SliceStatus.SERVING
         if ref in self._take_over_by_slice:
-            return Standing.TAKING_OVER
-        return Standing.NOT_MINE
+            return SliceStatus.TAKING_OVER
+        return SliceStatus.NOT_MINE
 
     def epoch(self, ref: SliceRef) -> Epoch:
         """Return the epoch under which a served slice is held."""
@@ -127,7 +127,7 @@
 
     def table_of_attempt(self, ref: SliceRef) -> OutcomeTable | None:
         """Return the table that an attempt in this slice was noted in."""
-        held = self._held_by_slice.get(ref) or self._let_go_by_slice.get(ref)
+        held = self._held_by_slice.get(ref) or self._released_by_slice.get(ref)
         return held.outcomes if held else None
 
     @property
@@ -149,10 +149,10 @@
         return take_over.not_before if take_over else None
 
     @property
-    def letting_go(self) -> frozenset[SliceRef]:
+    def releasing(self) -> frozenset[SliceRef]:
         """Moved slices with orders still in flight."""
         return frozenset(
-            ref for ref in self._let_go_by_slice if self._in_flight_by_slice[ref]
+            ref for ref in self._released_by_slice if self._in_flight_by_slice[ref]
         )
 
     # Counting orders
@@ -232,7 +232,7 @@
         self.enter(new)
 
     def _look_at(self, now: Seconds, ref: SliceRef) -> None:
-        """Bring the standing of one slice into line with the directory."""
+        """Bring the status of one slice into line with the directory."""
         directory = self._context.directory
         table = directory.table_by_service.get(ref.service)
         epoch = table.epochs[ref.index] if table is not None else 0
@@ -242,7 +242,7 @@
         held = self._held_by_slice.get(ref)
         if held is not None and not (mine and held.epoch == epoch):
             held.released_since = now
-            self._let_go_by_slice[ref] = self._held_by_slice.pop(ref)
+            self._released_by_slice[ref] = self._held_by_slice.pop(ref)
         if not mine:
             self._take_over_by_slice.pop(ref, None)
         elif ref not in self._held_by_slice:
@@ -258,7 +258,7 @@
             open_owners=set(former) - {self._context.me},
             not_before=self._not_before_by_slice.get(ref, now),
         )
-        own = self._let_go_by_slice.get(ref)
+        own = self._released_by_slice.get(ref)
         if self._context.me in former and own is not None:
             take_over.best = self._release(now, ref, epoch, own)
         self._take_over_by_slice[ref] = take_over
@@ -303,7 +303,7 @@
             if take_over.open_owners or now < take_over.not_before:
                 continue
             del self._take_over_by_slice[ref]
-            self._let_go_by_slice.pop(ref, None)
+            self._released_by_slice.pop(ref, None)
             self._held_by_slice[ref] = _Held(
                 take_over.epoch, self._table_for(now, take_over)
             )
@@ -356,7 +356,7 @@
         elif best is None or best.held_epoch < released.held_epoch:
             take_over.best = released
 
-    # Letting go
+    # Releasing
 
     def _on_release_asked(
         self, now: Seconds, event: events.ReleaseAsked
@@ -366,7 +366,7 @@
         if event.former == self._context.me and not behind:
             for ref, epoch in event.slices:
                 if self._has_stopped(ref, epoch):
-                    held = self._let_go_by_slice.get(ref)
+                    held = self._released_by_slice.get(ref)
                     released.append(self._release(now, ref, epoch, held))
         yield events.ReplyRelease(tuple(released))
 
@@ -390,7 +390,7 @@
         )
 
     def _abort_slow_orders(self, now: Seconds) -> Iterator[Event]:
-        for ref, held in self._let_go_by_slice.items():
+        for ref, held in self._released_by_slice.items():
             since = held.released_since
             if since is None or not self._in_flight_by_slice[ref]:
                 continue
@@ -398,10 +398,10 @@
                 yield events.AbortSlice(ref)
 
     def _forget_released(self, now: Seconds) -> None:
-        for ref, held in list(self._let_go_by_slice.items()):
+        for ref, held in list(self._released_by_slice.items()):
             old = now - (held.released_since or now) > RELEASED_AGE_S
             if old and not self._in_flight_by_slice[ref]:
-                del self._let_go_by_slice[ref]
+                del self._released_by_slice[ref]
 
     def _forget_waits(self, now: Seconds) -> None:
         for ref, until in list(self._not_before_by_slice.items()):
@@ -411,5 +411,5 @@
     def _on_fenced(self, now: Seconds, event: Event) -> Iterator[Event]:
         self._held_by_slice.clear()
         self._take_over_by_slice.clear()
-        self._let_go_by_slice.clear()
+        self._released_by_slice.clear()
         yield from ()
--- a/rhubarbhall/core/hotkeys.py
+++ b/rhubarbhall/core/hotkeys.py
@@ -40,7 +40,7 @@
 COOL_LOOKS = 6
 #: The same at the owner of the slice that the key hashes to, where it was sent
 #: to be joined.
-COOL_LOOKS_AT_HOME = 2
+COOL_LOOKS_AT_PARENT = 2
 #: Age of what is known of another target's load.
 LOAD_AGE_S = 2.0
 
@@ -229,11 +229,11 @@
                 if ref not in self._ownership.served:
                     self._cool_looks.pop((service, key), None)
                     continue
-                home = SliceRef(service, slice_of_key(key, table.hashed))
-                at_home = home in self._ownership.served
-                wanted = COOL_LOOKS_AT_HOME if at_home else COOL_LOOKS
+                parent = SliceRef(service, slice_of_key(key, table.hashed))
+                at_parent = parent in self._ownership.served
+                wanted = COOL_LOOKS_AT_PARENT if at_parent else COOL_LOOKS
                 if self._looks_cool(service, key) >= wanted:
-                    return self._step_back(ref, key, home)
+                    return self._step_back(ref, key, parent)
         return None
 
     def _looks_cool(self, service: ServiceName, key: str) -> int:
@@ -245,13 +245,13 @@
         return looks
 
     def _step_back(
-        self, ref: SliceRef, key: str, home: SliceRef
+        self, ref: SliceRef, key: str, parent: SliceRef
     ) -> Merge | Move | None:
         directory = self._context.directory
-        home_owner = directory.owner_of(home.service, home.index)
-        if home_owner == self._context.me:
+        parent_owner = directory.owner_of(parent.service, parent.index)
+        if parent_owner == self._context.me:
             return Merge(ref.service, key, self._context.me)
-        member = directory.member_by_id.get(home_owner or "")
+        member = directory.member_by_id.get(parent_owner or "")
         service = directory.intent.services[ref.service]
         if member is None or not directory.may_take(service, member):
             return None
--- a/rhubarbhall/core/rebalance.py
+++ b/rhubarbhall/core/rebalance.py
@@ -122,7 +122,7 @@
         }
         self._context.rng.shuffle(refs)
         for ref in refs[: min(int(spare), MOVES_PER_ROUND)]:
-            target = self._roomiest(room_by_member)
+            target = self._least_filled(room_by_member)
             if target is None:
                 return
             room_by_member[target] -= 1
@@ -142,7 +142,7 @@
             for each, weight in weight_by_member.items()
         }
 
-    def _roomiest(self, room_by_member: dict[MemberId, float]) -> MemberId | None:
+    def _least_filled(self, room_by_member: dict[MemberId, float]) -> MemberId | None:
         # Two random choices keep many givers from picking the same receiver.
         roomy = [each for each, room in room_by_member.items() if room >= 0.5]
         if not roomy:
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -56,7 +56,7 @@
 
 
 @dataclass(slots=True)
-class _Journey:
+class _PendingRequest:
     """A request on its way.
 
     Parameters
@@ -80,7 +80,7 @@
     def __init__(self, context: Context, balancer: Balancer) -> None:
         self._context = context
         self._balancer = balancer
-        self._journey_by_id: dict[RequestId, _Journey] = {}
+        self._pending_by_id: dict[RequestId, _PendingRequest] = {}
         self._held: set[RequestId] = set()
         self._look_timer = OnDemandTimer(context.timers, LOOK_S, events.RouteDue())
         self._budget_by_service: dict[ServiceName, RetryBudget] = defaultdict(
@@ -105,33 +105,35 @@
     @property
     def in_flight(self) -> int:
         """Requests that have no answer yet."""
-        return len(self._journey_by_id)
+        return len(self._pending_by_id)
 
     def _on_request(
         self, now: Seconds, event: events.RequestArrived
     ) -> Iterator[Command | Event]:
         self._look_timer.want(now)
-        journey = _Journey(event.request)
-        self._journey_by_id[event.request.id] = journey
+        pending = _PendingRequest(event.request)
+        self._pending_by_id[event.request.id] = pending
         self._budget_by_service[event.request.service.name].note_request()
         if now < event.request.not_before:
-            journey.retry_at = event.request.not_before
-            journey.refusal = refusal(ErrorKind.DEADLINE_UNREACHABLE)
+            pending.retry_at = event.request.not_before
+            pending.refusal = refusal(ErrorKind.DEADLINE_UNREACHABLE)
             self._held.add(event.request.id)
         else:
-            yield from self._send(now, journey)
+            yield from self._send(now, pending)
 
     # Finding the owner
 
-    def _send(self, now: Seconds, journey: _Journey) -> Iterator[Command | Event]:
-        request = journey.request
-        member = self._destination(now, journey)
+    def _send(
+        self, now: Seconds, pending: _PendingRequest
+    ) -> Iterator[Command | Event]:
+        request = pending.request
+        member = self._destination(now, pending)
         if member is None:
-            journey.refusal = journey.refusal or refusal(ErrorKind.NO_OWNER)
-            yield from self._hold_or_answer(now, journey)
+            pending.refusal = pending.refusal or refusal(ErrorKind.NO_OWNER)
+            yield from self._hold_or_answer(now, pending)
             return
         if member == self._context.me:
-            journey.member = member
+            pending.member = member
             self._balancer.note_sent(now, member)
             yield events.Admit(request)
             return
@@ -140,17 +142,17 @@
             # The daemon in front knows a better owner soon; a second hop
             # would only add to its wait.
             yield from self._answer(
-                journey, refusal(ErrorKind.NOT_OWNER, owner=address)
+                pending, refusal(ErrorKind.NOT_OWNER, owner=address)
             )
             return
-        journey.member = member
+        pending.member = member
         self._balancer.note_sent(now, member)
         self.forwarded += 1
         budget = request.deadline - now
         yield events.Forward(request, member, address, budget)
 
-    def _destination(self, now: Seconds, journey: _Journey) -> MemberId | None:
-        request = journey.request
+    def _destination(self, now: Seconds, pending: _PendingRequest) -> MemberId | None:
+        request = pending.request
         directory = self._context.directory
         if request.service.name not in directory.intent.services:
             return None
@@ -160,7 +162,7 @@
             return directory.owner_of(request.slice.service, request.slice.index)
         if request.hops:
             return self._context.me
-        return self._balancer.choose(now, request.service, frozenset(journey.tried))
+        return self._balancer.choose(now, request.service, frozenset(pending.tried))
 
     # Outcomes
 
@@ -183,25 +185,25 @@
     def _take_outcome(
         self, now: Seconds, request_id: RequestId, response: Response
     ) -> Iterator[Command | Event]:
-        journey = self._journey_by_id.get(request_id)
-        if journey is None or journey.member is None:
+        pending = self._pending_by_id.get(request_id)
+        if pending is None or pending.member is None:
             return
-        member = journey.member
+        member = pending.member
         self._balancer.note_outcome(
             now, member, None if response.kind in _ELSEWHERE_KINDS else response
         )
-        if self._may_try_again(now, journey, response):
-            journey.tried.add(member)
-            journey.member = None
-            journey.refusal = response
-            yield from self._hold_or_answer(now, journey)
+        if self._may_try_again(now, pending, response):
+            pending.tried.add(member)
+            pending.member = None
+            pending.refusal = response
+            yield from self._hold_or_answer(now, pending)
         else:
-            yield from self._answer(journey, response)
+            yield from self._answer(pending, response)
 
     def _may_try_again(
-        self, now: Seconds, journey: _Journey, response: Response
+        self, now: Seconds, pending: _PendingRequest, response: Response
     ) -> bool:
-        request = journey.request
+        request = pending.request
         if request.hops or response.kind is None:
             return False
         if response.kind in _HELD_KINDS:
@@ -215,27 +217,29 @@
         return False
 
     def _hold_or_answer(
-        self, now: Seconds, journey: _Journey
+        self, now: Seconds, pending: _PendingRequest
     ) -> Iterator[Command | Event]:
-        request = journey.request
+        request = pending.request
         held_until = min(request.deadline, request.arrived_at + request.service.hold_s)
         if now + RETRY_PAUSE_S >= held_until or request.hops:
-            yield from self._answer(journey, journey.refusal)
+            yield from self._answer(pending, pending.refusal)
             return
-        journey.retry_at = now + RETRY_PAUSE_S
+        pending.retry_at = now + RETRY_PAUSE_S
         self._held.add(request.id)
         # The owner has changed or is about to; the log knows first.
         yield events.ReadWanted()
 
-    def _answer(self, journey: _Journey, response: Response) -> Iterator[Command]:
-        request = journey.request
-        del self._journey_by_id[request.id]
+    def _answer(
+        self, pending: _PendingRequest, response: Response
+    ) -> Iterator[Command]:
+        request = pending.request
+        del self._pending_by_id[request.id]
         self._held.discard(request.id)
         name = response.kind.value if response.kind else "answered"
         self.outcomes_by_kind[name] = self.outcomes_by_kind.get(name, 0) + 1
         if not request.hops:
             response = self._with_jitter(response)
-        yield events.Answer(request.id, self._with_owner(journey, response))
+        yield events.Answer(request.id, self._with_owner(pending, response))
 
     def _with_jitter(self, response: Response) -> Response:
         """Spread the repeats of callers that were refused together."""
@@ -251,10 +255,10 @@
         )
         return Response(response.status, headers, response.body, response.kind)
 
-    def _with_owner(self, journey: _Journey, response: Response) -> Response:
+    def _with_owner(self, pending: _PendingRequest, response: Response) -> Response:
         """Add the address of the owner, where the next request may go straight."""
-        member = self._context.directory.member_by_id.get(journey.member or "")
-        if journey.request.slice is None or member is None:
+        member = self._context.directory.member_by_id.get(pending.member or "")
+        if pending.request.slice is None or member is None:
             return response
         if any(name == OWNER_HEADER for name, _ in response.headers):
             return response
@@ -265,25 +269,25 @@
 
     def _on_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
         self._look_timer.note_fired()
-        if self._journey_by_id:
+        if self._pending_by_id:
             self._look_timer.want(now)
         for request_id in list(self._held):
-            journey = self._journey_by_id[request_id]
-            if now >= journey.retry_at:
+            pending = self._pending_by_id[request_id]
+            if now >= pending.retry_at:
                 self._held.discard(request_id)
-                yield from self._send(now, journey)
-        for journey in list(self._journey_by_id.values()):
-            if now >= journey.request.deadline + FORWARD_MARGIN_S:
-                yield from self._give_up(now, journey)
+                yield from self._send(now, pending)
+        for pending in list(self._pending_by_id.values()):
+            if now >= pending.request.deadline + FORWARD_MARGIN_S:
+                yield from self._give_up(now, pending)
 
-    def _give_up(self, now: Seconds, journey: _Journey) -> Iterator[Command]:
+    def _give_up(self, now: Seconds, pending: _PendingRequest) -> Iterator[Command]:
         """Answer a request whose owner has not answered by the deadline."""
-        if journey.member is not None:
-            self._balancer.note_outcome(now, journey.member, None)
-            yield events.CancelForward(journey.request.id)
-            yield from self._answer(journey, refusal(ErrorKind.DEADLINE_PASSED))
+        if pending.member is not None:
+            self._balancer.note_outcome(now, pending.member, None)
+            yield events.CancelForward(pending.request.id)
+            yield from self._answer(pending, refusal(ErrorKind.DEADLINE_PASSED))
         else:
-            yield from self._answer(journey, journey.refusal)
+            yield from self._answer(pending, pending.refusal)
 
     def _on_record_applied(
         self, now: Seconds, event: events.RecordApplied
@@ -292,20 +296,20 @@
         closed = event.applied.closed
         if not closed:
             return
-        for journey in list(self._journey_by_id.values()):
-            if journey.member in closed and journey.member != self._context.me:
-                yield events.CancelForward(journey.request.id)
+        for pending in list(self._pending_by_id.values()):
+            if pending.member in closed and pending.member != self._context.me:
+                yield events.CancelForward(pending.request.id)
                 lost = refusal(ErrorKind.ANSWER_LOST)
-                yield from self._take_outcome(now, journey.request.id, lost)
+                yield from self._take_outcome(now, pending.request.id, lost)
         self._balancer.forget(closed)
 
     def _on_caller_gone(
         self, now: Seconds, event: events.CallerGone
     ) -> Iterator[Command | Event]:
-        journey = self._journey_by_id.pop(event.request_id, None)
+        pending = self._pending_by_id.pop(event.request_id, None)
         self._held.discard(event.request_id)
-        if journey is None or journey.member is None:
+        if pending is None or pending.member is None:
             return
-        self._balancer.note_outcome(now, journey.member, Response(499))
-        if journey.member != self._context.me:
+        self._balancer.note_outcome(now, pending.member, Response(499))
+        if pending.member != self._context.me:
             yield events.CancelForward(event.request_id)
--- a/rhubarbhall/core/witness.py
+++ b/rhubarbhall/core/witness.py
@@ -190,7 +190,7 @@
     # Noticing silence
 
     def _on_check_due(self, now: Seconds, event: Event) -> Iterator[Command | Event]:
-        self._forgive_own_pause(now)
+        self._restart_after_own_pause(now)
         for member_id, watch in list(self._watch_by_member.items()):
             if now - watch.heard_at <= self._context.timing.silence_s:
                 continue
@@ -203,7 +203,7 @@
             watch.told_at = now
             yield from self._tell_collectors(now, member_id, watch)
 
-    def _forgive_own_pause(self, now: Seconds) -> None:
+    def _restart_after_own_pause(self, now: Seconds) -> None:
         """Start counting anew after this process itself stood still."""
         last = self._checked_at
         self._checked_at = now
--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -17,9 +17,9 @@
 from rhubarbhall.core.intent import document_from_toml, intent_from_document
 from rhubarbhall.core.records import DeclareLost, IntentRecord
 from rhubarbhall.core.selectors import parse_selector
-from rhubarbhall.programs.estate import (
-    EstateError,
+from rhubarbhall.programs.mesh import (
     LogReader,
+    MeshError,
     dump_of,
     fetch,
     publish,
@@ -208,7 +208,7 @@
     for member in directory.member_by_id.values():
         try:
             found[member.id] = dump_of(member.join.peers)
-        except EstateError:
+        except MeshError:
             continue
     return found
 
@@ -294,6 +294,6 @@
     """Run the program."""
     try:
         run(command)
-    except EstateError as error:
+    except MeshError as error:
         click.echo(f"rhubarb-ctl: {error}", err=True)
         sys.exit(1)
--- a/rhubarbhall/programs/demo.py
+++ b/rhubarbhall/programs/demo.py
@@ -1,4 +1,4 @@
-"""``rhubarb-demo``: an estate in one process, with faults, checked at the end."""
+"""``rhubarb-demo``: a deployment in one process, with faults, checked at the end."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from rhubarbhall.programs.loop import Loop
 from rhubarbhall.programs.options import option, run
 from rhubarbhall.standins.callers import Callers
-from rhubarbhall.standins.estate import Estate, Place
+from rhubarbhall.standins.deployment import Deployment, Place
 
 #: Time between two rounds of callers.
 CALL_INTERVAL_S = 0.02
@@ -80,7 +80,7 @@
 
 
 class Demo:
-    """Leads an estate through a drain, a loss and a change under load.
+    """Leads a deployment through a drain, a loss and a change under load.
 
     Parameters
     ----------
@@ -95,12 +95,12 @@
         self._stay = stay
         self._timers = TimerService()
         self.loop.add(Clock(self._timers, self._run_due))
-        self.estate = Estate(self.loop, base_port)
+        self.deployment = Deployment(self.loop, base_port)
         client = HttpClient("demo-callers", max_connections=64)
         self.loop.add(client)
         for region, domain in _PLACES:
-            self.estate.add_vm(Place(region, domain, {"app": "status"}))
-        entrances = [vm.calls for vm in self.estate.vm_by_name.values()]
+            self.deployment.add_vm(Place(region, domain, {"app": "status"}))
+        entrances = [vm.calls for vm in self.deployment.vm_by_name.values()]
         self.callers = Callers(client, entrances, SERVICE, "accounts", KEYS, seed=1)
         self._document = document_from_toml(_INTENT)
         self._version = 0
@@ -112,7 +112,7 @@
         self._timers.every(CALL_INTERVAL_S, _Tick(self._call), first=now)
         self._timers.every(0.05, _Tick(client.sweep), first=now)
         self._timers.every(LOOK_S, _Tick(self._advance), first=now)
-        self._steps = self._story()
+        self._steps = self._scenario()
         self._waiting_for: Callable[[], bool] = lambda: True
         self._waiting_since = now
 
@@ -130,7 +130,7 @@
     def _stop(self) -> None:
         self.loop.stop()
 
-    # The story: each `yield` names what the next step waits for.
+    # The scenario: each `yield` names what the next step waits for.
 
     def _advance(self) -> None:
         overdue = time.monotonic() - self._waiting_since > STEP_LIMIT_S
@@ -153,7 +153,7 @@
         until = time.monotonic() + seconds
         return lambda: time.monotonic() >= until
 
-    def _story(self) -> Iterator[Callable[[], bool]]:
+    def _scenario(self) -> Iterator[Callable[[], bool]]:
         self._say("six daemons in six failure domains of three regions start")
         yield self._all_joined
         self._say("all have joined")
@@ -174,15 +174,15 @@
     def _all_joined(self) -> bool:
         return all(
             vm.daemon.node.context.member is not None
-            for vm in self.estate.vm_by_name.values()
+            for vm in self.deployment.vm_by_name.values()
         )
 
     def _all_served(self) -> bool:
-        return sum(self.estate.slices_by_vm(SERVICE).values()) == ALL_SLICES
+        return sum(self.deployment.slices_by_vm(SERVICE).values()) == ALL_SLICES
 
     def _show_owners(self) -> None:
         owners = ", ".join(
-            f"{vm} {n}" for vm, n in self.estate.slices_by_vm(SERVICE).items()
+            f"{vm} {n}" for vm, n in self.deployment.slices_by_vm(SERVICE).items()
         )
         counts = Counter(each.ran for each in self.callers.outcomes)
         lost = sum(1 for each in self.callers.outcomes if each.status == 0)
@@ -198,10 +198,10 @@
             self._document["preferences"] = {"regions": [prefer]}
         self._say(text)
         began = time.monotonic()
-        self.estate.publish(f"demo/{self._version}", self._version, self._document)
+        self.deployment.publish(f"demo/{self._version}", self._version, self._document)
         self._version += 1
         version = self._version
-        yield lambda: self.estate.in_force(version)
+        yield lambda: self.deployment.in_force(version)
         took = time.monotonic() - began
         self._say(f"version {version} is in force everywhere after {took:.2f} s")
         promise = _Promise(f"version {version} in force within {IN_FORCE_S:g} s")
@@ -213,10 +213,10 @@
         self._document["leaving"] = [{"targets": f"vm={name}"}]
         began = time.monotonic()
         yield from self._publish(f"{name} is leaving")
-        yield lambda: not self.estate.slices_by_vm(SERVICE)[name]
+        yield lambda: not self.deployment.slices_by_vm(SERVICE)[name]
         self._say(f"{name} owns nothing after {time.monotonic() - began:.2f} s")
         yield self._pause(NO_NEW_WORK_S + 1.0)
-        vm = self.estate.vm_by_name[name]
+        vm = self.deployment.vm_by_name[name]
         late = audit.find_late_work(vm.target.executions, "", began + NO_NEW_WORK_S)
         self._promises.append(
             _Promise(f"{name} got no new work after {NO_NEW_WORK_S:g} s", late)
@@ -224,7 +224,7 @@
         self._show_owners()
 
     def _lose(self, name: str) -> Iterator[Callable[[], bool]]:
-        vm = self.estate.lose(name)
+        vm = self.deployment.lose(name)
         self.callers.entrances.remove(vm.calls)
         began = time.monotonic()
         self._say(f"{name} is lost without warning")
@@ -241,7 +241,7 @@
     # The verdict
 
     def _finish(self) -> None:
-        executions = self.estate.executions()
+        executions = self.deployment.executions()
         outcomes = self.callers.outcomes
         self._promises += [
             _Promise("one owner of each slice", audit.find_double_owners(executions)),
@@ -280,13 +280,13 @@
             self.loop.stop()
 
     def _show_addresses(self) -> None:
-        for vm in self.estate.vm_by_name.values():
+        for vm in self.deployment.vm_by_name.values():
             click.echo(
                 f"{vm.name}: callers {vm.calls}, operators {vm.peers}, "
                 f"{vm.place.domain} in {vm.place.region}"
             )
-        vm = next(iter(self.estate.vm_by_name.values()))
-        click.echo(f"log: {self.estate.log_address}")
+        vm = next(iter(self.deployment.vm_by_name.values()))
+        click.echo(f"log: {self.deployment.log_address}")
         click.echo(f"try: curl -i http://{vm.calls}/status/batch-1/look")
         click.echo("end with Ctrl-C")
 
@@ -296,7 +296,7 @@
 @option("--stay", is_flag=True, help="Go on after the checks, for trying by hand.")
 @option("--events", type=click.File("w"), default=None, help="File for the events.")
 def command(base_port, stay, events) -> int:
-    """Show an estate that keeps its promises through a drain and a loss."""
+    """Show a deployment that keeps its promises through a drain and a loss."""
     eliot.add_destinations(lambda message: None)
     if events is not None:
         eliot.to_file(events)
--- a/rhubarbhall/programs/load.py
+++ b/rhubarbhall/programs/load.py
@@ -11,8 +11,8 @@
 from rhubarbhall.loadtool.generator import LoadRun
 from rhubarbhall.loadtool.mix import mix_from_toml
 from rhubarbhall.loadtool.results import LoadReport, judge, summarize
-from rhubarbhall.programs.estate import fetch
 from rhubarbhall.programs.loop import Loop
+from rhubarbhall.programs.mesh import fetch
 from rhubarbhall.programs.options import ADDRESS, option, run
 from rhubarbhall.programs.tables import text_table
 from rhubarbhall.standins.target import EXECUTIONS_PATH, Execution
--- a/rhubarbhall/programs/estate.py
+++ b/rhubarbhall/programs/mesh.py
@@ -37,7 +37,7 @@
 ASKERS = 32
 
 
-class EstateError(RhubarbhallError):
+class MeshError(RhubarbhallError):
     """The log or a daemon gave no usable answer."""
 
 
@@ -64,7 +64,7 @@
 
     Raises
     ------
-    EstateError
+    MeshError
         If there is no answer or it is an error.
     """
     host, port = split_address(address)
@@ -75,12 +75,12 @@
         response = connection.getresponse()
         data = response.read()
     except (OSError, http.client.HTTPException) as error:
-        raise EstateError(f"{address}{path}: no answer ({error})") from error
+        raise MeshError(f"{address}{path}: no answer ({error})") from error
     finally:
         connection.close()
     if response.status >= http.HTTPStatus.BAD_REQUEST:
         text = data.decode(errors="replace")[:200]
-        raise EstateError(f"{address}{path}: status {response.status}: {text}")
+        raise MeshError(f"{address}{path}: status {response.status}: {text}")
     return data
 
 
@@ -105,7 +105,7 @@
             data = fetch(self._address, "GET", path)
             return msgspec.json.decode(data, type=RecordsPage)
         except msgspec.MsgspecError as error:
-            raise EstateError(f"{self._address}: not a log: {error}") from error
+            raise MeshError(f"{self._address}: not a log: {error}") from error
 
     def read_to_end(self) -> Directory:
         """Apply all records up to the present end and return the directory."""
@@ -130,7 +130,7 @@
             if snapshot is not None and restore_directory(self.directory, snapshot):
                 return
             if scan.cursor >= page.end or not page.records:
-                raise EstateError(
+                raise MeshError(
                     f"{self._address}: the log starts at {first_offset} and holds no "
                     "whole snapshot"
                 )
@@ -148,7 +148,7 @@
 
     Raises
     ------
-    EstateError
+    MeshError
         If the record was not read back in time; it may still take effect.
     """
     record_id = f"ctl/{secrets.token_hex(8)}"
@@ -158,17 +158,17 @@
     while True:
         try:
             fetch(address, "POST", APPEND_PATH, body, Content_Type="application/json")
-        except EstateError as error:
+        except MeshError as error:
             problem = error
         try:
             reader.read_to_end()
-        except EstateError as error:
+        except MeshError as error:
             problem = error
         applied = reader.applied_by_id.get(record_id)
         if applied is not None:
             return Verdict(applied, _winner(reader, applied))
         if time.monotonic() >= until:
-            raise EstateError(
+            raise MeshError(
                 f"the record {record_id} was not read back within {limit_s:g} s and "
                 f"may still take effect: {problem}"
             )
@@ -186,7 +186,7 @@
     try:
         return msgspec.json.decode(fetch(peers, "GET", "/dump"), type=NodeDump)
     except msgspec.MsgspecError as error:
-        raise EstateError(f"{peers}: not a daemon: {error}") from error
+        raise MeshError(f"{peers}: not a daemon: {error}") from error
 
 
 def lagging(directory: Directory, version: int) -> dict[Address, str]:
@@ -206,7 +206,7 @@
     try:
         data = fetch(peers, "GET", VERSION_PATH)
         known = msgspec.json.decode(data, type=VersionReply).intent_version
-    except (EstateError, msgspec.MsgspecError) as error:
+    except (MeshError, msgspec.MsgspecError) as error:
         return str(error)
     return f"has version {known}" if known < version else None
 
--- a/rhubarbhall/standins/estate.py
+++ b/rhubarbhall/standins/deployment.py
@@ -1,4 +1,4 @@
-"""A whole estate in one process on one loop: log, targets and daemons."""
+"""A whole deployment in one process on one loop: log, targets and daemons."""
 
 from __future__ import annotations
 
@@ -46,8 +46,8 @@
         return self.daemon.settings.peers
 
 
-class Estate:
-    """Builds and faults a small estate.
+class Deployment:
+    """Builds and faults a small deployment.
 
     Parameters
     ----------
--- a/tests/adapters/test_daemon.py
+++ b/tests/adapters/test_daemon.py
@@ -20,7 +20,7 @@
 from rhubarbhall.core.requests import IDEMPOTENCY_HEADER, Response
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.programs.loop import Loop
-from rhubarbhall.standins.estate import Estate, Place
+from rhubarbhall.standins.deployment import Deployment, Place
 from rhubarbhall.standins.faults import TargetFaults
 from rhubarbhall.standins.target import TargetOptions
 from rhubarbhall.testing import assert_at_most_once, assert_sole_owners
@@ -66,7 +66,7 @@
 
 
 class LoopTestCase(unittest.TestCase):
-    """An estate of three VMs whose loop the test itself turns."""
+    """A deployment of three VMs whose loop the test itself turns."""
 
     options = TargetOptions()
 
@@ -81,20 +81,22 @@
         timers.every(0.01, _Tick(lambda: None), first=time.monotonic())
         self.client = HttpClient("test-callers")
         self.loop.add(self.client)
-        self.estate = Estate(
+        self.deployment = Deployment(
             self.loop, free_base_port(), self.options, Timing(read_s=0.03)
         )
         self.addCleanup(self._close)
         for region, domain in PLACES:
-            self.estate.add_vm(Place(region, domain, {"app": "status"}))
+            self.deployment.add_vm(Place(region, domain, {"app": "status"}))
         self.loop.manager._running = True
         self.turn_until(self._all_joined)
-        self.estate.publish("test/1", 0, DOCUMENT)
-        self.turn_until(lambda: sum(self.estate.slices_by_vm("status").values()) == 8)
+        self.deployment.publish("test/1", 0, DOCUMENT)
+        self.turn_until(
+            lambda: sum(self.deployment.slices_by_vm("status").values()) == 8
+        )
         self.turn_until(self._all_witnessed)
 
     def _close(self):
-        self.estate.shut_down()
+        self.deployment.shut_down()
         self.client.close()
         for _ in range(5):
             self.loop.manager.tick(0.0)
@@ -102,14 +104,14 @@
     def _all_joined(self) -> bool:
         return all(
             vm.daemon.node.context.member is not None
-            for vm in self.estate.vm_by_name.values()
+            for vm in self.deployment.vm_by_name.values()
         )
 
     def _all_witnessed(self) -> bool:
         # The loss of a member that has no witness yet cannot be noticed.
         return all(
             vm.daemon.node.context.member.witnesses
-            for vm in self.estate.vm_by_name.values()
+            for vm in self.deployment.vm_by_name.values()
         )
 
     def turn_until(self, holds: Callable[[], bool]) -> None:
@@ -123,14 +125,14 @@
         """Send a request and return its outcome."""
         outcomes: list[Response | Failed] = []
         named = tuple((n.replace("_", "-"), v) for n, v in headers.items())
-        address = self.estate.vm_by_name[vm].calls
+        address = self.deployment.vm_by_name[vm].calls
         self.client.fetch(address, method, path, named, body, 9.0, outcomes.append)
         self.turn_until(lambda: bool(outcomes))
         return outcomes[0]
 
     def raw(self, vm: str, data: bytes) -> bytes:
         """Send bytes and return everything up to the end of the connection."""
-        host, _, port = self.estate.vm_by_name[vm].calls.rpartition(":")
+        host, _, port = self.deployment.vm_by_name[vm].calls.rpartition(":")
         with socket.create_connection((host, int(port))) as sock:
             sock.sendall(data)
             sock.setblocking(False)
@@ -151,7 +153,7 @@
             return bytes(received)
 
     def executions(self):
-        return self.estate.executions()
+        return self.deployment.executions()
 
 
 def _drop(message: object) -> None:
@@ -185,7 +187,9 @@
     def test_a_service_without_keys_is_spread(self):
         for _ in range(30):
             self.assertEqual(self.call("vm1", "GET", "/accounts/7").status, 200)
-        counts = [len(vm.target.executions) for vm in self.estate.vm_by_name.values()]
+        counts = [
+            len(vm.target.executions) for vm in self.deployment.vm_by_name.values()
+        ]
         self.assertEqual(sum(counts), 30)
 
     def assert_refused(self, answer: Response, status: int, kind: str, ran: str = "no"):
@@ -280,7 +284,7 @@
         self.assertEqual(len(self.executions()), 1)
 
     def test_a_target_that_sheds_is_told_as_not_run(self):
-        for vm in self.estate.vm_by_name.values():
+        for vm in self.deployment.vm_by_name.values():
             vm.target.set_faults(TargetFaults(shed=True))
         answer = self.call("vm1", "GET", "/status/b/x")
         problem = msgspec.json.decode(answer.body)
@@ -289,22 +293,24 @@
         self.assertEqual(self.executions(), [])
 
     def test_a_frozen_target_is_told_as_unknown_and_never_runs_late(self):
-        for vm in self.estate.vm_by_name.values():
+        for vm in self.deployment.vm_by_name.values():
             vm.target.set_faults(TargetFaults(frozen=True))
         answer = self.call("vm1", "GET", "/status/b/x", Rhubarb_Deadline_Ms="300")
         problem = msgspec.json.decode(answer.body)
         self.assertEqual(problem["kind"], "deadline_passed")
         self.assertEqual(problem["ran"], "unknown")
-        for vm in self.estate.vm_by_name.values():
+        for vm in self.deployment.vm_by_name.values():
             vm.target.set_faults(TargetFaults())
         self.assertEqual(self.call("vm1", "GET", "/status/b/y").status, 200)
         self.assertEqual([each.path for each in self.executions()], ["/y"])
 
     def test_a_lost_vm_is_followed_by_another_owner(self):
         owner = dict(self.call("vm1", "GET", "/status/b/x").headers)["Rhubarb-Owner"]
-        lost = next(n for n, vm in self.estate.vm_by_name.items() if vm.calls == owner)
-        self.estate.lose(lost)
-        vm = next(iter(self.estate.vm_by_name))
+        lost = next(
+            n for n, vm in self.deployment.vm_by_name.items() if vm.calls == owner
+        )
+        self.deployment.lose(lost)
+        vm = next(iter(self.deployment.vm_by_name))
         answer = self.call(vm, "GET", "/status/b/x", Rhubarb_Deadline_Ms="8000")
         self.assertEqual(answer.status, 200)
         assert_sole_owners(self.executions())
@@ -313,7 +319,7 @@
 class OperationsTests(LoopTestCase):
     def fetch(self, vm: str, path: str) -> Response:
         outcomes: list[Response] = []
-        address = self.estate.vm_by_name[vm].peers
+        address = self.deployment.vm_by_name[vm].peers
         self.client.fetch(address, "GET", path, (), b"", 9.0, outcomes.append)
         self.turn_until(lambda: bool(outcomes))
         return outcomes[0]
@@ -338,7 +344,7 @@
         self.assertIn(b"/metrics", answer.body)
 
     def test_a_stop_answers_connections_that_nobody_has_accepted_yet(self):
-        daemon = self.estate.vm_by_name["vm2"].daemon
+        daemon = self.deployment.vm_by_name["vm2"].daemon
         host, _, port = daemon.settings.calls.rpartition(":")
         request = b"GET /status/b/x HTTP/1.1\r\nHost: h\r\n\r\n"
         ended: list[bool] = []
@@ -351,7 +357,7 @@
             sock.sendall(request)
         daemon._do_exit(Exit())
         self.turn_until(lambda: bool(ended))
-        del self.estate.vm_by_name["vm2"]
+        del self.deployment.vm_by_name["vm2"]
         for sock in waiting:
             sock.settimeout(GIVE_UP_S)
             self.assertTrue(sock.recv(65536).startswith(b"HTTP/1.1 200"))
@@ -359,14 +365,16 @@
 
     def test_a_stop_drains_and_ends(self):
         ended: list[bool] = []
-        daemon = self.estate.vm_by_name["vm2"].daemon
+        daemon = self.deployment.vm_by_name["vm2"].daemon
         daemon._on_exit = lambda: ended.append(True)
         daemon.request_stop()
         daemon.request_stop()
         self.turn_until(lambda: bool(ended))
-        del self.estate.vm_by_name["vm2"]
+        del self.deployment.vm_by_name["vm2"]
         # A move that evens out may be under way, so this need not hold at once.
-        self.turn_until(lambda: sum(self.estate.slices_by_vm("status").values()) == 8)
+        self.turn_until(
+            lambda: sum(self.deployment.slices_by_vm("status").values()) == 8
+        )
         self.assertEqual(self.call("vm1", "GET", "/status/b/x").status, 200)
 
 
--- a/tests/programs/test_ctl.py
+++ b/tests/programs/test_ctl.py
@@ -15,9 +15,9 @@
 
 from rhubarbhall.core.records import DeclareLost, IntentRecord, seal
 from rhubarbhall.programs import ctl
-from rhubarbhall.programs.estate import EstateError, publish
 from rhubarbhall.programs.loop import Loop
-from rhubarbhall.standins.estate import Estate, Place
+from rhubarbhall.programs.mesh import MeshError, publish
+from rhubarbhall.standins.deployment import Deployment, Place
 from rhubarbhall.standins.faults import LogFaults
 from tests.adapters.test_daemon import DOCUMENT, free_base_port
 
@@ -25,7 +25,7 @@
 
 
 class CtlTests(unittest.TestCase):
-    """The estate runs on a loop in another thread; commands run in this one."""
+    """The deployment runs on a loop in another thread; commands run in this one."""
 
     @classmethod
     def setUpClass(cls):
@@ -33,9 +33,9 @@
 
     def setUp(self):
         self.loop = Loop()
-        self.estate = Estate(self.loop, free_base_port())
+        self.deployment = Deployment(self.loop, free_base_port())
         for region, domain in PLACES:
-            self.estate.add_vm(Place(region, domain, {"app": "status"}))
+            self.deployment.add_vm(Place(region, domain, {"app": "status"}))
         self.thread = threading.Thread(target=self.loop.manager.run, daemon=True)
         self.thread.start()
         self.addCleanup(self._stop)
@@ -49,13 +49,13 @@
     def _all_joined(self) -> bool:
         return all(
             vm.daemon.node.context.member is not None
-            for vm in self.estate.vm_by_name.values()
+            for vm in self.deployment.vm_by_name.values()
         )
 
     def _stop(self):
         self.loop.stop()
         self.thread.join(10.0)
-        self.estate.shut_down()
+        self.deployment.shut_down()
 
     def write(self, document: dict) -> None:
         self.file.write_text(tomli_w.dumps(document), encoding="utf-8")
@@ -64,7 +64,7 @@
         return CliRunner().invoke(ctl.command, arguments, standalone_mode=False)
 
     def apply(self, *arguments: str) -> Result:
-        log = self.estate.log_address
+        log = self.deployment.log_address
         return self.ctl("apply", str(self.file), "--log", log, *arguments)
 
     def test_an_intent_is_applied_shown_and_applied_once(self):
@@ -72,33 +72,33 @@
         self.assertIn("version 1 is in force everywhere", result.output)
         self.assertEqual(result.return_value, 0)
         self.assertIn("in force already", self.apply().output)
-        shown = self.ctl("get", "--log", self.estate.log_address).output
+        shown = self.ctl("get", "--log", self.deployment.log_address).output
         self.assertIn("[services.status]", shown)
-        diff = self.ctl("diff", str(self.file), "--log", self.estate.log_address)
+        diff = self.ctl("diff", str(self.file), "--log", self.deployment.log_address)
         self.assertEqual(diff.output, "")
 
     def test_a_lost_race_names_the_winner_and_applies_nothing(self):
         self.apply("--wait-s", "20")
         changed = dict(DOCUMENT, preferences={"regions": ["wayanad"]})
         other = seal("rival/1", IntentRecord(1, changed))
-        self.estate.log.store.append(other)
+        self.deployment.log.store.append(other)
         result = self.apply("--replaces", "1")
         self.assertEqual(result.return_value, ctl.EXIT_VOID)
         self.assertIn("intent is at version 2, not 1", result.output)
         self.assertIn("rival/1 came first", result.output)
 
     def test_a_lost_answer_of_the_log_is_resolved_by_reading_back(self):
-        self.estate.log.faults = LogFaults(mode="lose_answers")
+        self.deployment.log.faults = LogFaults(mode="lose_answers")
         result = self.apply("--wait-s", "20")
         self.assertIn("version 1 is in force everywhere", result.output)
-        records = [each.envelope.id for each in self.estate.log.store._records]
+        records = [each.envelope.id for each in self.deployment.log.store._records]
         ours = [each for each in records if each.startswith("ctl/")]
         self.assertEqual(len(set(ours)), 1)
 
     def test_a_log_that_is_down_is_told(self):
-        self.estate.log.faults = LogFaults(mode="down")
-        with self.assertRaisesRegex(EstateError, "may still take effect"):
-            publish(self.estate.log_address, DeclareLost(("x",)), 0.5)
+        self.deployment.log.faults = LogFaults(mode="down")
+        with self.assertRaisesRegex(MeshError, "may still take effect"):
+            publish(self.deployment.log_address, DeclareLost(("x",)), 0.5)
 
     def test_a_bad_file_is_refused_before_any_call(self):
         self.write({"services": {"x": {"slices": 0}}})
@@ -107,13 +107,13 @@
 
     def test_status_dump_and_drain(self):
         self.apply("--wait-s", "20")
-        log = self.estate.log_address
+        log = self.deployment.log_address
         status = json.loads(self.ctl("status", "--log", log, "--json").output)
         self.assertEqual(status["intent_version"], 1)
         self.assertEqual(len(status["members"]), 2)
         table = self.ctl("status", "--log", log).output
         self.assertIn("IMBALANCE", table)
-        vm = self.estate.vm_by_name["vm1"]
+        vm = self.deployment.vm_by_name["vm1"]
         dump = json.loads(self.ctl("dump", vm.peers).output)
         self.assertEqual(dump["calls"], vm.calls)
         drained = self.ctl("drain", "vm=vm1", "--log", log, "--wait-s", "20")
