--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -235,9 +235,7 @@
             if not self._is_genuine(hop, raw):
                 self.callers.answer(request_id, refusal(ErrorKind.FORBIDDEN_HOP))
                 return
-            raw = RawRequest(
-                raw.method, raw.path, raw.headers, raw.body, raw.peer, from_daemon=True
-            )
+            raw.from_daemon = True
         context = self.node.context
         result = read_request(
             self.now(), context.wall_ms(), context.directory, request_id, raw
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
@@ -51,7 +51,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RawRequest:
     """A request as it was parsed from the wire.
 
@@ -75,14 +75,17 @@
     body: bytes
     peer: str
     from_daemon: bool = False
+    _value_by_name: dict[str, str] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        # Names are looked up several times for each request; the first one counts.
+        self._value_by_name = {
+            name.lower(): value for name, value in reversed(self.headers)
+        }
 
     def header(self, name: str) -> str | None:
         """Return the first header of that name, or none."""
-        wanted = name.lower()
-        for each, value in self.headers:
-            if each.lower() == wanted:
-                return value
-        return None
+        return self._value_by_name.get(name.lower())
 
 
 @dataclass(frozen=True, slots=True)
