Answer HEAD requests; one response reader for each connection

Cause: a new test sent a HEAD through a daemon and waited 9 s: the parser waited for the body that the length announced and a HEAD leaves out.

Change: the response to a HEAD ends with its headers and its connection is not used again; the reader of a connection is made once.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -233,7 +233,9 @@
         call = encode_request("POST", "/heartbeat", "10.1.1.1:7200", (), body)
         RequestReader(4096, 4096).feed(call)
         reply = encode_response(Response(200, (), msgspec.json.encode(answer)), True)
-        ResponseReader(4096, 4096).feed(reply)
+        reader = ResponseReader(4096)
+        reader.expect(4096)
+        reader.feed(reply)
         return len(call) + len(reply)
 
     size = by_http()
--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -58,6 +58,7 @@
     max_answer: int
     deadline: Seconds
     on_done: Callable[[Response | Failed], None]
+    without_body: bool
     sock: socket.socket | None = None
     began_at: Seconds = 0.0
     written: bool = False
@@ -121,6 +122,7 @@
             max_answer,
             now + timeout_s,
             on_done,
+            method == "HEAD",
             began_at=now,
         )
         self._calls[call.number] = call
@@ -166,7 +168,9 @@
     def _use(self, call: Call, sock: socket.socket) -> None:
         connection = self._connection_by_sock[sock]
         connection.call = call
-        connection.reader = ResponseReader(MAX_HEAD_BYTES, call.max_answer)
+        if connection.reader is None:
+            connection.reader = ResponseReader(MAX_HEAD_BYTES)
+        connection.reader.expect(call.max_answer, call.without_body)
         call.sock = sock
         call.written = True
         self.send(sock, call.data)
@@ -200,7 +204,6 @@
         reader: ResponseReader,
     ) -> None:
         connection.call = None
-        connection.reader = None
         if reader.keep_alive:
             connection.idle_since = time.monotonic()
             self._idle_by_address[connection.address].append(sock)
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -160,29 +160,55 @@
 
 
 class ResponseReader(_Reader):
-    """Parses the response to one request.
+    """Parses the responses of one connection, one at a time.
 
     Parameters
     ----------
-    max_head, max_body : int
-        Limits in bytes.
+    max_head : int
+        Limit of the headers in bytes.
     """
 
     body_error = ErrorKind.ANSWER_TOO_LARGE
 
-    def __init__(self, max_head: int, max_body: int) -> None:
-        super().__init__(max_head, max_body)
+    def __init__(self, max_head: int) -> None:
+        super().__init__(max_head, max_body=0)
         self._parser = httptools.HttpResponseParser(self)
+        self._without_body = False
         self.response: Response | None = None
         self.keep_alive = False
 
+    def expect(self, max_body: int, without_body: bool = False) -> None:
+        """Prepare for the response to the next request.
+
+        Parameters
+        ----------
+        max_body : int
+            Limit of the body in bytes.
+        without_body : bool
+            Whether the request was a HEAD, whose response has headers only.
+        """
+        self._max_body = max_body
+        self._without_body = without_body
+        self.response = None
+
+    def on_headers_complete(self) -> None:
+        """Finish a response that has no body whatever its headers say."""
+        status = self._parser.get_status_code()
+        if self._without_body and status != HTTPStatus.CONTINUE:
+            # The parser waits for a body, so it cannot read another response.
+            self._finish(status)
+            self.keep_alive = False
+
     def on_message_complete(self) -> None:
         """Keep the whole message."""
         self.in_message = False
         status = self._parser.get_status_code()
-        if status == HTTPStatus.CONTINUE:
+        if status == HTTPStatus.CONTINUE or self.response is not None:
             return
+        self._finish(status)
         self.keep_alive = self._parser.should_keep_alive()
+
+    def _finish(self, status: int) -> None:
         headers = tuple(
             (name, value)
             for name, value in self._headers
@@ -206,6 +232,13 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace") + body
 
 
+def _has_length(response: Response, without_body: bool) -> bool:
+    if response.status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        return False
+    # The length of the body that a HEAD leaves out is not known here.
+    return bool(response.body) or not without_body
+
+
 def encode_response(
     response: Response, keep_alive: bool, without_body: bool = False
 ) -> bytes:
@@ -219,7 +252,7 @@
     reason = _REASON_BY_STATUS.get(response.status, "")
     lines = [f"HTTP/1.1 {response.status} {reason}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
-    if response.status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+    if _has_length(response, without_body):
         lines.append(f"Content-Length: {len(response.body)}")
     if not keep_alive:
         lines.append("Connection: close")
--- a/tests/adapters/test_daemon.py
+++ b/tests/adapters/test_daemon.py
@@ -184,6 +184,12 @@
         keys = {each.key for each in self.executions()}
         self.assertEqual(keys, {"a%2Fb%20%C3%A9"})
 
+    def test_a_head_is_answered_by_headers_alone(self):
+        answer = self.call("vm1", "HEAD", "/status/batch-7/look")
+        self.assertEqual((answer.status, answer.body), (200, b""))
+        self.assertEqual(self.call("vm2", "HEAD", "/status/batch-7/x").status, 200)
+        self.assertEqual(len(self.executions()), 2)
+
     def test_a_service_without_keys_is_spread(self):
         for _ in range(30):
             self.assertEqual(self.call("vm1", "GET", "/accounts/7").status, 200)
--- a/tests/adapters/test_http_wire.py
+++ b/tests/adapters/test_http_wire.py
@@ -83,7 +83,8 @@
 class ResponseReaderTests(unittest.TestCase):
     def test_an_answer_is_given_whole_or_not_at_all(self):
         data = encode_response(Response(200, (("A", "b"),), b"answer"), True)
-        reader = ResponseReader(1024, 100)
+        reader = ResponseReader(1024)
+        reader.expect(100)
         reader.feed(data[:-1])
         self.assertIsNone(reader.response)
         reader.feed(data[-1:])
@@ -91,7 +92,8 @@
         self.assertTrue(reader.keep_alive)
 
     def test_an_answer_beyond_the_limit_is_an_error(self):
-        reader = ResponseReader(1024, 4)
+        reader = ResponseReader(1024)
+        reader.expect(4)
         with self.assertRaises(WireError) as caught:
             reader.feed(encode_response(Response(200, (), b"answer"), True))
         self.assertIs(caught.exception.kind, ErrorKind.ANSWER_TOO_LARGE)
