--- a/rhubarbhall/core/snapshotter.py
+++ b/rhubarbhall/core/snapshotter.py
@@ -18,8 +18,10 @@
 
 #: Time between looks at the need of a snapshot.
 LOOK_S = 5.0
-#: Members that stand in for the first writer, each after a longer lag.
+#: Members that may write: the first by rank, and those that stand in for it.
 WRITERS = 3
+#: Time after which the next by rank stands in.
+STAND_IN_S = 12.0
 
 
 class Snapshotter:
@@ -39,6 +41,7 @@
         self._covered: Offset = 0
         self._parts_seen: dict[Offset, set[int]] = {}
         self._pending: set[RecordId] = set()
+        self._due_since: Seconds | None = None
 
     def handlers(self) -> Mapping[type[Event], Handler]:
         """Return the handler for each type of event."""
@@ -83,7 +86,12 @@
         if rank is None or self._pending or not self._context.log_reachable(now):
             return
         behind = self._context.directory.next_offset - self._covered
-        if behind < self._every * (1 + rank / 2):
+        if behind < self._every:
+            self._due_since = None
+            return
+        if self._due_since is None:
+            self._due_since = now
+        if now - self._due_since < rank * STAND_IN_S:
             return
         for chunk in split_snapshot(self._context.directory):
             record_id = self._context.new_record_id()
--- /dev/null
+++ b/tests/core/test_follower.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from rhubarbhall.core.follower import READERS_PER_DOMAIN
+from rhubarbhall.core.records import SCHEMA, Envelope, SnapshotChunk, open_envelope
+from rhubarbhall.core.snapshots import encode_directory
+from tests.fakes import INTENT, SERVICE, Host, Mesh
+
+PLACES = [("r1", "a"), ("r1", "b"), ("r2", "c"), ("r2", "d")]
+
+
+class FollowerTests(unittest.TestCase):
+    def settled(self, places=PLACES, **options) -> Mesh:
+        mesh = Mesh(places, seed=6, **options)
+        mesh.publish(INTENT, 0, "op/1")
+        mesh.run_until(mesh.all_served)
+        mesh.run(12.0)
+        return mesh
+
+    def same_directory(self, one: Host, other: Host) -> bool:
+        states = [encode_directory(h.node.context.directory) for h in (one, other)]
+        return states[0] == states[1]
+
+    def snapshot_offsets(self, mesh: Mesh) -> list[int]:
+        return [
+            each.offset
+            for each in mesh.log.stored
+            if isinstance(open_envelope(each.envelope), SnapshotChunk)
+        ]
+
+    def test_one_writer_keeps_a_snapshot_in_the_log(self):
+        mesh = self.settled(snapshot_every=10)
+        authors = {
+            mesh.log.stored[offset].envelope.id.partition("/")[0]
+            for offset in self.snapshot_offsets(mesh)
+        }
+        self.assertEqual(len(authors), 1)
+
+    def test_the_next_by_rank_stands_in_for_a_lost_writer(self):
+        mesh = self.settled(snapshot_every=10)
+        first = self.snapshot_offsets(mesh)
+        author = mesh.log.stored[first[0]].envelope.id.partition("/")[0]
+        mesh.lose(next(h for h in mesh.hosts if h.node.context.me == author))
+        for _ in range(2):
+            mesh.add_host("r1", "a")
+            mesh.run(20.0)
+        self.assertGreater(len(self.snapshot_offsets(mesh)), len(first))
+
+    def test_a_start_after_the_log_was_trimmed_uses_the_snapshot(self):
+        mesh = self.settled(snapshot_every=10)
+        mesh.log.trim(self.snapshot_offsets(mesh)[0])
+        newcomer = mesh.add_host("r1", "a")
+        mesh.run(3.0)
+        self.assertIsNotNone(newcomer.node.context.member)
+        self.assertTrue(self.same_directory(newcomer, mesh.hosts[0]))
+
+    def test_a_start_goes_on_while_the_log_trims_underneath(self):
+        mesh = self.settled(snapshot_every=10)
+        mesh.log.delay_s = 0.1
+        mesh.log.trim(self.snapshot_offsets(mesh)[0])
+        newcomer = mesh.add_host("r1", "a")
+        mesh.run(0.15)
+        mesh.log.trim(mesh.log.first_offset + 1)
+        mesh.run(10.0)
+        self.assertIsNotNone(newcomer.node.context.member)
+        self.assertTrue(self.same_directory(newcomer, mesh.hosts[0]))
+
+    def test_a_log_without_a_snapshot_is_made_good_by_a_peer(self):
+        mesh = self.settled()
+        mesh.log.trim(3)
+        newcomer = mesh.add_host("r1", "a")
+        mesh.run(5.0)
+        self.assertIsNotNone(newcomer.node.context.member)
+        self.assertTrue(self.same_directory(newcomer, mesh.hosts[0]))
+
+    def test_a_start_during_an_outage_learns_from_peers_and_joins_afterwards(self):
+        mesh = self.settled()
+        mesh.log.up = False
+        newcomer = mesh.add_host("r1", "a")
+        mesh.run(5.0)
+        self.assertTrue(self.same_directory(newcomer, mesh.hosts[0]))
+        self.assertIsNone(newcomer.node.context.member)
+        request = mesh.call(newcomer, "k1")
+        mesh.run(1.0)
+        self.assertEqual(newcomer.answers[request].status, 200)
+        mesh.log.up = True
+        mesh.run(3.0)
+        self.assertIsNotNone(newcomer.node.context.member)
+
+    def test_few_members_of_a_domain_read_the_log_and_all_keep_up(self):
+        mesh = self.settled([("r1", "a")] * 12)
+        mesh.run(6.0)
+        mesh.log_reads_by_name.clear()
+        mesh.publish(INTENT, 1, "op/2")
+        mesh.run(9.0)
+        readers = [name for name, reads in mesh.log_reads_by_name.items() if reads > 10]
+        self.assertEqual(len(readers), READERS_PER_DOMAIN)
+        for host in mesh.hosts:
+            self.assertEqual(host.node.context.directory.intent_version, 2)
+
+    def test_a_record_of_a_newer_schema_stops_new_ownership_and_says_so(self):
+        mesh = self.settled()
+        newer = Envelope("x", SCHEMA + 1, msgspec.Raw(b'{"kind":"parade"}'))
+        mesh.log.append(newer)
+        mesh.run(1.0)
+        served = {host.name: host.node.ownership.served for host in mesh.hosts}
+        mesh.lose(mesh.hosts[0])
+        mesh.run(4.0)
+        for host in mesh.hosts[1:]:
+            self.assertIn(105, [note.code for note in host.notes])
+            self.assertEqual(host.node.ownership.served, served[host.name])
+        self.assertIn(SERVICE, mesh.hosts[1].node.context.directory.table_by_service)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -12,7 +13,7 @@
 from rhubarbhall.core.context import Context, Timing
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
-from rhubarbhall.core.node import Node
+from rhubarbhall.core.node import SNAPSHOT_EVERY, Node
 from rhubarbhall.core.records import (
     Envelope,
     IntentRecord,
@@ -198,8 +199,11 @@
         rates: list[float] | None = None,
         checks_grants: bool = True,
         start: bool = True,
+        snapshot_every: int = SNAPSHOT_EVERY,
     ) -> None:
         self.now = 0.0
+        self.snapshot_every = snapshot_every
+        self.log_reads_by_name: Counter[str] = Counter()
         self.rng = random.Random(seed)
         self.timing = timing or Timing()
         self.log = FakeLog()
@@ -255,7 +259,9 @@
             lambda: WALL_MS_AT_ZERO + int(self.now * 1000),
             seeds=seeds,
         )
-        host.node = Node(context, lambda: self._new_member_id(host))
+        host.node = Node(
+            context, lambda: self._new_member_id(host), self.snapshot_every
+        )
         self._do(host, host.node.start(host.local(self.now)))
 
     def _new_member_id(self, host: Host) -> str:
@@ -384,6 +390,8 @@
             self.deliver(host, events.ReadFailed(True), 0.2)
             return
 
+        self.log_reads_by_name[host.name] += 1
+
         def answer() -> None:
             records = self.log.read(command.offset)
             after = command.offset + len(records)
