Name the setting when one of several addresses is wrong

Cause: a wrong address among seeds or entrances was told without the flag's name.

Change: lists of addresses are checked like single ones.

--- a/rhubarbhall/programs/daemon.py
+++ b/rhubarbhall/programs/daemon.py
@@ -14,6 +14,7 @@
 from rhubarbhall.programs.loop import Loop
 from rhubarbhall.programs.options import (
     ADDRESS,
+    ADDRESSES,
     LABELS,
     MESH_KEY,
     PLACE,
@@ -47,7 +48,12 @@
 @option("--domain", type=PLACE, required=True, help="Failure domain of the VM.")
 @option("--mesh-key", type=MESH_KEY, required=True, help="Key that all daemons share.")
 @option("--labels", type=LABELS, default="", help="Labels, such as app=status.")
-@option("--seeds", default="", help="Peers to ask while the log is out of reach.")
+@option(
+    "--seeds",
+    type=ADDRESSES,
+    default="",
+    help="Peers to ask while the log is out of reach.",
+)
 @option("--boot", default=None, help="Identity of this boot of the VM.")
 @option("--weight", type=click.FloatRange(0.01, 100.0), default=1.0, help="Share.")
 @option(
@@ -108,11 +114,7 @@
         boot=_boot_id() if boot is None else boot,
         checks_grants=checks_grants,
         weight=weight,
-        seeds=tuple(
-            ADDRESS.convert(each.strip(), None, None)
-            for each in seeds.split(",")
-            if each.strip()
-        ),
+        seeds=seeds,
         target_connections=target_connections,
         limits=CallerLimits(max_connections, max_head, max_body, idle_s, keep_s),
         timing=Timing(
--- a/rhubarbhall/programs/load.py
+++ b/rhubarbhall/programs/load.py
@@ -4,6 +4,7 @@
 
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 import msgspec
@@ -13,18 +14,17 @@
 from rhubarbhall.loadtool.results import LoadReport, judge, summarize
 from rhubarbhall.programs.loop import Loop
 from rhubarbhall.programs.mesh import fetch
-from rhubarbhall.programs.options import ADDRESS, option, run
+from rhubarbhall.programs.options import ADDRESSES, option, run
 from rhubarbhall.programs.tables import text_table
 from rhubarbhall.standins.target import EXECUTIONS_PATH, Execution
 
-EXIT_BROKEN = 1
-
+if TYPE_CHECKING:
+    from rhubarbhall.types import Address
 
-def _addresses(text: str) -> list[str]:
-    return [ADDRESS.convert(each.strip(), None, None) for each in text.split(",")]
+EXIT_BROKEN = 1
 
 
-def _executions(targets: list[str]) -> list[Execution]:
+def _executions(targets: tuple[Address, ...]) -> list[Execution]:
     found: list[Execution] = []
     for target in targets:
         data = fetch(target, "GET", EXECUTIONS_PATH)
@@ -57,8 +57,13 @@
 
 @click.command("rhubarb-load")
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@option("--entrances", required=True, help="Addresses for callers, with commas.")
-@option("--targets", default="", help="Stand-ins to ask what they ran.")
+@option(
+    "--entrances",
+    type=ADDRESSES,
+    required=True,
+    help="Addresses for callers, with commas.",
+)
+@option("--targets", type=ADDRESSES, default="", help="Stand-ins to ask what they ran.")
 @option("--seed", type=int, default=1)
 @option("--connections", type=click.IntRange(1, 10_000), default=256)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
@@ -67,11 +72,11 @@
     mix = mix_from_toml(Path(file).read_text(encoding="utf-8"), file)
     loop = Loop()
     began = time.monotonic()
-    load = LoadRun(mix, _addresses(entrances), seed, loop.stop, connections)
+    load = LoadRun(mix, list(entrances), seed, loop.stop, connections)
     loop.add(load)
     loop.run()
     seconds = max(mix.seconds, time.monotonic() - began)
-    executions = _executions(_addresses(targets)) if targets else None
+    executions = _executions(targets) if targets else None
     report = LoadReport(
         round(seconds, 3),
         tuple(
--- a/rhubarbhall/programs/options.py
+++ b/rhubarbhall/programs/options.py
@@ -11,6 +11,7 @@
 from rhubarbhall.core.errors import ConfigurationError
 from rhubarbhall.settings import (
     parse_address,
+    parse_addresses,
     parse_labels,
     parse_mesh_key,
     parse_place,
@@ -46,6 +47,7 @@
 
 
 ADDRESS = Checked("ip:port", parse_address)
+ADDRESSES = Checked("ip:port,...", parse_addresses)
 PLACE = Checked("place", parse_place)
 LABELS = Checked("labels", parse_labels)
 MESH_KEY = Checked("key", parse_mesh_key)
--- a/rhubarbhall/settings.py
+++ b/rhubarbhall/settings.py
@@ -45,6 +45,19 @@
     return text
 
 
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Check addresses with commas between them and return them.
+
+    Raises
+    ------
+    ValueError
+        If one of them is no address.
+    """
+    return tuple(
+        parse_address(each.strip()) for each in text.split(",") if each.strip()
+    )
+
+
 def split_address(address: Address) -> tuple[str, int]:
     """Return IP and port of a checked address."""
     host, _, port = address.rpartition(":")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,11 @@
         self.assertIn("RHUBARB_LABELS", output)
         self.assertIn("'nonsense'", output)
 
+    def test_one_wrong_address_among_several_is_named(self):
+        output = self.refuse("--seeds 127.0.0.1:7201,nowhere")
+        self.assertIn("--seeds", output)
+        self.assertIn("'nowhere' is no address", output)
+
     def test_settings_that_do_not_fit_together_are_refused(self):
         output = self.refuse("--lease-s 1.0 --heartbeat-s 0.8")
         self.assertIn("--heartbeat-s", output)
