Part commands from events

Cause: events.py had grown to 582 lines and held two lists.

Change: core/commands.py is what the core wants done, core/events.py what happens; a command that nothing used is gone.

Conclusion: no behaviour changed.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -17,7 +17,7 @@
     encode_response,
 )
 from rhubarbhall.adapters.log_port import RecordsPage
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.context import Context, Timing
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
@@ -274,10 +274,10 @@
         while now < seconds:
             now += 0.01
             for command in list(node.step_timers(now)):
-                if isinstance(command, events.ReadLog):
+                if isinstance(command, commands.ReadLog):
                     empty = events.RecordsRead(now, 0, (), True, 0.0, True)
                     list(node.step(now, empty))
-                elif isinstance(command, events.SendPeer):
+                elif isinstance(command, commands.SendPeer):
                     message = command.message
                     if isinstance(message, Heartbeat):
                         answer = HeartbeatAnswer(now, node.context.me, True, offset)
--- a/benchmarks/virtual_gate.py
+++ b/benchmarks/virtual_gate.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.slopes import single_node
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.intent import Route
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.requests import Request, Response
@@ -45,7 +45,7 @@
     """
 
     slots: int
-    running: dict[int, tuple[events.SendOrder, float]] = field(default_factory=dict)
+    running: dict[int, tuple[commands.SendOrder, float]] = field(default_factory=dict)
     changed_at: float = 0.0
 
     def speed(self) -> float:
@@ -120,17 +120,17 @@
         for command in list(self.node.step(self.now, event)):
             self._do(command)
 
-    def _do(self, command: events.Command) -> None:
-        if isinstance(command, events.SendOrder):
+    def _do(self, command: commands.Command) -> None:
+        if isinstance(command, commands.SendOrder):
             self.target.advance(self.now)
             number = command.request.id
             self.target.running[number] = (command, self._work_by_id[number])
-        elif isinstance(command, events.CancelOrder):
+        elif isinstance(command, commands.CancelOrder):
             self.target.advance(self.now)
             if self.target.running.pop(command.request_id, None) is not None:
                 gone = Response(499, (("Target-Not-Run", "cancelled"),))
                 self._step(events.OrderAnswered(command.request_id, gone))
-        elif isinstance(command, events.Answer):
+        elif isinstance(command, commands.Answer):
             name, sent_at = self._requests.pop(command.request_id)
             kind = command.response.kind
             answered = kind is None
@@ -173,7 +173,7 @@
         timer = self.node.context.timers.next_due()
         if timer is not None and timer <= self.now:
             for command in list(self.node.step_timers(self.now)):
-                if isinstance(command, events.ReadLog):
+                if isinstance(command, commands.ReadLog):
                     self._step(read)
                 else:
                     self._do(command)
--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -24,7 +24,7 @@
 from rhubarbhall.adapters.signing import SIGNATURE_HEADER, is_signed
 from rhubarbhall.adapters.tail import RecordTail
 from rhubarbhall.adapters.target_port import HttpTarget
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.context import Context
 from rhubarbhall.core.entrance import RawRequest, read_request
 from rhubarbhall.core.errors import ErrorKind
@@ -34,7 +34,8 @@
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.commands import Command
+    from rhubarbhall.core.events import Event
     from rhubarbhall.settings import DaemonSettings
     from rhubarbhall.types import MemberId, RequestId, Seconds
 
@@ -96,20 +97,20 @@
         self.node = Node(self._context(), lambda: _new_member_id(self._vm))
         self._build_ports()
         self._do_by_command: dict[type[Command], Callable] = {
-            events.Answer: self._do_answer,
-            events.Forward: self._do_forward,
-            events.CancelForward: self._do_cancel_forward,
-            events.SendOrder: self._do_send_order,
-            events.CancelOrder: self._do_cancel_order,
-            events.RenewGrant: self._do_renew_grant,
-            events.FenceTarget: self._do_fence_target,
-            events.SendPeer: self._do_send_peer,
-            events.ReadLog: self._do_read_log,
-            events.ReadSnapshot: self._do_read_snapshot,
-            events.Append: self._do_append,
-            events.AskRelease: self._do_ask_release,
-            events.Note: self._do_note,
-            events.Exit: self._do_exit,
+            commands.Answer: self._do_answer,
+            commands.Forward: self._do_forward,
+            commands.CancelForward: self._do_cancel_forward,
+            commands.SendOrder: self._do_send_order,
+            commands.CancelOrder: self._do_cancel_order,
+            commands.RenewGrant: self._do_renew_grant,
+            commands.FenceTarget: self._do_fence_target,
+            commands.SendPeer: self._do_send_peer,
+            commands.ReadLog: self._do_read_log,
+            commands.ReadSnapshot: self._do_read_snapshot,
+            commands.Append: self._do_append,
+            commands.AskRelease: self._do_ask_release,
+            commands.Note: self._do_note,
+            commands.Exit: self._do_exit,
         }
 
     def _context(self) -> Context:
@@ -189,11 +190,11 @@
         self._waiting_events.append(event)
         self._work_off()
 
-    def ask(self, event: events.ReleaseAsked) -> events.ReplyRelease:
+    def ask(self, event: events.ReleaseAsked) -> commands.ReplyRelease:
         """Step the core with a question and return its answer."""
-        reply = events.ReplyRelease(())
+        reply = commands.ReplyRelease(())
         for command in list(self.node.step(self.now(), event)):
-            if isinstance(command, events.ReplyRelease):
+            if isinstance(command, commands.ReplyRelease):
                 reply = command
             else:
                 self._execute((command,))
@@ -210,8 +211,8 @@
         finally:
             self._stepping = False
 
-    def _execute(self, commands: Iterable[Command]) -> None:
-        for command in commands:
+    def _execute(self, made: Iterable[Command]) -> None:
+        for command in made:
             self._do_by_command[type(command)](command)
 
     def _on_timers_due(self) -> None:
@@ -259,38 +260,38 @@
         """Learn that a caller has gone."""
         self.handle(events.CallerGone(request_id))
 
-    def _do_answer(self, command: events.Answer) -> None:
+    def _do_answer(self, command: commands.Answer) -> None:
         self.callers.answer(command.request_id, command.response)
 
-    def _do_forward(self, command: events.Forward) -> None:
+    def _do_forward(self, command: commands.Forward) -> None:
         self._peers.forward(self.node.context.me, command, self.handle)
 
-    def _do_cancel_forward(self, command: events.CancelForward) -> None:
+    def _do_cancel_forward(self, command: commands.CancelForward) -> None:
         self._peers.cancel_forward(command.request_id)
 
     # The target
 
-    def _do_send_order(self, command: events.SendOrder) -> None:
+    def _do_send_order(self, command: commands.SendOrder) -> None:
         me = self.node.context.me
         self._target.send(me, command, self.now(), self.handle)
 
-    def _do_cancel_order(self, command: events.CancelOrder) -> None:
+    def _do_cancel_order(self, command: commands.CancelOrder) -> None:
         me = self.node.context.me
         self._target.cancel(me, command.request_id, self.handle)
 
-    def _do_renew_grant(self, command: events.RenewGrant) -> None:
+    def _do_renew_grant(self, command: commands.RenewGrant) -> None:
         self._target.renew(self.node.context.me, command.grant_until)
 
-    def _do_fence_target(self, command: events.FenceTarget) -> None:
+    def _do_fence_target(self, command: commands.FenceTarget) -> None:
         self._target.fence(self.node.context.me, self.handle)
 
     # The log and other daemons
 
-    def _do_send_peer(self, command: events.SendPeer) -> None:
+    def _do_send_peer(self, command: commands.SendPeer) -> None:
         me = self.node.context.me
         self._datagrams.send_message(command.address, me, command.message)
 
-    def _do_read_log(self, command: events.ReadLog) -> None:
+    def _do_read_log(self, command: commands.ReadLog) -> None:
         if command.peer is None:
             self._log.read(command.offset, self._on_records)
         else:
@@ -301,21 +302,21 @@
             self.tail.add(event.records)
         self.handle(event)
 
-    def _do_read_snapshot(self, command: events.ReadSnapshot) -> None:
+    def _do_read_snapshot(self, command: commands.ReadSnapshot) -> None:
         self._peers.read_snapshot(command.peer, self.handle)
 
-    def _do_append(self, command: events.Append) -> None:
+    def _do_append(self, command: commands.Append) -> None:
         self._log.append(command.envelope, self.handle)
 
-    def _do_ask_release(self, command: events.AskRelease) -> None:
+    def _do_ask_release(self, command: commands.AskRelease) -> None:
         self._peers.ask_release(command, self.handle)
 
     # The process
 
-    def _do_note(self, command: events.Note) -> None:
+    def _do_note(self, command: commands.Note) -> None:
         write_note(self._vm, command)
 
-    def _do_exit(self, command: events.Exit) -> None:
+    def _do_exit(self, command: commands.Exit) -> None:
         self.callers.stop_listening()
         self.node.context.timers.at(self.now() + FINAL_ANSWERS_S, _End())
 
--- a/rhubarbhall/adapters/journal.py
+++ b/rhubarbhall/adapters/journal.py
@@ -9,7 +9,7 @@
 from rhubarbhall.core.notes import SPEC_BY_CODE
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.events import Note
+    from rhubarbhall.core.commands import Note
 
 
 def write_note(vm: str, note: Note) -> None:
--- a/rhubarbhall/adapters/peers_port.py
+++ b/rhubarbhall/adapters/peers_port.py
@@ -11,7 +11,7 @@
 
 from rhubarbhall.adapters.log_port import READ_LIMIT, READ_TIMEOUT_S, page_to_event
 from rhubarbhall.adapters.signing import SIGNATURE_HEADER, sign
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.events import ReleasedSlice, RememberedOutcome
 from rhubarbhall.core.requests import (
@@ -92,7 +92,7 @@
     return events.ReleaseAsked(call.former, slices, call.offset)
 
 
-def release_to_wire(reply: events.ReplyRelease) -> ReleaseReply:
+def release_to_wire(reply: commands.ReplyRelease) -> ReleaseReply:
     """Return the answer to a release call."""
     return ReleaseReply(tuple(_release_to_wire(each) for each in reply.released))
 
@@ -193,7 +193,7 @@
         )
 
     def ask_release(
-        self, command: events.AskRelease, on_event: Callable[[Event], None]
+        self, command: commands.AskRelease, on_event: Callable[[Event], None]
     ) -> None:
         """Ask a former owner to release slices."""
         slices = tuple(
@@ -226,7 +226,7 @@
         )
 
     def forward(
-        self, me: MemberId, command: events.Forward, on_event: Callable[[Event], None]
+        self, me: MemberId, command: commands.Forward, on_event: Callable[[Event], None]
     ) -> None:
         """Pass a request on to the daemon that owns its key."""
         request = command.request
--- a/rhubarbhall/adapters/target_port.py
+++ b/rhubarbhall/adapters/target_port.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import KEY_HEADER, SERVICE_HEADER, Response
 
@@ -63,7 +63,7 @@
     def send(
         self,
         fence: MemberId,
-        order: events.SendOrder,
+        order: commands.SendOrder,
         now: Seconds,
         on_event: Callable[[Event], None],
     ) -> None:
@@ -131,7 +131,7 @@
     def send(
         self,
         fence: MemberId,
-        order: events.SendOrder,
+        order: commands.SendOrder,
         now: Seconds,
         on_event: Callable[[Event], None],
     ) -> None:
@@ -183,7 +183,7 @@
 
 
 def _order_headers(
-    fence: MemberId, order: events.SendOrder
+    fence: MemberId, order: commands.SendOrder
 ) -> tuple[tuple[str, str], ...]:
     request = order.request
     headers = [
--- a/rhubarbhall/core/appends.py
+++ b/rhubarbhall/core/appends.py
@@ -6,12 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.records import seal
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.records import Envelope, Record
     from rhubarbhall.types import RecordId, Seconds
@@ -68,14 +69,14 @@
         self._pending_by_id[event.record_id] = _Pending(
             envelope, event.record, now, now + delay, delay
         )
-        yield events.Append(envelope)
+        yield commands.Append(envelope)
 
     def _on_append_due(self, now: Seconds, event: Event) -> Iterator[Command]:
         for pending in self._pending_by_id.values():
             if now >= pending.repeat_at:
                 pending.delay_s = min(2 * pending.delay_s, MAX_RETRY_S)
                 pending.repeat_at = now + pending.delay_s
-                yield events.Append(pending.envelope)
+                yield commands.Append(pending.envelope)
 
     def _on_record_applied(
         self, now: Seconds, event: events.RecordApplied
--- a/rhubarbhall/core/drain.py
+++ b/rhubarbhall/core/drain.py
@@ -6,13 +6,14 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
-from rhubarbhall.core.events import Note
+from rhubarbhall.core import commands, events
+from rhubarbhall.core.commands import Note
 from rhubarbhall.core.records import Leave, Retire
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.gate import Gate
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
@@ -117,7 +118,7 @@
         elif self.stage is Stage.LEAVING and self._has_left():
             self.stage = Stage.ENDED
             yield Note(302, {"member": self._context.me})
-            yield events.Exit()
+            yield commands.Exit()
 
     def _nothing_left(self) -> bool:
         if self._context.me is None or self._gate.busy:
--- a/rhubarbhall/core/events.py
+++ b/rhubarbhall/core/events.py
@@ -1,19 +1,18 @@
-"""Events that enter the core and commands that leave it."""
+"""Events: what happens to the core, and what its parts tell each other."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Applied
     from rhubarbhall.core.errors import ErrorKind
     from rhubarbhall.core.peer_messages import PeerMessage
-    from rhubarbhall.core.records import Envelope, Record, StoredRecord
+    from rhubarbhall.core.records import Record, StoredRecord
     from rhubarbhall.core.requests import Request, Response
     from rhubarbhall.core.slices import SliceRef
     from rhubarbhall.types import (
-        Address,
         Epoch,
         MemberId,
         Offset,
@@ -29,12 +28,6 @@
     __slots__ = ()
 
 
-class Command:
-    """Something that an adapter shall do."""
-
-    __slots__ = ()
-
-
 # Life of the process
 
 
@@ -60,32 +53,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class Exit(Command):
-    """End the process; nothing is in flight."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rejoin(Command):
-    """Start again as a new run in the same process."""
-
-
-@dataclass(frozen=True, slots=True)
-class Note(Command):
-    """Write one numbered event to the structured log.
-
-    Parameters
-    ----------
-    code : int
-        Number in the catalogue.
-    fields : dict
-        Values named by the catalogue.
-    """
-
-    code: int
-    fields: dict[str, Any] = field(default_factory=dict)
-
-
 # Timers
 
 
@@ -162,22 +129,6 @@
 # The log
 
 
-@dataclass(frozen=True, slots=True)
-class ReadLog(Command):
-    """Read records from the log itself or from a peer.
-
-    Parameters
-    ----------
-    offset : int
-        First record wanted.
-    peer : str, optional
-        Address of the peer that relays; none reads the log.
-    """
-
-    offset: Offset
-    peer: Address | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class ReadWanted(Event):
     """A part waits for news; the log shall be read soon."""
@@ -217,13 +168,6 @@
     from_log: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ReadSnapshot(Command):
-    """Fetch a whole snapshot from a peer."""
-
-    peer: Address
-
-
 @dataclass(frozen=True, slots=True)
 class SnapshotRead(Event):
     """A peer's snapshot of the directory."""
@@ -251,13 +195,6 @@
     record: Record
 
 
-@dataclass(frozen=True, slots=True)
-class Append(Command):
-    """Append an envelope to the log."""
-
-    envelope: Envelope
-
-
 @dataclass(frozen=True, slots=True)
 class AppendAnswered(Event):
     """The log took an append; the verdict comes with reading it back."""
@@ -303,14 +240,6 @@
     message: PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class SendPeer(Command):
-    """Send a datagram to a live member."""
-
-    address: Address
-    message: PeerMessage
-
-
 @dataclass(frozen=True, slots=True)
 class LeaseChanged(Event):
     """The member has gained or lost its lease."""
@@ -343,28 +272,6 @@
     response: Response | None
 
 
-@dataclass(frozen=True, slots=True)
-class AskRelease(Command):
-    """Ask a former owner to release slices.
-
-    Parameters
-    ----------
-    peer : str
-        Address of the former owner.
-    former : str
-        Run that owned them.
-    slices : tuple of (SliceRef, int)
-        Slices with the epochs under which the asker owns them.
-    offset : int
-        How far the asker has read the log.
-    """
-
-    peer: Address
-    former: MemberId
-    slices: tuple[tuple[SliceRef, Epoch], ...]
-    offset: Offset
-
-
 @dataclass(frozen=True, slots=True)
 class ReleaseAsked(Event):
     """A later owner asks for release; answered at once by `ReplyRelease`."""
@@ -399,13 +306,6 @@
     outcomes: tuple[RememberedOutcome, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ReplyRelease(Command):
-    """The slices among those asked for that are released."""
-
-    released: tuple[ReleasedSlice, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ReleaseAnswered(Event):
     """Answer to `AskRelease`."""
@@ -445,14 +345,6 @@
     request_id: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class Answer(Command):
-    """Give a caller the answer to its request."""
-
-    request_id: RequestId
-    response: Response
-
-
 @dataclass(frozen=True, slots=True)
 class Admit(Event):
     """The entrance hands a request to the gate of the own target."""
@@ -468,16 +360,6 @@
     response: Response
 
 
-@dataclass(frozen=True, slots=True)
-class Forward(Command):
-    """Send a request to the daemon that owns its key."""
-
-    request: Request
-    member: MemberId
-    address: Address
-    budget_s: Seconds
-
-
 @dataclass(frozen=True, slots=True)
 class ForwardAnswered(Event):
     """The owner's daemon gave a whole answer."""
@@ -500,34 +382,6 @@
     written: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CancelForward(Command):
-    """Give up a forwarded request and close its connection."""
-
-    request_id: RequestId
-
-
-@dataclass(frozen=True, slots=True)
-class SendOrder(Command):
-    """Send a request to the own target.
-
-    Parameters
-    ----------
-    epoch : int
-        Epoch of the slice; 0 for services without keys.
-    grant_until : float
-        When the grant ends, on the machine's monotonic clock.
-    deadline : float
-        When the caller gives up, on the same clock.
-    """
-
-    request: Request
-    epoch: Epoch
-    grant_until: Seconds
-    deadline: Seconds
-    max_answer: int
-
-
 @dataclass(frozen=True, slots=True)
 class OrderAnswered(Event):
     """The target gave a whole answer."""
@@ -553,25 +407,6 @@
     kind: ErrorKind
 
 
-@dataclass(frozen=True, slots=True)
-class CancelOrder(Command):
-    """Cancel an order at the target."""
-
-    request_id: RequestId
-
-
-@dataclass(frozen=True, slots=True)
-class RenewGrant(Command):
-    """Prolong the target's grant while orders run."""
-
-    grant_until: Seconds
-
-
-@dataclass(frozen=True, slots=True)
-class FenceTarget(Command):
-    """Open a new epoch at the own target and cancel what still runs there."""
-
-
 @dataclass(frozen=True, slots=True)
 class TargetFenced(Event):
     """The target is up and works for this run alone."""
--- a/rhubarbhall/core/failover.py
+++ b/rhubarbhall/core/failover.py
@@ -6,16 +6,17 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.members import Closing
 from rhubarbhall.core.peer_messages import LogHint, Promise, PromiseRequest, Suspicion
 from rhubarbhall.core.records import Failover, Verdict
 from rhubarbhall.core.witness import send_to_member
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
     from rhubarbhall.core.directory import Applied
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.members import Member
     from rhubarbhall.types import MemberId, RecordId, Seconds
@@ -189,7 +190,7 @@
         for owner in sorted(owners - {None, self._context.me}):
             address = self._context.peer_address(owner)
             if address is not None:
-                yield events.SendPeer(address, LogHint(applied.offset))
+                yield commands.SendPeer(address, LogHint(applied.offset))
 
     def _on_directory_loaded(self, now: Seconds, event: Event) -> Iterator[Event]:
         for member_id in self._context.directory.closed_by_id:
--- a/rhubarbhall/core/follower.py
+++ b/rhubarbhall/core/follower.py
@@ -5,14 +5,15 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.peer_messages import HeartbeatAnswer, LogHint
 from rhubarbhall.core.records import SCHEMA, StoredRecord
 from rhubarbhall.core.snapshots import SnapshotScan, restore_directory
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import Address, Seconds
 
@@ -82,9 +83,9 @@
         self._asked_peer = peer
         if self._scan is not None:
             if peer is not None:
-                return events.ReadSnapshot(peer)
-            return events.ReadLog(self._scan.cursor)
-        return events.ReadLog(self._context.directory.next_offset, peer)
+                return commands.ReadSnapshot(peer)
+            return commands.ReadLog(self._scan.cursor)
+        return commands.ReadLog(self._context.directory.next_offset, peer)
 
     def _source(self, now: Seconds) -> Address | None:
         """Return the peer to read from, or none for the log itself.
@@ -182,7 +183,7 @@
         try:
             loaded = restore_directory(self._context.directory, snapshot)
         except ValueError as error:
-            yield events.Note(104, {"reason": str(error)})
+            yield commands.Note(104, {"reason": str(error)})
             return
         if loaded:
             self._scan = None
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.admission import LONG_WORK_S, Admission
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.handover import SliceStatus
@@ -16,8 +16,9 @@
 from rhubarbhall.core.timers import OnDemandTimer
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
@@ -205,7 +206,7 @@
             epoch = self._ownership.epoch(request.slice)
             self._ownership.enter(request.slice)
         self._order_by_id[request.id] = _Order(request, now, deadline)
-        return events.SendOrder(
+        return commands.SendOrder(
             request,
             epoch,
             self._lease.held_until(),
@@ -215,7 +216,7 @@
 
     def _on_heartbeat_due(self, now: Seconds, event: Event) -> Iterator[Command]:
         if self._order_by_id and self._lease.is_held(now):
-            yield events.RenewGrant(self._lease.held_until())
+            yield commands.RenewGrant(self._lease.held_until())
 
     # Outcomes
 
@@ -305,7 +306,7 @@
         if now - order.sent_at >= LONG_WORK_S:
             self._admission(request).note_lasting(request, now - order.sent_at)
         if now >= request.deadline and not order.answered:
-            yield events.CancelOrder(request.id)
+            yield commands.CancelOrder(request.id)
             order.answered = True
             response = refusal(ErrorKind.DEADLINE_PASSED)
             self._note_outcome(request, response)
@@ -347,14 +348,14 @@
                 return
         order = self._order_by_id.get(event.request_id)
         if order is not None and order.request.idempotency_key is None:
-            yield events.CancelOrder(event.request_id)
+            yield commands.CancelOrder(event.request_id)
 
     def _on_abort_slice(
         self, now: Seconds, event: events.AbortSlice
     ) -> Iterator[Command]:
         for order in self._order_by_id.values():
             if order.request.slice == event.slice:
-                yield events.CancelOrder(order.request.id)
+                yield commands.CancelOrder(order.request.id)
 
     def _on_record_applied(
         self, now: Seconds, event: events.RecordApplied
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.idempotency import OutcomeTable, vouched_from
 from rhubarbhall.core.members import Closing
 from rhubarbhall.core.records import Merge, Split
@@ -16,9 +16,10 @@
 from rhubarbhall.core.timers import OnDemandTimer
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
     from rhubarbhall.core.directory import Applied
-    from rhubarbhall.core.events import Command, Event, ReleasedSlice
+    from rhubarbhall.core.events import Event, ReleasedSlice
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import Epoch, MemberId, Seconds
 
@@ -332,7 +333,7 @@
                 continue
             self._asked_by_member[owner] = _Asked(now)
             offset = self._context.directory.next_offset
-            yield events.AskRelease(address, owner, tuple(slices), offset)
+            yield commands.AskRelease(address, owner, tuple(slices), offset)
 
     def _on_release_answered(
         self, now: Seconds, event: events.ReleaseAnswered
@@ -368,7 +369,7 @@
                 if self._has_stopped(ref, epoch):
                     held = self._released_by_slice.get(ref)
                     released.append(self._release(now, ref, epoch, held))
-        yield events.ReplyRelease(tuple(released))
+        yield commands.ReplyRelease(tuple(released))
 
     def _has_stopped(self, ref: SliceRef, epoch: Epoch) -> bool:
         held = self._held_by_slice.get(ref)
--- a/rhubarbhall/core/hotkeys.py
+++ b/rhubarbhall/core/hotkeys.py
@@ -12,8 +12,9 @@
 from rhubarbhall.core.slices import SliceRef, slice_of_key
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.gate import Gate
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
--- a/rhubarbhall/core/kernel.py
+++ b/rhubarbhall/core/kernel.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING, Protocol, TypeAlias
 
-from rhubarbhall.core.events import Command, Event
+from rhubarbhall.core.commands import Command
+from rhubarbhall.core.events import Event
 
 if TYPE_CHECKING:
     from rhubarbhall.core.timers import TimerService
--- a/rhubarbhall/core/lease.py
+++ b/rhubarbhall/core/lease.py
@@ -5,13 +5,14 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.peer_messages import Heartbeat, HeartbeatAnswer
 from rhubarbhall.core.records import Resume
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.members import Member
     from rhubarbhall.types import MemberId, RecordId, Seconds
@@ -117,7 +118,7 @@
             address = self._context.peer_address(witness)
             if address is not None:
                 heartbeat = Heartbeat(now, witness, self._context.load_percent)
-                yield events.SendPeer(address, heartbeat)
+                yield commands.SendPeer(address, heartbeat)
         yield from self._note_change(now)
         yield from self._resume_if_stuck(now)
 
--- a/rhubarbhall/core/membership.py
+++ b/rhubarbhall/core/membership.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
-from rhubarbhall.core import events
-from rhubarbhall.core.events import Note
+from rhubarbhall.core import commands, events
+from rhubarbhall.core.commands import Note
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import MemberId, RecordId, Seconds
 
@@ -76,7 +77,7 @@
         sent_at = self._fence_sent_at
         if sent_at is None or now - sent_at >= FENCE_RETRY_S:
             self._fence_sent_at = now
-            yield events.FenceTarget()
+            yield commands.FenceTarget()
 
     def _on_target_fenced(self, now: Seconds, event: Event) -> Iterator[Command]:
         self._fenced_target = True
--- a/rhubarbhall/core/node.py
+++ b/rhubarbhall/core/node.py
@@ -26,8 +26,9 @@
 from rhubarbhall.core.witness_set import WitnessSet
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.types import MemberId, Seconds
 
 #: Records between two snapshots.
--- a/rhubarbhall/core/rebalance.py
+++ b/rhubarbhall/core/rebalance.py
@@ -10,8 +10,9 @@
 from rhubarbhall.core.records import Move
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
--- a/rhubarbhall/core/reporting.py
+++ b/rhubarbhall/core/reporting.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import events
-from rhubarbhall.core.events import Note
+from rhubarbhall.core.commands import Note
 from rhubarbhall.core.records import IntentRecord
 
 if TYPE_CHECKING:
--- a/rhubarbhall/core/routing.py
+++ b/rhubarbhall/core/routing.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.errors import ANSWER_BY_KIND, ErrorKind
 from rhubarbhall.core.requests import (
     OWNER_HEADER,
@@ -21,8 +21,9 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.balancing import Balancer
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import MemberId, RequestId, Seconds, ServiceName
 
@@ -149,7 +150,7 @@
         self._balancer.note_sent(now, member)
         self.forwarded += 1
         budget = request.deadline - now
-        yield events.Forward(request, member, address, budget)
+        yield commands.Forward(request, member, address, budget)
 
     def _destination(self, now: Seconds, pending: _PendingRequest) -> MemberId | None:
         request = pending.request
@@ -239,7 +240,7 @@
         self.outcomes_by_kind[name] = self.outcomes_by_kind.get(name, 0) + 1
         if not request.hops:
             response = self._with_jitter(response)
-        yield events.Answer(request.id, self._with_owner(pending, response))
+        yield commands.Answer(request.id, self._with_owner(pending, response))
 
     def _with_jitter(self, response: Response) -> Response:
         """Spread the repeats of callers that were refused together."""
@@ -284,7 +285,7 @@
         """Answer a request whose owner has not answered by the deadline."""
         if pending.member is not None:
             self._balancer.note_outcome(now, pending.member, None)
-            yield events.CancelForward(pending.request.id)
+            yield commands.CancelForward(pending.request.id)
             yield from self._answer(pending, refusal(ErrorKind.DEADLINE_PASSED))
         else:
             yield from self._answer(pending, pending.refusal)
@@ -298,7 +299,7 @@
             return
         for pending in list(self._pending_by_id.values()):
             if pending.member in closed and pending.member != self._context.me:
-                yield events.CancelForward(pending.request.id)
+                yield commands.CancelForward(pending.request.id)
                 lost = refusal(ErrorKind.ANSWER_LOST)
                 yield from self._take_outcome(now, pending.request.id, lost)
         self._balancer.forget(closed)
@@ -312,4 +313,4 @@
             return
         self._balancer.note_outcome(now, pending.member, Response(499))
         if pending.member != self._context.me:
-            yield events.CancelForward(event.request_id)
+            yield commands.CancelForward(event.request_id)
--- a/rhubarbhall/core/snapshotter.py
+++ b/rhubarbhall/core/snapshotter.py
@@ -11,8 +11,9 @@
 from rhubarbhall.core.snapshots import split_snapshot
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.types import Offset, RecordId, Seconds
 
--- a/rhubarbhall/core/witness.py
+++ b/rhubarbhall/core/witness.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.peer_messages import (
     Heartbeat,
     HeartbeatAnswer,
@@ -17,9 +17,10 @@
 )
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
     from rhubarbhall.core.directory import Directory
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
     from rhubarbhall.core.members import Member
@@ -152,7 +153,7 @@
             renewed = self._may_renew(now, watch)
         if renewed:
             watch.quiet_since = now
-        yield events.SendPeer(
+        yield commands.SendPeer(
             address,
             HeartbeatAnswer(
                 heartbeat.sent_at,
@@ -264,4 +265,4 @@
         return
     address = context.peer_address(receiver)
     if address is not None:
-        yield events.SendPeer(address, message)
+        yield commands.SendPeer(address, message)
--- a/rhubarbhall/core/witness_set.py
+++ b/rhubarbhall/core/witness_set.py
@@ -12,8 +12,9 @@
 from rhubarbhall.core.records import Witnesses
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.commands import Command
     from rhubarbhall.core.context import Context
-    from rhubarbhall.core.events import Command, Event
+    from rhubarbhall.core.events import Event
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
     from rhubarbhall.core.members import Member
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.records import Envelope, StoredRecord
 from rhubarbhall.core.requests import Response
 from rhubarbhall.core.slices import SliceRef
@@ -76,9 +76,9 @@
         self._stuck: list[Callable[[], None]] = []
         self.grant_until = float("-inf")
         self.fence = 0
-        self._running: dict[int, events.SendOrder] = {}
+        self._running: dict[int, commands.SendOrder] = {}
 
-    def begin(self, order: events.SendOrder) -> None:
+    def begin(self, order: commands.SendOrder) -> None:
         if self.frozen:
             self._stuck.append(lambda: self.begin(order))
             return
@@ -98,7 +98,7 @@
         for action in stuck:
             action()
 
-    def _end(self, order: events.SendOrder, fence: int, started: float) -> None:
+    def _end(self, order: commands.SendOrder, fence: int, started: float) -> None:
         if self.frozen:
             self._stuck.append(lambda: self._end(order, fence, started))
             return
@@ -124,7 +124,7 @@
         )
         self._answer(order, Response(200, (), f"{request.key} done".encode()))
 
-    def _answer(self, order: events.SendOrder, response: Response) -> None:
+    def _answer(self, order: commands.SendOrder, response: Response) -> None:
         answered = events.OrderAnswered(order.request.id, response)
         self.mesh.deliver(self.host, answered, self.answer_delay_s)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.context import Context, Timing
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
@@ -60,7 +60,7 @@
     lost: bool = False
     exited: bool = False
     answers: dict[int, Response] = field(default_factory=dict)
-    notes: list[events.Note] = field(default_factory=list)
+    notes: list[commands.Note] = field(default_factory=list)
 
     @property
     def runs(self) -> bool:
@@ -155,8 +155,8 @@
     def resume(self, host: Host) -> None:
         """Let a paused process go on where it stood."""
         host.paused = False
-        commands, host.frozen_commands = host.frozen_commands, []
-        for command in commands:
+        frozen, host.frozen_commands = host.frozen_commands, []
+        for command in frozen:
             self._do_command(host, command)
         inbox, host.inbox = host.inbox, []
         for event in inbox:
@@ -226,14 +226,14 @@
     def _step(self, host: Host, event: events.Event) -> None:
         self._do(host, host.node.step(host.local(self.now), event))
 
-    def _do(self, host: Host, commands: Iterator[events.Command]) -> None:
-        for command in list(commands):
+    def _do(self, host: Host, made: Iterator[commands.Command]) -> None:
+        for command in list(made):
             if host.paused:
                 host.frozen_commands.append(command)
             else:
                 self._do_command(host, command)
 
-    def _do_command(self, host: Host, command: events.Command) -> None:
+    def _do_command(self, host: Host, command: commands.Command) -> None:
         name = type(command).__name__
         getattr(self, f"_do_{name}")(host, command)
 
@@ -250,20 +250,20 @@
     def log_reachable_from(self, host: Host) -> bool:
         return self.log.up and (host.name, "log") not in self.cuts
 
-    def _do_Note(self, host: Host, note: events.Note) -> None:
+    def _do_Note(self, host: Host, note: commands.Note) -> None:
         host.notes.append(note)
 
-    def _do_Exit(self, host: Host, command: events.Exit) -> None:
+    def _do_Exit(self, host: Host, command: commands.Exit) -> None:
         host.exited = True
 
-    def _do_SendPeer(self, host: Host, command: events.SendPeer) -> None:
+    def _do_SendPeer(self, host: Host, command: commands.SendPeer) -> None:
         other = self._host_at(command.address)
         if self._reaches(host, other):
             received = events.PeerMessageReceived(host.node.context.me, command.message)
             delay = self.link_delay_s * (0.5 + self.rng.random())
             self.deliver(other, received, delay)
 
-    def _do_ReadLog(self, host: Host, command: events.ReadLog) -> None:
+    def _do_ReadLog(self, host: Host, command: commands.ReadLog) -> None:
         sent_at = host.local(self.now)
         if command.peer is not None:
             self._read_from_peer(host, command, sent_at)
@@ -293,7 +293,7 @@
         self.later(self.log.delay_s, answer)
 
     def _read_from_peer(
-        self, host: Host, command: events.ReadLog, sent_at: float
+        self, host: Host, command: commands.ReadLog, sent_at: float
     ) -> None:
         peer = self._host_at(command.peer)
         if not self._reaches(host, peer) or not peer.runs:
@@ -310,7 +310,7 @@
         read = events.RecordsRead(sent_at, first, records, after >= known, age, False)
         self.deliver(host, read, 2 * self.link_delay_s)
 
-    def _do_ReadSnapshot(self, host: Host, command: events.ReadSnapshot) -> None:
+    def _do_ReadSnapshot(self, host: Host, command: commands.ReadSnapshot) -> None:
         peer = self._host_at(command.peer)
         if not self._reaches(host, peer) or not peer.runs:
             self.deliver(host, events.ReadFailed(False), 0.2)
@@ -318,7 +318,7 @@
         data = encode_directory(peer.node.context.directory)
         self.deliver(host, events.SnapshotRead(data), 2 * self.link_delay_s)
 
-    def _do_Append(self, host: Host, command: events.Append) -> None:
+    def _do_Append(self, host: Host, command: commands.Append) -> None:
         if not self.log_reachable_from(host):
             self.deliver(host, events.AppendFailed(command.envelope.id), 0.2)
             return
@@ -333,34 +333,34 @@
 
         self.later(self.log.delay_s, append)
 
-    def _do_AskRelease(self, host: Host, command: events.AskRelease) -> None:
+    def _do_AskRelease(self, host: Host, command: commands.AskRelease) -> None:
         peer = self._host_at(command.peer)
         if not self._reaches(host, peer) or not peer.runs:
             return
         asked = events.ReleaseAsked(command.former, command.slices, command.offset)
-        commands = list(peer.node.step(peer.local(self.now), asked))
-        for made in commands:
-            if isinstance(made, events.ReplyRelease):
+        made_there = list(peer.node.step(peer.local(self.now), asked))
+        for made in made_there:
+            if isinstance(made, commands.ReplyRelease):
                 answered = events.ReleaseAnswered(command.former, made.released)
                 self.deliver(host, answered, 2 * self.link_delay_s)
             else:
                 self._do_command(peer, made)
 
-    def _do_FenceTarget(self, host: Host, command: events.FenceTarget) -> None:
+    def _do_FenceTarget(self, host: Host, command: commands.FenceTarget) -> None:
         host.target.fence += 1
         self.deliver(host, events.TargetFenced(), TICK_S)
 
-    def _do_RenewGrant(self, host: Host, command: events.RenewGrant) -> None:
+    def _do_RenewGrant(self, host: Host, command: commands.RenewGrant) -> None:
         target = host.target
         target.grant_until = max(target.grant_until, command.grant_until)
 
-    def _do_SendOrder(self, host: Host, command: events.SendOrder) -> None:
+    def _do_SendOrder(self, host: Host, command: commands.SendOrder) -> None:
         host.target.begin(command)
 
-    def _do_CancelOrder(self, host: Host, command: events.CancelOrder) -> None:
+    def _do_CancelOrder(self, host: Host, command: commands.CancelOrder) -> None:
         host.target.cancel(command.request_id)
 
-    def _do_Forward(self, host: Host, command: events.Forward) -> None:
+    def _do_Forward(self, host: Host, command: commands.Forward) -> None:
         peer = self._host_at(command.address)
         request = command.request
         if not self._reaches(host, peer):
@@ -377,10 +377,10 @@
         self._waiting[(peer.name, copy.id)] = on_answer
         self.deliver(peer, events.RequestArrived(copy), self.link_delay_s)
 
-    def _do_CancelForward(self, host: Host, command: events.CancelForward) -> None:
+    def _do_CancelForward(self, host: Host, command: commands.CancelForward) -> None:
         pass
 
-    def _do_Answer(self, host: Host, command: events.Answer) -> None:
+    def _do_Answer(self, host: Host, command: commands.Answer) -> None:
         on_answer = self._waiting.pop((host.name, command.request_id), None)
         if on_answer is not None:
             on_answer(command.response)
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from rhubarbhall.core import events
+from rhubarbhall.core import commands, events
 from rhubarbhall.core.records import open_envelope
 from rhubarbhall.core.slices import slice_of_key
 from tests.fakes import INTENT, SERVICE, Mesh
@@ -57,7 +57,7 @@
         self._mesh.run(seconds, self.look)
 
 
-def _fields(note: events.Note) -> str:
+def _fields(note: commands.Note) -> str:
     return " ".join(f"{name}={value}" for name, value in note.fields.items())
 
 
