Apply new limits to targets already at work; forget requests that never ran

Change: a new intent configures slots, queues and connections at work; a request taken out of a queue counts as not run.

--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -102,6 +102,7 @@
             commands.CancelForward: self._do_cancel_forward,
             commands.SendOrder: self._do_send_order,
             commands.CancelOrder: self._do_cancel_order,
+            commands.LimitConnections: self._do_limit_connections,
             commands.RenewGrant: self._do_renew_grant,
             commands.FenceTarget: self._do_fence_target,
             commands.SendPeer: self._do_send_peer,
@@ -142,6 +143,7 @@
         forwards = HttpClient(f"forwards-{tag}", PEER_CONNECTIONS).register(self)
         orders = HttpClient(f"orders-{tag}", settings.target_connections)
         orders.register(self)
+        self._orders = orders
         self._clients = (control, forwards, orders)
         self._log = HttpLog(control, settings.log)
         self._peers = HttpPeers(control, forwards, settings.mesh_key)
@@ -279,6 +281,10 @@
         me = self.node.context.me
         self._target.cancel(me, command.request_id, self.handle)
 
+    def _do_limit_connections(self, command: commands.LimitConnections) -> None:
+        flag = self.settings.target_connections
+        self._orders.max_connections = min(flag, command.count)
+
     def _do_renew_grant(self, command: commands.RenewGrant) -> None:
         self._target.renew(self.node.context.me, command.grant_until)
 
--- a/rhubarbhall/core/admission.py
+++ b/rhubarbhall/core/admission.py
@@ -147,6 +147,12 @@
         """Present limit, at least 1."""
         return max(1, int(self._limit))
 
+    def resize(self, maximum: int) -> None:
+        """Take over another number of slots; what was learned below it stays."""
+        unlimited = self._limit >= self.maximum
+        self.maximum = maximum
+        self._limit = float(maximum) if unlimited else min(self._limit, maximum)
+
     def note_success(self) -> None:
         """Widen the limit by a request for each limit's worth of answers."""
         self._limit = min(float(self.maximum), self._limit + 1 / self._limit)
@@ -215,6 +221,13 @@
         self._short_peak = 0.0
         self._decayed_at: Seconds = 0.0
 
+    def configure(self, service: Service) -> None:
+        """Take over the limits of a new intent."""
+        self._service = service
+        self.limit.resize(service.slots)
+        for lane in self._lanes:
+            lane.queue.capacity = service.queue
+
     def _lane(self, work: Work) -> _Lane:
         if work is Work.SHORT:
             return self._short
--- a/rhubarbhall/core/commands.py
+++ b/rhubarbhall/core/commands.py
@@ -161,6 +161,13 @@
     max_answer: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitConnections(Command):
+    """Open no more connections to the own target than `count`."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class CancelOrder(Command):
     """Cancel an order at the target."""
--- a/rhubarbhall/core/errors.py
+++ b/rhubarbhall/core/errors.py
@@ -125,7 +125,7 @@
         503, _NO, 1, "The request could not have been answered by its deadline."
     ),
     ErrorKind.CALLER_GONE: AnswerSpec(
-        499, _UNKNOWN, None, "The caller closed its connection."
+        499, _NO, None, "The caller closed its connection before the request ran."
     ),
     ErrorKind.SHUTTING_DOWN: AnswerSpec(
         503, _NO, 1, "The daemon is leaving and takes no new work."
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -11,7 +11,7 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.handover import SliceStatus
 from rhubarbhall.core.idempotency import Repeat
-from rhubarbhall.core.records import Merge, Split
+from rhubarbhall.core.records import IntentRecord, Merge, Split
 from rhubarbhall.core.requests import OWN_PREFIX, Response, refusal
 from rhubarbhall.core.timers import OnDemandTimer
 
@@ -84,6 +84,8 @@
             events.GateDue: self._on_due,
             events.HeartbeatDue: self._on_heartbeat_due,
             events.RecordApplied: self._on_record_applied,
+            events.DirectoryLoaded: self._on_directory_changed,
+            events.Joined: self._on_directory_changed,
             events.Fenced: self._on_fenced,
         }
 
@@ -363,9 +365,31 @@
         applied = event.applied
         if applied.void is None and isinstance(applied.record, Split | Merge):
             self._relabel(applied.record.service, applied.record.key)
+        if applied.void is None and isinstance(applied.record, IntentRecord):
+            yield from self._configure()
         if applied.moved:
             yield from self._turn_away_moved()
 
+    def _on_directory_changed(self, now: Seconds, event: Event) -> Iterator[Command]:
+        yield from self._configure()
+
+    def _configure(self) -> Iterator[Command]:
+        """Bring limits into line with the intent in force."""
+        services = self._context.directory.intent.services
+        for name, admission in self._admission_by_service.items():
+            if name in services:
+                admission.configure(services[name])
+        member = self._context.member
+        if member is None:
+            return
+        limits = [
+            service.connections
+            for service in services.values()
+            if service.targets.matches(member.labels)
+        ]
+        if limits:
+            yield commands.LimitConnections(min(limits))
+
     def _relabel(self, service: ServiceName, key: str) -> None:
         """Put requests for a key under the slice that it belongs to now."""
         ref = self._context.directory.slice_of(service, key)
--- a/rhubarbhall/core/policies.py
+++ b/rhubarbhall/core/policies.py
@@ -39,7 +39,12 @@
 
 
 class QueuePolicy(Protocol):
-    """Orders the requests of one class that wait for a slot."""
+    """Orders the requests of one class that wait for a slot.
+
+    `capacity` is the number that may wait; it may change at any time.
+    """
+
+    capacity: int
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
--- a/rhubarbhall/plugins/queueing.py
+++ b/rhubarbhall/plugins/queueing.py
@@ -23,7 +23,7 @@
     """
 
     def __init__(self, capacity: int) -> None:
-        self._capacity = capacity
+        self.capacity = capacity
         self._waiting_by_caller: OrderedDict[str, OrderedDict[int, Request]] = (
             OrderedDict()
         )
@@ -38,10 +38,10 @@
 
     def push(self, request: Request) -> Request | None:
         """Add a request; return the one that has to give way, if any."""
-        if self._capacity == 0:
+        if self.capacity == 0:
             return request
         evicted = None
-        if len(self) >= self._capacity:
+        if len(self) >= self.capacity:
             evicted = self._victim(request)
             if evicted is request:
                 return request
@@ -94,7 +94,7 @@
     """
 
     def __init__(self, capacity: int) -> None:
-        self._capacity = capacity
+        self.capacity = capacity
         self._waiting_by_id: OrderedDict[int, Request] = OrderedDict()
 
     def __len__(self) -> int:
@@ -105,7 +105,7 @@
 
     def push(self, request: Request) -> Request | None:
         """Add a request; return it when there is no room."""
-        if len(self) >= self._capacity:
+        if len(self) >= self.capacity:
             return request
         self._waiting_by_id[request.id] = request
         return None
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -4,6 +4,7 @@
 
 from rhubarbhall.core import events
 from rhubarbhall.core.directory import Directory
+from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.requests import OWNER_HEADER, RETRY_HEADER
 from rhubarbhall.core.retry import MAX_SAVED, MIN_RETRIES_PER_S, RetryBudget
@@ -81,6 +82,42 @@
         self.assertEqual(self.ran("k1"), 0)
         self.assertNotIn(request, owner.answers)
 
+    def test_limits_of_a_new_intent_hold_for_targets_already_at_work(self):
+        owner = self.owner_of("k1")
+        self.mesh.call(owner, "k1")
+        self.mesh.run(0.5)
+        admission = owner.node.gate.admissions[SERVICE]
+        self.assertEqual(admission.limit.maximum, 20)
+        service = {**INTENT["services"][SERVICE], "slots": 1, "short_slots": 0}
+        service |= {"queue": 2, "connections": 7}
+        self.mesh.publish({"services": {SERVICE: service}}, 1, "op/limits")
+        self.mesh.run(1.0)
+        self.assertEqual(admission.limit.value, 1)
+        self.assertEqual(owner.connection_limit, 7)
+        owner.target.work_s = 0.5
+        calls = [
+            self.mesh.call(owner, "k1", caller=f"c{n}", deadline_s=9.0)
+            for n in range(6)
+        ]
+        self.mesh.run(4.0)
+        kinds = [owner.answers[each].kind for each in calls]
+        self.assertEqual(kinds.count(ErrorKind.OVERLOADED), 3)
+        self.assertEqual(kinds.count(None), 3)
+
+    def test_a_credit_whose_caller_went_before_it_ran_may_be_repeated(self):
+        owner = self.owner_of("k1")
+        owner.target.work_s = 0.5
+        for number in range(20):
+            self.mesh.call(owner, "k1", caller=f"c{number}")
+        minted = mint_key(WALL_MS_AT_ZERO + int(self.mesh.now * 1000), self.mesh.rng)
+        request = self.mesh.call(owner, "k1", "POST", minted)
+        self.mesh.run(0.1)
+        self.mesh.deliver(owner, events.CallerGone(request), 0.0)
+        self.mesh.run(2.0)
+        again = self.mesh.call(owner, "k1", "POST", minted)
+        self.mesh.run(1.0)
+        self.assertEqual(owner.answers[again].status, 200)
+
     def test_a_credit_goes_on_when_its_caller_has_gone(self):
         owner = self.owner_of("k1")
         owner.target.work_s = 0.5
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -60,6 +60,7 @@
     lost: bool = False
     exited: bool = False
     answers: dict[int, Response] = field(default_factory=dict)
+    connection_limit: int | None = None
     notes: list[commands.Note] = field(default_factory=list)
 
     @property
@@ -256,6 +257,11 @@
     def _do_Exit(self, host: Host, command: commands.Exit) -> None:
         host.exited = True
 
+    def _do_LimitConnections(
+        self, host: Host, command: commands.LimitConnections
+    ) -> None:
+        host.connection_limit = command.count
+
     def _do_SendPeer(self, host: Host, command: commands.SendPeer) -> None:
         other = self._host_at(command.address)
         if self._reaches(host, other):
