--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -208,6 +208,28 @@
     return [table]
 
 
+def measure_balancing() -> list[Table]:
+    """Return the cost of choosing a target for a request without a key."""
+    table = Table("Balancing, one choice", ("members", "us", "over the first"))
+    first = None
+    for members in (100, TARGET_MEMBERS):
+        service = {"targets": "app=status", "keyed": False, "slices": 1}
+        node = _node(members, service)
+        chosen = node.context.directory.intent.services["s"]
+        nobody: frozenset[str] = frozenset()
+        node.balancer.choose(1.0, chosen, nobody)
+        count = 3_000
+
+        def choose(node=node, chosen=chosen, count=count, nobody=nobody) -> None:
+            for _ in range(count):
+                node.balancer.choose(1.0, chosen, nobody)
+
+        cost = 1e6 * _timed(choose) / count
+        first = first or cost
+        table.add(members, cost, cost / first)
+    return [table]
+
+
 def measure_heartbeat() -> list[Table]:
     table = Table(
         "One heartbeat and its answer, both ends, without the sockets",
@@ -316,6 +338,7 @@
     return [
         *measure_fold(),
         *measure_routing(),
+        *measure_balancing(),
         *measure_heartbeat(),
         *measure_reading(),
     ]
--- a/rhubarbhall/core/balancing.py
+++ b/rhubarbhall/core/balancing.py
@@ -14,6 +14,8 @@
     from rhubarbhall.types import MemberId, Seconds, ServiceName
 
 DEFAULT_POLICY = "two-choices"
+#: Members drawn at random that stand for all of one distance.
+DRAWN = 8
 #: Time over which a new member's share grows to its full size.
 SLOW_START_S = 10.0
 #: Smallest share of a new member.
@@ -41,6 +43,14 @@
     ejections: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Rings:
+    """Members by distance, as of one version of the membership."""
+
+    version: int
+    members: list[list[MemberId]]
+
+
 class Balancer:
     """Chooses members by the requests in flight that this daemon sees itself.
 
@@ -56,7 +66,7 @@
         self._context = context
         self._policy = policies.balancing.create(policy)
         self._stats_by_member: dict[MemberId, _MemberStats] = {}
-        self._members_by_service: dict[ServiceName, tuple[int, list[MemberId]]] = {}
+        self._rings_by_service: dict[ServiceName, _Rings] = {}
 
     def choose(
         self, now: Seconds, service: Service, exclude: frozenset[MemberId]
@@ -64,26 +74,34 @@
         """Return a member for a request, or none when there is no other.
 
         The nearest members go first; those farther away get the request only
-        when all nearer ones are full.
+        when the nearer ones are full. The cost does not depend on the number of
+        members, since a few drawn at random stand for each ring.
         """
-        eligible = [
-            each for each in self._eligible(service.name) if each not in exclude
-        ]
-        allowed = self._without_ejected(now, eligible)
-        for ring in self._by_distance(allowed):
-            roomy = [each for each in ring if not self._is_full(each, service)]
+        spare: list[MemberId] = []
+        for ring in self._rings(service.name):
+            drawn = [each for each in self._draw(ring) if each not in exclude]
+            allowed = self._without_ejected(now, drawn)
+            roomy = [each for each in allowed if not self._is_full(each, service)]
             if roomy:
-                return self._draw(now, roomy)
-        return self._draw(now, allowed) if allowed else None
+                return self._pick(now, roomy)
+            spare += allowed
+        return self._pick(now, spare) if spare else None
 
-    def _eligible(self, name: ServiceName) -> list[MemberId]:
+    def _rings(self, name: ServiceName) -> list[list[MemberId]]:
+        """Return the members that may take work, by their distance from here."""
         directory = self._context.directory
-        known = self._members_by_service.get(name)
-        if known is not None and known[0] == directory.next_offset:
-            return known[1]
+        known = self._rings_by_service.get(name)
+        if known is not None and known.version == directory.membership_version:
+            return known.members
         members = list(directory.pool(name, witnessed=False).ranked(""))
-        self._members_by_service[name] = (directory.next_offset, members)
-        return members
+        rings = _Rings(directory.membership_version, self._by_distance(members))
+        self._rings_by_service[name] = rings
+        return rings.members
+
+    def _draw(self, ring: list[MemberId]) -> list[MemberId]:
+        if len(ring) <= DRAWN:
+            return ring
+        return self._context.rng.sample(ring, DRAWN)
 
     def _without_ejected(self, now: Seconds, members: list[MemberId]) -> list[MemberId]:
         kept = [each for each in members if not self._is_ejected(now, each)]
@@ -98,24 +116,22 @@
         return stats is not None and now < stats.ejected_until
 
     def _by_distance(self, members: list[MemberId]) -> list[list[MemberId]]:
+        """Return three rings: own region, preferred regions, others."""
         directory = self._context.directory
-        join = self._context.join
-        rings: list[list[MemberId]] = [[], [], [], []]
+        rings: list[list[MemberId]] = [[], [], []]
         for each in members:
-            place = directory.member_by_id[each].join
-            if place.domain == join.domain or place.region == join.region:
-                rings[0 if place.domain == join.domain else 1].append(each)
+            region = directory.member_by_id[each].join.region
+            if region == self._context.join.region:
+                rings[0].append(each)
             else:
-                preferred = place.region in directory.intent.regions
-                rings[2 if preferred else 3].append(each)
-        # A domain and the rest of its region are about equally near.
-        return [rings[0] + rings[1], rings[2], rings[3]]
+                rings[1 if region in directory.intent.regions else 2].append(each)
+        return rings
 
     def _is_full(self, member: MemberId, service: Service) -> bool:
         stats = self._stats_by_member.get(member)
         return stats is not None and (stats.in_flight >= SPILL_SHARE * service.slots)
 
-    def _draw(self, now: Seconds, members: list[MemberId]) -> MemberId:
+    def _pick(self, now: Seconds, members: list[MemberId]) -> MemberId:
         load_by_member = {each: self._load(now, each) for each in members}
         return self._policy.choose(members, load_by_member, self._context.rng)
 
--- a/rhubarbhall/core/directory.py
+++ b/rhubarbhall/core/directory.py
@@ -286,6 +286,7 @@
         self.intent = intent
         self.intent_document = record.document
         self.intent_version += 1
+        self.membership_version += 1
         self._ring_by_pool.clear()
         self._fit_tables()
         self._assign_unowned(changes)
@@ -324,6 +325,7 @@
         changes: _Changes,
     ) -> None:
         region_by_number: dict[int, str] = {}
+        self.membership_version += 1
         for member_id in members:
             member = self.member_by_id.pop(member_id, None)
             if member is None:
--- a/rhubarbhall/core/directory_state.py
+++ b/rhubarbhall/core/directory_state.py
@@ -21,6 +21,8 @@
     """Members, owners and intent at one offset of the log, and their indexes."""
 
     def __init__(self) -> None:
+        #: Counts changes of who may take what; never goes back.
+        self.membership_version = 0
         self.reset()
 
     def reset(self) -> None:
@@ -30,6 +32,7 @@
         self.intent = Intent()
         self.intent_document: dict = {}
         self.newest_schema = records.SCHEMA
+        self.membership_version += 1
         self.member_by_id: dict[MemberId, Member] = {}
         self.closed_by_id: OrderedDict[MemberId, ClosedMember] = OrderedDict()
         self.id_by_number: dict[int, MemberId] = {}
@@ -130,6 +133,7 @@
 
     def _seat(self, member: Member) -> None:
         """Bring the pools into line with a change of one member."""
+        self.membership_version += 1
         for (name, region, witnessed), ring in self._ring_by_pool.items():
             ring.remove(member.id)
             if self._belongs(member, name, region, witnessed):
