Even out without looking at every member

Change: rings keep the sum of their weights; only a daemon with a surplus looks for room, at 32 members drawn at random.

--- a/rhubarbhall/core/placement.py
+++ b/rhubarbhall/core/placement.py
@@ -13,9 +13,13 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from rhubarbhall.core.hashing import hash64
 
+if TYPE_CHECKING:
+    import random
+
 CANDIDATES = 8
 _HASH_SPAN = float(1 << 64)
 
@@ -39,6 +43,8 @@
 
     def __init__(self) -> None:
         self._seats: list[Seat] = []
+        #: Sum of the weights of all members.
+        self.total_weight = 0.0
 
     def __len__(self) -> int:
         return len(self._seats)
@@ -50,6 +56,7 @@
     def add_seat(self, seat: Seat) -> None:
         """Add a seat, which other rings may share."""
         insort(self._seats, seat)
+        self.total_weight += seat.weight
 
     def remove(self, member: str) -> None:
         """Take `member` off the ring if it is seated there."""
@@ -57,10 +64,17 @@
         position = bisect_left(self._seats, point, key=lambda seat: seat.point)
         while position < len(self._seats) and self._seats[position].point == point:
             if self._seats[position].member == member:
+                self.total_weight -= self._seats[position].weight
                 del self._seats[position]
                 return
             position += 1
 
+    def sample(self, rng: random.Random, count: int) -> list[Seat]:
+        """Return up to `count` seats, drawn at random."""
+        if len(self._seats) <= count:
+            return list(self._seats)
+        return rng.sample(self._seats, count)
+
     def ranked(self, name: str) -> Iterator[str]:
         """Yield every member once, in an order that depends on `name` alone."""
         for seat in self._from_point(hash64(name)):
--- a/rhubarbhall/core/rebalance.py
+++ b/rhubarbhall/core/rebalance.py
@@ -16,6 +16,7 @@
     from rhubarbhall.core.handover import Ownership
     from rhubarbhall.core.kernel import Handler
     from rhubarbhall.core.lease import LeaseKeeper
+    from rhubarbhall.core.placement import Ring
     from rhubarbhall.core.slices import OwnerTable, SliceRef
     from rhubarbhall.types import MemberId, RecordId, Seconds, ServiceName
 
@@ -27,6 +28,8 @@
 MOVES_PER_ROUND = 8
 #: Share above the mean that is left alone.
 TOLERANCE = 0.15
+#: Members looked at for room in one round.
+SAMPLED = 32
 #: Slices that one record moves at the most.
 MAX_SLICES_PER_RECORD = 256
 
@@ -106,21 +109,24 @@
     def _surplus(
         self, name: ServiceName, table: OwnerTable, refs: list[SliceRef]
     ) -> Iterator[tuple[SliceRef, MemberId]]:
-        """Yield moves to members of one service that own less than their share."""
-        share_by_member = self._shares(name, len(table))
-        me = self._context.me
-        if me not in share_by_member or len(share_by_member) < 2:
+        """Yield moves to members of one service that own less than their share.
+
+        As long as there is no surplus, which is nearly always, the cost does not
+        depend on the number of members.
+        """
+        directory = self._context.directory
+        member = self._context.member
+        ring = directory.pool(name)
+        service = directory.intent.services[name]
+        takes_part = member.witnesses and directory.may_take(service, member)
+        if not takes_part or len(ring) < 2:
             return
-        spare = len(refs) - share_by_member[me]
-        if spare < 1 or spare <= TOLERANCE * share_by_member[me]:
+        slices_by_weight = table.in_use / ring.total_weight
+        share = slices_by_weight * member.join.weight
+        spare = len(refs) - share
+        if spare < 1 or spare <= TOLERANCE * share:
             return
-        numbers = Counter(table.owners)
-        members = self._context.directory.member_by_id
-        room_by_member = {
-            each: share - numbers[members[each].number]
-            for each, share in share_by_member.items()
-            if each != me
-        }
+        room_by_member = self._rooms(ring, table, slices_by_weight)
         self._context.rng.shuffle(refs)
         for ref in refs[: min(int(spare), MOVES_PER_ROUND)]:
             target = self._least_filled(room_by_member)
@@ -129,18 +135,17 @@
             room_by_member[target] -= 1
             yield ref, target
 
-    def _shares(self, name: ServiceName, slice_count: int) -> dict[MemberId, float]:
-        directory = self._context.directory
-        service = directory.intent.services[name]
-        weight_by_member = {
-            member.id: member.join.weight
-            for member in directory.member_by_id.values()
-            if member.witnesses and directory.may_take(service, member)
-        }
-        total = sum(weight_by_member.values())
+    def _rooms(
+        self, ring: Ring, table: OwnerTable, slices_by_weight: float
+    ) -> dict[MemberId, float]:
+        """Return how many slices some members are below their shares."""
+        counts = Counter(table.owners)
+        members = self._context.directory.member_by_id
         return {
-            each: slice_count * weight / total
-            for each, weight in weight_by_member.items()
+            seat.member: slices_by_weight * seat.weight
+            - counts[members[seat.member].number]
+            for seat in ring.sample(self._context.rng, SAMPLED)
+            if seat.member != self._context.me
         }
 
     def _least_filled(self, room_by_member: dict[MemberId, float]) -> MemberId | None:
--- a/rhubarbhall/core/slices.py
+++ b/rhubarbhall/core/slices.py
@@ -60,6 +60,11 @@
     def __len__(self) -> int:
         return len(self.owners)
 
+    @property
+    def in_use(self) -> int:
+        """Number of slices that keys belong to."""
+        return len(self.owners) - len(self.not_in_use)
+
     def index_of(self, key: str) -> int:
         """Return the slice of a key."""
         index = self.index_by_hot_key.get(key)
