--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -16,6 +17,8 @@
 
 #: What the names of this system's own headers begin with, in lower case.
 OWN_PREFIX = "rhubarb-"
+#: Refusals kept ready; the same ones come in crowds.
+REFUSALS_KEPT = 512
 PROBLEM_TYPE = "application/problem+json"
 OWNER_HEADER = "Rhubarb-Owner"
 DEADLINE_HEADER = "Rhubarb-Deadline-Ms"
@@ -111,6 +114,7 @@
         return self.key if self.service.keyed else self.idempotency_key
 
 
+@lru_cache(maxsize=REFUSALS_KEPT)
 def refusal(kind: ErrorKind, detail: str = "", owner: str | None = None) -> Response:
     """Return the answer for an error kind as ``application/problem+json``.
 
