Mend what a last reading of the whole change found

Cause: a class held a set that nothing read; one condition on harmless orders was asked twice; the daemon's flags repeated the defaults of the classes that they fill; the ports for log and target were written down and named by nobody.

Change: the time of a question is kept as such; the condition stands once, with its margin; defaults come from Timing and CallerLimits; the driver names its ports by their protocols.

Conclusion: no behaviour changed.

--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -34,6 +34,8 @@
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
+    from rhubarbhall.adapters.log_port import LogPort
+    from rhubarbhall.adapters.target_port import TargetPort
     from rhubarbhall.core.commands import Command
     from rhubarbhall.core.events import Event
     from rhubarbhall.settings import DaemonSettings
@@ -145,9 +147,9 @@
         orders.register(self)
         self._orders = orders
         self._clients = (control, forwards, orders)
-        self._log = HttpLog(control, settings.log)
+        self._log: LogPort = HttpLog(control, settings.log)
         self._peers = HttpPeers(control, forwards, settings.mesh_key)
-        self._target = HttpTarget(orders, control, settings.target)
+        self._target: TargetPort = HttpTarget(orders, control, settings.target)
         self.callers = CallerServer(
             split_address(settings.calls), f"callers-{tag}", self, settings.limits
         ).register(self)
--- a/rhubarbhall/core/gate.py
+++ b/rhubarbhall/core/gate.py
@@ -313,14 +313,8 @@
             response = refusal(ErrorKind.DEADLINE_PASSED)
             self._note_outcome(request, response)
             yield self._finished(request, response)
-        if order.answered and now >= order.harmless_at:
-            yield from self._drop_if_harmless(now, order)
-
-    def _drop_if_harmless(
-        self, now: Seconds, order: _Order
-    ) -> Iterator[Command | Event]:
         margin = self._context.timing.heartbeat_s
-        if now >= order.harmless_at + margin:
+        if order.answered and now >= order.harmless_at + margin:
             yield from self._close_order(now, order, refusal(ErrorKind.DEADLINE_PASSED))
 
     def _retry_held(self, now: Seconds) -> Iterator[Command | Event]:
--- a/rhubarbhall/core/handover.py
+++ b/rhubarbhall/core/handover.py
@@ -5,7 +5,7 @@
 import enum
 from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import commands, events
@@ -77,12 +77,6 @@
     released_since: Seconds | None = None
 
 
-@dataclass(slots=True)
-class _Asked:
-    at: Seconds
-    slices: set[SliceRef] = field(default_factory=set)
-
-
 class Ownership:
     """Follows the log's word on slices and settles with former owners."""
 
@@ -93,7 +87,7 @@
         self._released_by_slice: dict[SliceRef, _Held] = {}
         self._not_before_by_slice: dict[SliceRef, Seconds] = {}
         self._in_flight_by_slice: Counter[SliceRef] = Counter()
-        self._asked_by_member: dict[MemberId, _Asked] = {}
+        self._asked_at_by_member: dict[MemberId, Seconds] = {}
         self._ask_timer = OnDemandTimer(context.timers, ASK_S, events.HandoverDue())
 
     def handlers(self) -> Mapping[type[Event], Handler]:
@@ -325,20 +319,20 @@
             for owner in take_over.open_owners:
                 wanted[owner].append((ref, take_over.epoch))
         for owner, slices in wanted.items():
-            asked = self._asked_by_member.get(owner)
-            if asked is not None and now - asked.at < ASK_TIMEOUT_S:
+            asked_at = self._asked_at_by_member.get(owner)
+            if asked_at is not None and now - asked_at < ASK_TIMEOUT_S:
                 continue
             address = self._context.peer_address(owner)
             if address is None:
                 continue
-            self._asked_by_member[owner] = _Asked(now)
+            self._asked_at_by_member[owner] = now
             offset = self._context.directory.next_offset
             yield commands.AskRelease(address, owner, tuple(slices), offset)
 
     def _on_release_answered(
         self, now: Seconds, event: events.ReleaseAnswered
     ) -> Iterator[Event]:
-        self._asked_by_member.pop(event.former, None)
+        self._asked_at_by_member.pop(event.former, None)
         for released in event.released:
             take_over = self._take_over_by_slice.get(released.slice)
             if take_over is None or take_over.epoch != released.epoch:
--- a/rhubarbhall/programs/daemon.py
+++ b/rhubarbhall/programs/daemon.py
@@ -23,6 +23,9 @@
 )
 from rhubarbhall.settings import DaemonSettings
 
+# The defaults of the flags are those of the classes that they fill.
+_TIMING = Timing()
+_LIMITS = CallerLimits()
 _BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -62,15 +65,17 @@
     help="Whether the target checks grants.",
 )
 @option("--target-connections", type=click.IntRange(1, 10_000), default=100)
-@option("--max-connections", type=click.IntRange(1, 100_000), default=2_000)
-@option("--max-head", type=click.IntRange(256, 1 << 20), default=16 * 1024)
-@option("--max-body", type=click.IntRange(0, 1 << 30), default=1 << 20)
-@option("--idle-s", type=click.FloatRange(0.1, 3600.0), default=10.0)
-@option("--keep-s", type=click.FloatRange(0.1, 3600.0), default=60.0)
-@option("--lease-s", type=click.FloatRange(0.2, 60.0), default=1.0)
-@option("--heartbeat-s", type=click.FloatRange(0.02, 10.0), default=0.25)
-@option("--read-s", type=click.FloatRange(0.01, 10.0), default=0.25)
-@option("--tenure-s", type=click.FloatRange(2.0, 3600.0), default=30.0)
+@option(
+    "--max-connections", type=click.IntRange(1, 100_000), default=_LIMITS.connections
+)
+@option("--max-head", type=click.IntRange(256, 1 << 20), default=_LIMITS.max_head)
+@option("--max-body", type=click.IntRange(0, 1 << 30), default=_LIMITS.max_body)
+@option("--idle-s", type=click.FloatRange(0.1, 3600.0), default=_LIMITS.idle_s)
+@option("--keep-s", type=click.FloatRange(0.1, 3600.0), default=_LIMITS.keep_s)
+@option("--lease-s", type=click.FloatRange(0.2, 60.0), default=_TIMING.lease_s)
+@option("--heartbeat-s", type=click.FloatRange(0.02, 10.0), default=_TIMING.heartbeat_s)
+@option("--read-s", type=click.FloatRange(0.01, 10.0), default=_TIMING.read_s)
+@option("--tenure-s", type=click.FloatRange(2.0, 3600.0), default=_TIMING.tenure_s)
 def command(
     calls,
     peers,
