--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -105,6 +105,10 @@
         #: Set while the daemon drains; every answer then ends its connection.
         self.draining = False
 
+    def limit(self, limits: CallerLimits) -> None:
+        """Take over other limits; those on sizes hold for new connections."""
+        self._limits = limits
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -258,3 +258,59 @@
         lines.append("Connection: close")
     head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
     return head if without_body else head + response.body
+
+
+class AnswerStream(_Reader):
+    """Parses all responses that come over a connection, asked for or not.
+
+    Parameters
+    ----------
+    max_head, max_body : int
+        Limits in bytes.
+    """
+
+    body_error = ErrorKind.ANSWER_TOO_LARGE
+
+    def __init__(self, max_head: int, max_body: int) -> None:
+        super().__init__(max_head, max_body)
+        self._parser = httptools.HttpResponseParser(self)
+        self.finished: list[Response] = []
+        self.keep_alive = True
+        #: Whether a response without a length is being read; its end is that of the
+        #: connection.
+        self.ends_with_connection = False
+
+    def on_headers_complete(self) -> None:
+        """Note how the end of the body will be told."""
+        names = {name.lower() for name, _ in self._headers}
+        framed = names & {"content-length", "transfer-encoding"}
+        status = self._parser.get_status_code()
+        bodiless = status < HTTPStatus.OK or status in _BODILESS
+        self.ends_with_connection = not framed and not bodiless
+
+    def on_message_complete(self) -> None:
+        """Keep the whole message."""
+        self._take()
+
+    def _take(self) -> None:
+        if not self.in_message:
+            return
+        self.in_message = False
+        self.ends_with_connection = False
+        status = self._parser.get_status_code()
+        self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
+        if status >= HTTPStatus.OK:
+            headers = tuple(
+                pair for pair in self._headers if pair[0].lower() not in _HOP_HEADERS
+            )
+            self.finished.append(Response(status, headers, bytes(self._body)))
+
+    def end(self) -> None:
+        """Learn that the connection was ended properly by the other side."""
+        self.keep_alive = False
+        if self.in_message and self.ends_with_connection:
+            self._take()
+
+
+_BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+_HOP_HEADERS = _CONNECTION_HEADERS - {"keep-alive"}
--- /dev/null
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -0,0 +1,213 @@
+"""What daemons say to each other: short arrays in MessagePack, each after its length.
+
+Requests between regions are many and bytes there are dear, which rules out HTTP with
+JSON here: its headers alone are several times as long as these frames.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from typing import TypeAlias
+
+import msgspec
+
+#: Longest frame; a body and its headers fit.
+MAX_FRAME_BYTES = 72 << 20
+_LENGTH = struct.Struct(">I")
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
+    """Says who has opened the connection.
+
+    Parameters
+    ----------
+    address : str
+        Address that the daemon listens on.
+    service : str
+        Service of its VM, told to targets as the caller's.
+    """
+
+    address: str
+    service: str
+
+
+class Forward(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A request for the receiver's target.
+
+    Parameters
+    ----------
+    ticket : int
+        The sender's number for it.
+    left_ms : int
+        Time until its answer is of no more use.
+    key : int
+        Key of a service that is divided by key, else -1.
+    headers : list of str
+        Names and values in turn.
+    """
+
+    ticket: int
+    service: str
+    route: str
+    key: int
+    left_ms: int
+    target_latency_ms: int
+    idempotent: bool
+    priority: int
+    method: str
+    path: str
+    host: str
+    id: str
+    headers: list[str]
+    body: bytes
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The target's whole answer, and how busy it is."""
+
+    ticket: int
+    status: int
+    headers: list[str]
+    body: bytes
+    running: int
+    waiting: int
+    slots: int
+
+
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """There is no answer.
+
+    Parameters
+    ----------
+    kind : str
+        Error kind.
+    not_run : bool
+        Whether the request has not run and never will.
+    """
+
+    ticket: int
+    kind: str
+    not_run: bool
+    retry_after_ms: int
+    running: int
+    waiting: int
+    slots: int
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Nobody waits for a request any more."""
+
+    ticket: int
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Asks for a sign of life."""
+
+    number: int
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Answers a ping, and says what the sender knows of the store.
+
+    Parameters
+    ----------
+    end : int
+        Offset before which the sender knows every record of the directory.
+    age_ms : int
+        Time since the read that confirmed this was sent.
+    configuration : int
+        Offset of the operators' configuration that the sender follows; -1 without.
+    """
+
+    number: int
+    end: int
+    age_ms: int
+    configuration: int
+
+
+class SyncAsk(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks for records that the sender lacks.
+
+    Parameters
+    ----------
+    offset : int
+        First offset of the directory that is wanted.
+    configuration : int
+        Offset of the configuration that the sender follows; -1 without.
+    """
+
+    offset: int
+    configuration: int
+
+
+class SyncEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One record."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+class SyncTell(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Passes records on.
+
+    Parameters
+    ----------
+    entries : list of SyncEntry
+        Records of the directory.
+    end, age_ms : int
+        As in `Pong`.
+    configuration : SyncEntry, optional
+        The operators' configuration, if the sender follows a newer one.
+    """
+
+    entries: list[SyncEntry]
+    end: int
+    age_ms: int
+    configuration: SyncEntry | None = None
+
+
+class Bye(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Says that the sender ends soon and takes no more requests."""
+
+
+Frame: TypeAlias = (
+    Hello | Forward | Reply | Refused | Cancel | Ping | Pong | SyncAsk | SyncTell | Bye
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the bytes of a frame with its length before it."""
+    data = _ENCODER.encode(frame)
+    return _LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Cuts the bytes of one connection into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that are whole.
+
+        Raises
+        ------
+        ValueError
+            If the bytes are no frames; the connection is of no more use.
+        """
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(self._buffer)
+            if size > MAX_FRAME_BYTES:
+                raise ValueError(f"frame of {size} bytes; allowed: {MAX_FRAME_BYTES}")
+            end = _LENGTH.size + size
+            if len(self._buffer) < end:
+                return
+            frame = _DECODER.decode(bytes(self._buffer[_LENGTH.size : end]))
+            del self._buffer[:end]
+            yield frame
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -66,8 +66,12 @@
         if data:
             self.on_data(sock, data)
         else:
+            self.on_ended(sock)
             self.drop(sock)
 
+    def on_ended(self, sock: socket.socket) -> None:
+        """Learn that the other side has ended its part of a connection properly."""
+
     def send(self, sock: socket.socket, data: bytes) -> None:
         """Write `data`, at once as far as the socket takes it."""
         if sock not in self._clients:
@@ -210,6 +214,8 @@
         self._sock = None
         self._clients = _SocketSet()
         self._connecting: dict[socket.socket, Callable[[], None]] = {}
+        #: Error number of the last connection that could not be made.
+        self.connect_error = 0
 
     def parse_bind_parameter(self, bind_parameter: None) -> None:
         """Return none: nothing is bound."""
@@ -250,19 +256,25 @@
 
     @handler("_write", priority=1, override=True)
     def _on_write(self, sock: socket.socket) -> None:
-        on_open = self._connecting.pop(sock, None)
+        on_open = self._connecting.get(sock)
         if on_open is None:
             super()._on_write(sock)
             return
         if sock not in self._clients:
             return
-        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        self.connect_error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if self.connect_error:
             self.drop(sock)
             return
+        del self._connecting[sock]
         self._poller.removeWriter(sock)
         self._poller.addReader(self, sock)
         on_open()
 
     def _close(self, sock: socket.socket | None) -> None:
-        self._connecting.pop(sock, None)
+        if self._connecting.pop(sock, None) is not None and not self.connect_error:
+            with contextlib.suppress(OSError):
+                error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                self.connect_error = error
         super()._close(sock)
+        self.connect_error = 0
--- a/rhubarbhall/core/errors.py
+++ b/rhubarbhall/core/errors.py
@@ -22,6 +22,9 @@
     REQUEST_TIMEOUT = "request_timeout"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     UNKNOWN_SERVICE = "unknown_service"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_TARGET = "no_target"
     KEY_MISSING = "key_missing"
     BAD_DEADLINE = "bad_deadline"
     BAD_IDEMPOTENCY_KEY = "bad_idempotency_key"
@@ -88,6 +91,15 @@
     ErrorKind.UNKNOWN_SERVICE: AnswerSpec(
         404, _NO, None, "No service of that name is in the intent in force."
     ),
+    ErrorKind.NO_CONFIGURATION: AnswerSpec(
+        503, _NO, 1, "The daemon has not read the operators' configuration yet."
+    ),
+    ErrorKind.NO_ROUTE: AnswerSpec(
+        404, _NO, None, "No route in force is for that host and path."
+    ),
+    ErrorKind.NO_TARGET: AnswerSpec(
+        503, _NO, 1, "No target of the service takes the request at present."
+    ),
     ErrorKind.KEY_MISSING: AnswerSpec(
         400, _NO, None, "The service is divided by key and the request names none."
     ),
--- a/rhubarbhall/core/notes.py
+++ b/rhubarbhall/core/notes.py
@@ -37,6 +37,14 @@
     106: NoteSpec(
         "snapshot_loaded", "The directory was loaded from a snapshot.", ("offset",)
     ),
+    111: NoteSpec("router_started", "The router is up.", ("address", "service")),
+    112: NoteSpec(
+        "record_unreadable",
+        "A record of the store cannot be read; the one before it stays.",
+        ("key", "reason"),
+    ),
+    113: NoteSpec("store_lost", "The store does not answer reads.", ("reason",)),
+    114: NoteSpec("store_regained", "The store answers reads.", ()),
     201: NoteSpec("joined", "The member has read its own join back.", ("member",)),
     202: NoteSpec("target_unreachable", "The target could not be fenced yet.", ()),
     203: NoteSpec(
@@ -56,8 +64,55 @@
     209: NoteSpec(
         "release_overdue", "A moved slice still has orders running.", ("slice",)
     ),
+    211: NoteSpec("record_written", "An own record was written.", ("key", "reason")),
+    212: NoteSpec(
+        "target_state", "The target's run or state changed.", ("run", "state")
+    ),
+    213: NoteSpec(
+        "heartbeat_rejected",
+        "A heartbeat cannot be read or names another target.",
+        ("reason",),
+    ),
+    214: NoteSpec(
+        "target_silent", "No heartbeat came for too long.", ("run", "silence_s")
+    ),
     301: NoteSpec("drain_begun", "The member has begun to leave.", ("member",)),
     302: NoteSpec("drain_ended", "The member has left; nothing was cut.", ("member",)),
+    311: NoteSpec("link_up", "The connection to a daemon stands.", ("peer",)),
+    312: NoteSpec("link_down", "The connection to a daemon has ended.", ("peer",)),
+    313: NoteSpec("stop_begun", "The router was told to stop.", ("in_flight",)),
+    314: NoteSpec("stop_ended", "The router ends.", ("in_flight",)),
     401: NoteSpec("intent_in_force", "A new intent is in force.", ("version",)),
     402: NoteSpec("record_void", "An own record had no effect.", ("kind", "reason")),
+    411: NoteSpec(
+        "configuration_in_force",
+        "A new configuration is in force.",
+        ("version", "routes"),
+    ),
+    412: NoteSpec(
+        "configuration_unreadable",
+        "A configuration cannot be read; the one before it stays.",
+        ("offset", "reason"),
+    ),
+    414: NoteSpec("settings_read", "The settings were read again.", ("changed",)),
+    415: NoteSpec(
+        "settings_wrong",
+        "Changed settings are wrong; those before them stay.",
+        ("reason",),
+    ),
+    511: NoteSpec(
+        "request_sent_again",
+        "A request was brought to another daemon.",
+        ("request", "to", "attempt", "left_s", "directory", "directory_age_s"),
+    ),
+    512: NoteSpec(
+        "request_ended",
+        "A caller got its outcome.",
+        ("request", "route", "service", "outcome", "took_s", "tries", "tried"),
+    ),
+    513: NoteSpec(
+        "order_ended",
+        "Another daemon got the outcome of its request at the own target.",
+        ("request", "run", "outcome", "running", "waiting", "limit"),
+    ),
 }
--- /dev/null
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -0,0 +1,245 @@
+"""Decides how the table of the own service has to change.
+
+Every daemon beside a target of the service may change the table; the store takes a
+change only if nobody else wrote meanwhile. So a duty may be done by anyone: daemons
+take turns by rank to avoid doing it twice, never for safety.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core.ownership import spreading
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.read_lease import takeover_wait_s
+from rhubarbhall.core.ownership.records import TargetState
+
+if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.directory import Directory
+    from rhubarbhall.core.ownership.liveness import Liveness
+    from rhubarbhall.core.ownership.target_holds import TargetHolds
+    from rhubarbhall.types import Address, Seconds
+
+#: Time after a start in which others announce their targets, before keys are divided.
+GATHERING_S = 1.6
+#: Time by which the next in rank waits longer before it does a duty.
+TURN_S = 0.7
+#: Time for which a newcomer is known before it gets keys.
+SETTLING_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A changed table for the store.
+
+    Parameters
+    ----------
+    table : KeyTable
+        The table as it shall be.
+    reason : str
+        Why, for the log.
+    """
+
+    table: KeyTable
+    reason: str
+
+
+class Keeper:
+    """Proposes changes of the table of one service.
+
+    Parameters
+    ----------
+    me : str
+        The own daemon.
+    service, region : str
+        Of the own target.
+    directory : Directory
+        What is known of the others.
+    holds : TargetHolds
+        What the own target holds.
+    liveness : Liveness
+        Who is heard.
+    started_at : float
+        When this daemon began, own clock.
+    """
+
+    def __init__(
+        self,
+        me: Address,
+        service: str,
+        region: str,
+        directory: Directory,
+        holds: TargetHolds,
+        liveness: Liveness,
+        started_at: Seconds,
+    ) -> None:
+        self._me = me
+        self._service = service
+        self._region = region
+        self._directory = directory
+        self._holds = holds
+        self._liveness = liveness
+        self._started_at = started_at
+        self._needed_since: dict[str, Seconds] = {}
+        self._lost_since: dict[tuple[Address, int], Seconds] = {}
+        self._duties: tuple[Callable[[Seconds, KeyTable], KeyTable], ...] = (
+            self._let_go,
+            self._renew_run,
+            self._leave,
+            self._take_over,
+            self._replace_silent,
+            self._replace_left,
+            self._welcome,
+        )
+
+    def propose(self, now: Seconds) -> Proposal | None:
+        """Return the change that is due, or none."""
+        table = self._directory.table_by_service.get(self._service)
+        if table is None:
+            return self._found(now)
+        self._note_lost(now, table)
+        reasons: list[str] = []
+        changed = table
+        for duty in self._duties:
+            before = changed
+            changed = duty(now, changed)
+            if changed is not before and changed != before:
+                reasons.append(duty.__name__.strip("_"))
+        return Proposal(changed, "+".join(reasons)) if reasons else None
+
+    # Who there is
+
+    def _claims(self, now: Seconds) -> Iterator[Claim]:
+        """Yield the targets that may own keys."""
+        for address, member in self._directory.members_of(self._service):
+            if address == self._me:
+                if self._holds.state(now) is TargetState.READY:
+                    yield self._holds.claim()
+            elif member.state is TargetState.READY and not self._is_silent(
+                now, address
+            ):
+                yield Claim(address, member.run)
+
+    def _is_silent(self, now: Seconds, address: Address) -> bool:
+        member = self._directory.member_by_address.get(address)
+        near = member is not None and member.region == self._region
+        return self._liveness.is_silent(now, address, near)
+
+    def _is_my_turn(self, now: Seconds, duty: str, needed: bool) -> bool:
+        """Tell whether a duty has waited long enough for the own rank."""
+        if not needed:
+            self._needed_since.pop(duty, None)
+            return False
+        since = self._needed_since.setdefault(duty, now)
+        ranked = [claim.owner for claim in self._claims(now)]
+        rank = ranked.index(self._me) if self._me in ranked else len(ranked)
+        return now - since >= rank * TURN_S
+
+    # Duties
+
+    def _found(self, now: Seconds) -> Proposal | None:
+        claims = list(self._claims(now))
+        gathered = now - self._started_at > GATHERING_S and self._directory.is_loaded
+        needed = bool(claims) and gathered
+        if not self._is_my_turn(now, "found", needed) or not claims:
+            return None
+        return Proposal(KeyTable.divided(claims), "found")
+
+    def _let_go(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Note what the own target has let go."""
+        ranges = list(self._holds.let_go(now, table))
+        if not ranges:
+            return table
+        heartbeat = self._holds.heartbeat
+        tokens = self._holds.tokens if heartbeat else {}
+        return table.released(self._me, ranges, tokens)
+
+    def _renew_run(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give the keys of the own target's former run to the present one."""
+        run = self._holds.run
+        if not run or self._holds.state(now) is not TargetState.READY:
+            return table
+        stale = any(span.run != run for span in table.owned_by(self._me))
+        return table.renewed(self._me, run) if stale else table
+
+    def _leave(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give the keys of the own target away when it leaves or is gone."""
+        known = self._holds.heartbeat is not None or self._holds.is_overdue(now)
+        if not known or self._holds.state(now) is TargetState.READY:
+            return table
+        changed = self._given_away(now, table, self._me)
+        if changed is table:
+            return table
+        return self._let_go(now, changed)
+
+    def _given_away(self, now: Seconds, table: KeyTable, owner: Address) -> KeyTable:
+        spans = table.owned_by(owner)
+        claims = [claim for claim in self._claims(now) if claim.owner != owner]
+        if not spans or not claims:
+            return table
+        return table.moved(spreading.spread(spans, claims, table.size_by_owner()))
+
+    def _note_lost(self, now: Seconds, table: KeyTable) -> None:
+        lost = {
+            (span.previous, span.fence) for span in table.spans if span.previous_lost
+        }
+        self._lost_since = {each: self._lost_since.get(each, now) for each in lost}
+
+    def _take_over(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Free own spans once the lease of a silent former owner has run out."""
+        wait_s = takeover_wait_s()
+        for span in table.owned_by(self._me):
+            since = self._lost_since.get((span.previous, span.fence))
+            if span.previous_lost and since is not None and now - since >= wait_s:
+                table = table.released(span.previous, [(span.first, span.last)], {})
+        return table
+
+    def _replace_silent(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Note daemons that are silent and give their keys to others."""
+        involved = {span.owner for span in table.spans}
+        involved |= {
+            span.previous
+            for span in table.spans
+            if span.previous and not span.previous_lost
+        }
+        others = list(self._directory.member_by_address)
+        silent = [
+            address
+            for address in sorted(involved - {self._me})
+            if self._is_silent(now, address)
+            and self._liveness.may_judge(now, address, others)
+        ]
+        if not self._is_my_turn(now, "replace_silent", bool(silent)):
+            return table
+        for address in silent:
+            table = self._given_away(now, table.lost(address), address)
+        return table
+
+    def _replace_left(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give keys of targets away that have left, if their daemons do not."""
+        members = self._directory.member_by_address
+        left = [
+            owner
+            for owner in table.size_by_owner()
+            if owner != self._me
+            and owner in members
+            and members[owner].state is not TargetState.READY
+        ]
+        if not self._is_my_turn(now - TURN_S, "replace_left", bool(left)):
+            return table
+        for owner in left:
+            table = self._given_away(now, table, owner)
+        return table
+
+    def _welcome(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give an even share to targets that own nothing yet."""
+        owners = table.size_by_owner()
+        claims = list(self._claims(now))
+        newcomers = [claim for claim in claims if claim.owner not in owners]
+        turn = self._is_my_turn(now - SETTLING_S, "welcome", bool(newcomers))
+        if not turn:
+            return table
+        given = spreading.share_for_newcomers(table, newcomers, len(claims))
+        return table.moved(given)
--- /dev/null
+++ b/rhubarbhall/core/ownership/key_table.py
@@ -0,0 +1,268 @@
+"""The table of key ranges of one service: who holds each range, and who did before.
+
+A table is immutable. Every change returns a new one, and a new owner of a range always
+gets a fence above all that the table has given out.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Address
+
+#: Number of keys of a service; keys are 0 to this less one.
+KEY_COUNT = 65536
+
+#: First and last key of a range, both inside.
+Range: TypeAlias = "tuple[int, int]"
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A range of keys with one owner.
+
+    Parameters
+    ----------
+    first, last : int
+        The range; both keys are inside.
+    owner : str
+        Daemon whose target holds the range or is to hold it.
+    run : str
+        Run of the owner's target that the fence was given to.
+    fence : int
+        Fencing token of the grant.
+    previous : str
+        Daemon whose target may still hold the range; empty once it has let go. While it
+        is set, the owner must not be granted the range.
+    previous_lost : bool
+        Whether `previous` was found silent, so that its lease decides.
+    token : str
+        Handover token that the previous target gave when it let go.
+    """
+
+    first: int
+    last: int
+    owner: Address
+    run: str
+    fence: int
+    previous: Address = ""
+    previous_lost: bool = False
+    token: str = ""
+
+    @property
+    def size(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the owner may be granted the range."""
+        return not self.previous
+
+    def overlaps(self, first: int, last: int) -> bool:
+        """Tell whether any key of a range is in the span."""
+        return self.first <= last and first <= self.last
+
+    def cut(self, first: int, last: int) -> Span:
+        """Return the part of the span that lies in a range."""
+        return replace(self, first=max(first, self.first), last=min(last, self.last))
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A target that may own keys.
+
+    Parameters
+    ----------
+    owner : str
+        Its daemon.
+    run : str
+        The present run of the target.
+    """
+
+    owner: Address
+    run: str
+
+
+def _same_but_range(left: Span, right: Span) -> bool:
+    return replace(left, first=right.first, last=right.last) == right
+
+
+def _merged(spans: Iterable[Span]) -> tuple[Span, ...]:
+    """Return the spans with equal neighbours put together."""
+    merged: list[Span] = []
+    for span in spans:
+        if merged and _same_but_range(merged[-1], span):
+            merged[-1] = replace(merged[-1], last=span.last)
+        else:
+            merged.append(span)
+    return tuple(merged)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTable:
+    """All ranges of one service in order, without gaps.
+
+    Parameters
+    ----------
+    spans : tuple of Span
+        The ranges.
+    next_fence : int
+        The fence of the next new owner.
+    """
+
+    spans: tuple[Span, ...]
+    next_fence: int
+
+    @classmethod
+    def divided(cls, claims: list[Claim]) -> KeyTable:
+        """Return a first table that divides the keys evenly.
+
+        Raises
+        ------
+        ValueError
+            If there is nobody to divide them among.
+        """
+        if not claims:
+            raise ValueError("a table needs at least one target; none was given")
+        bounds = [KEY_COUNT * index // len(claims) for index in range(len(claims) + 1)]
+        spans = tuple(
+            Span(low, high - 1, claim.owner, claim.run, fence)
+            for fence, (low, high, claim) in enumerate(
+                zip(bounds, bounds[1:], claims, strict=False), start=1
+            )
+        )
+        return cls(spans, len(claims) + 1)
+
+    def find(self, key: int) -> Span:
+        """Return the span that a key is in."""
+        index = bisect_right(self.spans, key, key=lambda span: span.first)
+        return self.spans[index - 1]
+
+    def owned_by(self, owner: Address) -> list[Span]:
+        """Return the spans that a daemon's target holds or is to hold."""
+        return [span for span in self.spans if span.owner == owner]
+
+    def leaving(self, previous: Address) -> list[Span]:
+        """Return the spans that a daemon's target still has to let go."""
+        return [span for span in self.spans if span.previous == previous]
+
+    def size_by_owner(self) -> dict[Address, int]:
+        """Return the number of keys of each owner."""
+        sizes: dict[Address, int] = {}
+        for span in self.spans:
+            sizes[span.owner] = sizes.get(span.owner, 0) + span.size
+        return sizes
+
+    def _mapped(self, change: Callable[[Span], Span]) -> KeyTable:
+        return replace(self, spans=_merged(change(span) for span in self.spans))
+
+    def moved(self, ranges: Iterable[tuple[Range, Claim]]) -> KeyTable:
+        """Return the table with ranges given to other owners.
+
+        A former owner stays in `previous` until it has let go. A range that is still
+        on its way keeps its former owner: the one in between never held it.
+        """
+        table = self
+        for (first, last), claim in ranges:
+            table = table._moved_one(first, last, claim)
+        return table
+
+    def _moved_one(self, first: int, last: int, claim: Claim) -> KeyTable:
+        spans: list[Span] = []
+        for span in self.spans:
+            if not span.overlaps(first, last) or span.owner == claim.owner:
+                spans.append(span)
+                continue
+            if span.first < first:
+                spans.append(span.cut(span.first, first - 1))
+            spans.append(
+                replace(
+                    span.cut(first, last),
+                    owner=claim.owner,
+                    run=claim.run,
+                    fence=self.next_fence,
+                    previous=span.previous or span.owner,
+                    token="",
+                )
+            )
+            if last < span.last:
+                spans.append(span.cut(last + 1, span.last))
+        return KeyTable(_merged(spans), self.next_fence + 1)
+
+    def released(
+        self, previous: Address, ranges: Iterable[Range], tokens: Mapping[Range, str]
+    ) -> KeyTable:
+        """Return the table after a target has let go of ranges.
+
+        Parameters
+        ----------
+        previous : str
+            Daemon of the target.
+        ranges : iterable of (int, int)
+            What it let go; each lies within one span.
+        tokens : mapping of (int, int) to str
+            Handover tokens of ranges that were handed over.
+        """
+        table = self
+        for first, last in ranges:
+            table = table._released_one(previous, first, last, tokens)
+        return table
+
+    def _released_one(
+        self, previous: Address, first: int, last: int, tokens: Mapping[Range, str]
+    ) -> KeyTable:
+        spans: list[Span] = []
+        for span in self.spans:
+            if span.previous != previous or not span.overlaps(first, last):
+                spans.append(span)
+                continue
+            if span.first < first:
+                spans.append(span.cut(span.first, first - 1))
+            part = span.cut(first, last)
+            token = _token_for(part, tokens)
+            spans.append(replace(part, previous="", previous_lost=False, token=token))
+            if last < span.last:
+                spans.append(span.cut(last + 1, span.last))
+        return replace(self, spans=_merged(spans))
+
+    def lost(self, owner: Address) -> KeyTable:
+        """Return the table with a silent daemon noted wherever it may hold keys."""
+
+        def change(span: Span) -> Span:
+            if span.previous == owner:
+                return replace(span, previous_lost=True)
+            if span.owner == owner and not span.previous:
+                return replace(span, previous=owner, previous_lost=True, token="")
+            return span
+
+        return self._mapped(change)
+
+    def renewed(self, owner: Address, run: str) -> KeyTable:
+        """Return the table after a target was started again and holds nothing.
+
+        Spans that it is to hold get a new fence for the new run, those that it had to
+        let go are free.
+        """
+        fence = self.next_fence
+
+        def change(span: Span) -> Span:
+            if span.previous == owner:
+                span = replace(span, previous="", previous_lost=False, token="")
+            if span.owner == owner and span.run != run:
+                span = replace(span, run=run, fence=fence, token="")
+            return span
+
+        return replace(self._mapped(change), next_fence=fence + 1)
+
+
+def _token_for(span: Span, tokens: Mapping[Range, str]) -> str:
+    """Return the token of the handed-over range that the span lies in."""
+    for (first, last), token in tokens.items():
+        if first <= span.first and span.last <= last:
+            return token
+    return ""
--- a/rhubarbhall/core/timers.py
+++ b/rhubarbhall/core/timers.py
@@ -4,15 +4,31 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rhubarbhall.core.events import Event
+
 if TYPE_CHECKING:
-    from rhubarbhall.core.events import Event
     from rhubarbhall.types import Seconds
 
 
+class Alarm(Event):
+    """A timer's event that carries what is to be done.
+
+    Parameters
+    ----------
+    ring : callable
+        Called with the time when the timer is due.
+    """
+
+    __slots__ = ("ring",)
+
+    def __init__(self, ring: Callable[[Seconds], None]) -> None:
+        self.ring = ring
+
+
 @dataclass(order=True, slots=True)
 class Subscription:
     """A timer that a part asked for; `cancel` ends it."""
@@ -67,9 +83,18 @@
     """
 
     def __init__(self) -> None:
+        self._now: Seconds = 0.0
         self._heap: list[Subscription] = []
         self._order = itertools.count()
 
+    def now(self) -> Seconds:
+        """Return the time that the service was told last."""
+        return self._now
+
+    def tell(self, now: Seconds) -> None:
+        """Tell the service the time."""
+        self._now = max(self._now, now)
+
     def at(self, due: Seconds, event: Event) -> Subscription:
         """Fire `event` once at the time `due`."""
         subscription = Subscription(due, next(self._order), event)
@@ -96,6 +121,7 @@
         A repeated timer that fell behind fires once, not once for each
         interval that was missed.
         """
+        self.tell(now)
         while (due := self.next_due()) is not None and due <= now:
             subscription = heapq.heappop(self._heap)
             if subscription.interval is not None:
--- /dev/null
+++ b/rhubarbhall/core/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Requests on their way from a caller to a target and back."""
--- /dev/null
+++ b/rhubarbhall/core/traffic/gate.py
@@ -0,0 +1,333 @@
+"""The gate of the own target: nobody else gives it work.
+
+It keeps the requests that wait, in the order of their rank and deadline, and sends as
+many as the target has slots for. So it knows of each request whether it was sent.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from rhubarbhall.core.admission import ConcurrencyLimit
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.requests import Load, NotRun, Outcome, Request, Unknown
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Seconds
+
+#: Requests that may wait for each slot.
+QUEUE_PER_SLOT = 4
+#: Weight of a new sample in the mean duration of a route.
+SMOOTHING = 0.1
+#: A route counts as long work when it takes this many times as long as the shortest.
+LONG_FACTOR = 3.0
+#: Share of the slots that long work may take.
+LONG_SHARE = 0.65
+#: Longest wait for keys that the target is about to get: the time between heartbeats.
+PARK_S = 1.0
+#: After a refused connection, time until the target is tried again.
+DOWN_S = 0.4
+#: Least time that is worth sending a request for.
+MIN_WORK_S = 0.005
+
+
+class Target(Protocol):
+    """The port to the own target."""
+
+    def send(self, ticket: int, request: Request, now: Seconds) -> None:
+        """Send a request; its outcome comes as `Gate.finish`."""
+
+    def cancel(self, ticket: int) -> None:
+        """Break a request off; no outcome follows."""
+
+
+class KeyHolder(Protocol):
+    """Tells which keys the target holds."""
+
+    def may_work_on(self, now: Seconds, key: int) -> bool:
+        """Tell whether the target holds a key."""
+
+    def awaits(self, key: int) -> bool:
+        """Tell whether the target is about to hold a key."""
+
+
+@dataclass(slots=True)
+class _Entry:
+    ticket: int
+    request: Request
+    arrived_at: Seconds
+    on_outcome: Callable[[Outcome], None]
+    sent_at: Seconds | None = None
+    is_long: bool = False
+
+
+class _Durations:
+    """Mean durations by route, in seconds."""
+
+    def __init__(self) -> None:
+        self._mean_by_route: dict[str, Seconds] = {}
+
+    def note(self, route: str, took_s: Seconds) -> None:
+        mean = self._mean_by_route.get(route)
+        if mean is None:
+            self._mean_by_route[route] = took_s
+        else:
+            self._mean_by_route[route] = mean + SMOOTHING * (took_s - mean)
+
+    def mean_s(self, route: str) -> Seconds:
+        """Return the mean of a route; that of all while it is not known."""
+        mean = self._mean_by_route.get(route)
+        if mean is not None:
+            return mean
+        means = self._mean_by_route.values()
+        return sum(means) / len(means) if means else 0.05
+
+    def is_long(self, route: str) -> bool:
+        """Tell whether a route is long work beside the others."""
+        if len(self._mean_by_route) < 2 or route not in self._mean_by_route:
+            return False
+        shortest = min(self._mean_by_route.values())
+        return self._mean_by_route[route] >= LONG_FACTOR * shortest
+
+
+class Gate:
+    """Admits requests to the own target.
+
+    Parameters
+    ----------
+    target : Target
+        Where requests are sent.
+    holder : KeyHolder
+        Which keys the target holds.
+    """
+
+    def __init__(self, target: Target, holder: KeyHolder) -> None:
+        self._target = target
+        self._holder = holder
+        self._tickets = itertools.count(1)
+        self._waiting: list[tuple[int, Seconds, int]] = []
+        self._entry_by_ticket: dict[int, _Entry] = {}
+        self._parked: dict[int, _Entry] = {}
+        self._queued = 0
+        self._running = 0
+        self._long_running = 0
+        self.limit = ConcurrencyLimit(1)
+        self.durations = _Durations()
+        #: Why no request is admitted at present, if that is so.
+        self.closed: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
+        self._down_until: Seconds = float("-inf")
+
+    @property
+    def load(self) -> Load:
+        """How busy the target is."""
+        return Load(self._running, self._queued, self.limit.value)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is here."""
+        return not self._entry_by_ticket
+
+    def open(self, slots: int) -> None:
+        """Admit requests for a target with a number of slots."""
+        self.closed = None
+        self._down_until = float("-inf")
+        if slots != self.limit.maximum:
+            self.limit.resize(slots)
+
+    def close(self, kind: ErrorKind) -> None:
+        """Admit no more requests and turn away those that wait."""
+        self.closed = kind
+        self._turn_away(kind)
+
+    def _turn_away(self, kind: ErrorKind) -> None:
+        for entry in list(self._entry_by_ticket.values()):
+            if entry.sent_at is None:
+                self._drop(entry, NotRun(kind))
+
+    def submit(
+        self, now: Seconds, request: Request, on_outcome: Callable[[Outcome], None]
+    ) -> int:
+        """Take a request; `on_outcome` is called once, maybe before this returns.
+
+        Returns
+        -------
+        int
+            Ticket for `cancel`.
+        """
+        entry = _Entry(next(self._tickets), request, now, on_outcome)
+        refusal = self._refusal(now, request)
+        if refusal is not None:
+            on_outcome(refusal)
+            return entry.ticket
+        self._entry_by_ticket[entry.ticket] = entry
+        if request.key is None or self._holder.may_work_on(now, request.key):
+            self._enqueue(entry)
+            self.pump(now)
+        else:
+            self._parked[entry.ticket] = entry
+        return entry.ticket
+
+    def _refusal(self, now: Seconds, request: Request) -> NotRun | None:
+        if self.closed is not None:
+            return NotRun(self.closed)
+        if now < self._down_until:
+            return NotRun(ErrorKind.TARGET_UNREACHABLE, self._down_until - now)
+        key = request.key
+        if key is not None and not self._holder.may_work_on(now, key):
+            if not self._holder.awaits(key) or len(self._parked) >= self._room():
+                return NotRun(ErrorKind.NOT_OWNER)
+            return None
+        wait_s = self.expected_wait_s(request)
+        needed_s = wait_s + 0.5 * self.durations.mean_s(request.route)
+        if self._queued >= self._room() or now + needed_s > request.deadline:
+            return NotRun(ErrorKind.OVERLOADED, max(wait_s, 0.02))
+        return None
+
+    def _room(self) -> int:
+        return QUEUE_PER_SLOT * self.limit.value
+
+    def expected_wait_s(self, request: Request) -> Seconds:
+        """Return how long a request would wait for a slot."""
+        if self._running < self.limit.value:
+            return 0.0
+        rank = (request.priority, request.deadline)
+        ahead = [
+            self._entry_by_ticket[ticket].request.route
+            for priority, deadline, ticket in self._waiting
+            if ticket in self._entry_by_ticket and (priority, deadline) <= rank
+        ]
+        work_s = sum(self.durations.mean_s(route) for route in ahead)
+        own_s = self.durations.mean_s(request.route)
+        return (work_s + 0.5 * own_s) / self.limit.value
+
+    def _enqueue(self, entry: _Entry) -> None:
+        request = entry.request
+        rank = (request.priority, request.deadline, entry.ticket)
+        heapq.heappush(self._waiting, rank)
+        self._queued += 1
+
+    def pump(self, now: Seconds) -> None:
+        """Send waiting requests as long as there are slots."""
+        held_back: list[tuple[int, Seconds, int]] = []
+        while self._waiting and self._running < self.limit.value:
+            rank = heapq.heappop(self._waiting)
+            entry = self._entry_by_ticket.get(rank[2])
+            if entry is None:
+                continue
+            if self._is_kept_back(entry):
+                held_back.append(rank)
+                continue
+            self._queued -= 1
+            self._send(now, entry)
+        for rank in held_back:
+            heapq.heappush(self._waiting, rank)
+
+    def _is_kept_back(self, entry: _Entry) -> bool:
+        """Tell whether long work would take the slots kept for short work."""
+        entry.is_long = self.durations.is_long(entry.request.route)
+        allowed = max(1, int(LONG_SHARE * self.limit.value))
+        return entry.is_long and self._long_running >= allowed
+
+    def _send(self, now: Seconds, entry: _Entry) -> None:
+        request = entry.request
+        if request.deadline - now < MIN_WORK_S:
+            self._drop_unsent(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            return
+        if request.key is not None and not self._holder.may_work_on(now, request.key):
+            self._drop_unsent(entry, NotRun(ErrorKind.NOT_OWNER))
+            return
+        entry.sent_at = now
+        self._running += 1
+        self._long_running += entry.is_long
+        self._target.send(entry.ticket, request, now)
+
+    def _drop_unsent(self, entry: _Entry, outcome: NotRun) -> None:
+        """Answer for an entry that is in no queue any more."""
+        del self._entry_by_ticket[entry.ticket]
+        entry.on_outcome(outcome)
+
+    def _drop(self, entry: _Entry, outcome: NotRun) -> None:
+        """Take a waiting entry out and answer for it."""
+        self._remove(entry)
+        entry.on_outcome(outcome)
+
+    def _remove(self, entry: _Entry) -> None:
+        del self._entry_by_ticket[entry.ticket]
+        if self._parked.pop(entry.ticket, None) is None:
+            self._queued -= 1
+
+    def cancel(self, now: Seconds, ticket: int) -> bool:
+        """Give up a request whose caller is gone.
+
+        Work that may not be repeated goes on: its effect counts, whoever waits.
+
+        Returns
+        -------
+        bool
+            Whether the request certainly has not run and will not.
+        """
+        entry = self._entry_by_ticket.get(ticket)
+        if entry is None:
+            return False
+        if entry.sent_at is None:
+            self._remove(entry)
+            return True
+        if entry.request.idempotent:
+            self._target.cancel(ticket)
+            self._free(entry)
+            self.pump(now)
+        return False
+
+    def _free(self, entry: _Entry) -> None:
+        del self._entry_by_ticket[entry.ticket]
+        self._running -= 1
+        self._long_running -= entry.is_long
+
+    def finish(self, now: Seconds, ticket: int, outcome: Outcome) -> None:
+        """Take the outcome of a request that was sent."""
+        entry = self._entry_by_ticket.get(ticket)
+        if entry is None or entry.sent_at is None:
+            return
+        self._free(entry)
+        self._learn(now, entry, outcome)
+        entry.on_outcome(outcome)
+        self.pump(now)
+
+    def _learn(self, now: Seconds, entry: _Entry, outcome: Outcome) -> None:
+        if isinstance(outcome, NotRun):
+            if outcome.kind is ErrorKind.TARGET_REFUSED:
+                self.limit.note_overload(now)
+        elif not isinstance(outcome, Unknown):
+            self.durations.note(entry.request.route, now - entry.sent_at)
+            self.limit.note_success()
+
+    def note_unreachable(self, now: Seconds) -> None:
+        """Note that the target takes no connection; turn away what waits."""
+        self._down_until = now + DOWN_S
+        self._turn_away(ErrorKind.TARGET_UNREACHABLE)
+
+    def keys_changed(self, now: Seconds) -> None:
+        """Look again at the requests that wait for keys."""
+        for entry in list(self._parked.values()):
+            key = entry.request.key
+            if self._holder.may_work_on(now, key):
+                del self._parked[entry.ticket]
+                self._enqueue(entry)
+            elif not self._holder.awaits(key):
+                self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
+        self.pump(now)
+
+    def expire(self, now: Seconds) -> None:
+        """Turn away what has waited for too long."""
+        for entry in list(self._entry_by_ticket.values()):
+            if entry.sent_at is not None:
+                continue
+            parked = entry.ticket in self._parked
+            if parked and now - entry.arrived_at > PARK_S:
+                self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
+            elif now + MIN_WORK_S > entry.request.deadline:
+                self._drop(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
--- /dev/null
+++ b/rhubarbhall/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The users' platform: its store, callers, targets, operators and settings.
+
+This folder translates and decides nothing. Names of the platform stand nowhere else.
+"""
--- /dev/null
+++ b/rhubarbhall/platform/operator.py
@@ -0,0 +1,128 @@
+"""The operators' configuration, as it lies in the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from rhubarbhall.core.traffic.routes import (
+    CallerRules,
+    HostRoute,
+    RoutePart,
+    RoutingTable,
+    ServiceRules,
+)
+from rhubarbhall.platform.names import parse_time
+
+_IDEMPOTENT = "idempotent"
+_DEFAULT_CALLERS = CallerRules()
+
+
+class _Name(msgspec.Struct, frozen=True):
+    name: str = ""
+
+
+class _Resource(msgspec.Struct, frozen=True):
+    """One entry; what `spec` holds depends on the type."""
+
+    resource_type: str
+    metadata: _Name = _Name()
+    spec: dict[str, Any] = {}
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    resources: list[_Resource]
+
+
+class _Part(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+class _RouteSpec(msgspec.Struct, frozen=True):
+    hostname: str
+    path_prefix: str
+    #: Whether requests may be repeated.
+    type: str
+    service: str = ""
+    traffic_split: list[_Part] = []
+    timeout: str | None = None
+    #: Within this an answer is worth most.
+    target_latency: str = "1s"
+    max_attempts: int = 1
+    priority: int = 0
+
+
+class _ServiceSpec(msgspec.Struct, frozen=True):
+    max_connections: int = 100
+    sharded: bool = False
+
+
+class _LimitsSpec(msgspec.Struct, frozen=True):
+    max_header_bytes: int = _DEFAULT_CALLERS.max_head
+    max_body_bytes: int = _DEFAULT_CALLERS.max_body
+    header_timeout: str = "3s"
+    idle_timeout: str = "15s"
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def _route(resource: _Resource) -> HostRoute:
+    spec = msgspec.convert(resource.spec, _RouteSpec)
+    parts = tuple(RoutePart(part.service, part.weight) for part in spec.traffic_split)
+    if not parts:
+        parts = (RoutePart(spec.service, 1),)
+    if not all(part.service for part in parts):
+        raise ValueError(f"route {resource.metadata.name!r} names no service")
+    return HostRoute(
+        name=resource.metadata.name,
+        host=spec.hostname.lower(),
+        prefix=spec.path_prefix,
+        parts=parts,
+        idempotent=spec.type == _IDEMPOTENT,
+        priority=spec.priority,
+        timeout_s=None if spec.timeout is None else parse_time(spec.timeout),
+        target_latency_s=parse_time(spec.target_latency),
+        max_attempts=spec.max_attempts,
+    )
+
+
+def _service(resource: _Resource) -> ServiceRules:
+    spec = msgspec.convert(resource.spec, _ServiceSpec)
+    return ServiceRules(resource.metadata.name, spec.sharded, spec.max_connections)
+
+
+def _callers(resource: _Resource) -> CallerRules:
+    spec = msgspec.convert(resource.spec, _LimitsSpec)
+    return CallerRules(
+        spec.max_header_bytes,
+        spec.max_body_bytes,
+        parse_time(spec.header_timeout),
+        parse_time(spec.idle_timeout),
+    )
+
+
+def parse_configuration(data: bytes) -> RoutingTable:
+    """Return the routes, services and limits of a configuration.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read; what was in force before stays.
+    """
+    configuration = _DECODER.decode(data)
+    by_type: dict[str, list[_Resource]] = {}
+    for resource in configuration.resources:
+        by_type.setdefault(resource.resource_type, []).append(resource)
+    routes = tuple(_route(each) for each in by_type.get("routes", ()))
+    services = [_service(each) for each in by_type.get("services", ())]
+    limits = [_callers(each) for each in by_type.get("limits", ())]
+    return RoutingTable(
+        version=configuration.version,
+        routes=routes,
+        services_by_name={service.name: service for service in services},
+        callers=limits[-1] if limits else _DEFAULT_CALLERS,
+    )
--- /dev/null
+++ b/rhubarbhall/platform/store.py
@@ -0,0 +1,228 @@
+"""The client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+
+from rhubarbhall.adapters.client import Failed
+from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.store_port import (
+    Appended,
+    AppendResult,
+    Conflict,
+    NewestPage,
+    ReadResult,
+    Tail,
+    Trimmed,
+    Unavailable,
+)
+from rhubarbhall.platform.names import PARTITION
+
+if TYPE_CHECKING:
+    from rhubarbhall.adapters.client import HttpClient
+    from rhubarbhall.core.requests import Response
+    from rhubarbhall.types import Address, Offset, Seconds
+
+#: Time for an answer, beyond what the store was asked to wait.
+ANSWER_S = 2.5
+#: An answer of the log: its end and the first offset that is kept.
+_HEAD = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+_OCTETS = (("Content-Type", "application/octet-stream"),)
+
+
+class _NewestItem(msgspec.Struct, frozen=True):
+    key: str
+    offset: int
+    #: Base64.
+    value: str = ""
+
+
+class _NewestReply(msgspec.Struct, frozen=True):
+    items: list[_NewestItem]
+    end: int
+    more: bool = False
+
+
+class _AppendReply(msgspec.Struct, frozen=True):
+    offset: int
+
+
+_NEWEST = msgspec.json.Decoder(_NewestReply)
+_APPENDED = msgspec.json.Decoder(_AppendReply)
+
+
+def _record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _records(data: bytes) -> Iterator[bytes]:
+    """Yield the contents of the records in a read's answer.
+
+    Raises
+    ------
+    ValueError
+        If a record is cut.
+    """
+    position = 0
+    while position < len(data):
+        if position + _LENGTH.size > len(data):
+            raise ValueError("a record's length is cut")
+        (size,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        content = data[position : position + size]
+        if len(content) != size:
+            raise ValueError(f"a record of {size} bytes has {len(content)}")
+        position += size
+        yield content
+
+
+def _entry(offset: Offset, content: bytes) -> Entry | None:
+    """Return a record's key and value; none if it is not of that form."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    end = 1 + content[0]
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError:
+        return None
+    return Entry(offset, key, content[end:])
+
+
+def _parse_tail(offset: Offset, data: bytes) -> Tail:
+    if len(data) < _HEAD.size:
+        raise ValueError(f"an answer of {len(data)} bytes")
+    end, _first = _HEAD.unpack_from(data)
+    contents = list(_records(data[_HEAD.size :]))
+    entries = (_entry(offset + index, each) for index, each in enumerate(contents))
+    known = tuple(entry for entry in entries if entry is not None)
+    return Tail(known, offset + len(contents), end)
+
+
+def _parse_newest(data: bytes) -> NewestPage:
+    reply = _NEWEST.decode(data)
+    entries = tuple(
+        Entry(item.offset, item.key, base64.b64decode(item.value, validate=True))
+        for item in reply.items
+    )
+    after = entries[-1].key if reply.more and entries else None
+    return NewestPage(entries, after, reply.end)
+
+
+def _why(result: Response | Failed) -> Unavailable:
+    if isinstance(result, Failed):
+        return Unavailable(str(result.kind), may_be_done=result.written)
+    return Unavailable(f"status {result.status}")
+
+
+class LogStore:
+    """Keyed topics of the platform's log.
+
+    Parameters
+    ----------
+    reads, writes : HttpClient
+        Connections for reads that may wait, and for all others.
+    address : str
+        Address of the store.
+    """
+
+    def __init__(self, reads: HttpClient, writes: HttpClient, address: Address) -> None:
+        self._reads = reads
+        self._writes = writes
+        self._address = address
+
+    def read_newest(
+        self, topic: str, after: str | None, on_done: Callable[[ReadResult], None]
+    ) -> None:
+        """Read the newest record of each key."""
+        path = f"/log-newest?topic={topic}&part={PARTITION}"
+        if after is not None:
+            path += f"&after={quote(after, safe='')}"
+
+        def on_reply(result: Response | Failed) -> None:
+            on_done(_newest_result(result))
+
+        self._writes.fetch(self._address, "GET", path, (), b"", ANSWER_S, on_reply)
+
+    def read_tail(
+        self,
+        topic: str,
+        offset: Offset,
+        wait_s: Seconds,
+        on_done: Callable[[ReadResult], None],
+    ) -> None:
+        """Read the records from `offset` on; wait for one if there is none."""
+        path = f"/log-read?topic={topic}&part={PARTITION}&from={offset}"
+        path += f"&wait_ms={int(wait_s * 1000)}"
+
+        def on_reply(result: Response | Failed) -> None:
+            on_done(_tail_result(offset, result))
+
+        limit_s = wait_s + ANSWER_S
+        self._reads.fetch(self._address, "GET", path, (), b"", limit_s, on_reply)
+
+    def append(
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        at: Offset | None,
+        on_done: Callable[[AppendResult], None],
+    ) -> None:
+        """Write a record, if the log ends at `at` where that is given."""
+        path = f"/log-append?topic={topic}&part={PARTITION}"
+        if at is not None:
+            path += f"&at={at}"
+
+        def on_reply(result: Response | Failed) -> None:
+            on_done(_append_result(result))
+
+        body = _record(key, value)
+        self._writes.fetch(
+            self._address, "POST", path, _OCTETS, body, ANSWER_S, on_reply
+        )
+
+
+def _newest_result(result: Response | Failed) -> ReadResult:
+    if isinstance(result, Failed) or result.status != HTTPStatus.OK:
+        return _why(result)
+    try:
+        return _parse_newest(result.body)
+    except (ValueError, binascii.Error) as error:
+        return Unavailable(f"an answer that cannot be read: {error}")
+
+
+def _tail_result(offset: Offset, result: Response | Failed) -> ReadResult:
+    if isinstance(result, Failed):
+        return _why(result)
+    if result.status == HTTPStatus.GONE:
+        return Trimmed()
+    if result.status != HTTPStatus.OK:
+        return _why(result)
+    try:
+        return _parse_tail(offset, result.body)
+    except ValueError as error:
+        return Unavailable(f"an answer that cannot be read: {error}")
+
+
+def _append_result(result: Response | Failed) -> AppendResult:
+    if isinstance(result, Failed):
+        return _why(result)
+    if result.status == HTTPStatus.PRECONDITION_FAILED:
+        return Conflict()
+    if result.status != HTTPStatus.OK:
+        return _why(result)
+    try:
+        return Appended(_APPENDED.decode(result.body).offset)
+    except ValueError as error:
+        return Unavailable(f"an answer that cannot be read: {error}", may_be_done=True)
--- a/rhubarbhall/programs/loop.py
+++ b/rhubarbhall/programs/loop.py
@@ -11,6 +11,7 @@
 
 #: Longest time between two looks for a signal.
 SIGNAL_CHECK_S = 0.1
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Loop:
@@ -20,12 +21,21 @@
     ----------
     on_stop : callable
         Called on SIGTERM and SIGINT in place of ending at once.
+    on_reload : callable, optional
+        Called on SIGHUP, which is left alone otherwise.
     """
 
-    def __init__(self, on_stop: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_stop: Callable[[], None] | None = None,
+        on_reload: Callable[[], None] | None = None,
+    ) -> None:
         self.manager = Manager()
         DirectPoll().register(self.manager)
-        _Signals(on_stop or self.stop).register(self.manager)
+        action_by_signal = dict.fromkeys(_STOP_SIGNALS, on_stop or self.stop)
+        if on_reload is not None:
+            action_by_signal[signal.SIGHUP] = on_reload
+        _Signals(action_by_signal).register(self.manager)
 
     def add(self, component: BaseComponent) -> None:
         """Add a component."""
@@ -47,22 +57,21 @@
     leaves a mark, so that it never breaks into a step of the core.
     """
 
-    def __init__(self, on_stop: Callable[[], None]) -> None:
+    def __init__(self, action_by_signal: dict[int, Callable[[], None]]) -> None:
         super().__init__()
-        self._on_stop = on_stop
-        self._stop_requested = False
+        self._action_by_signal = action_by_signal
+        self._marked: set[int] = set()
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in self._action_by_signal:
             signal.signal(number, self._mark)
 
-    def _mark(self, *args: object) -> None:
-        self._stop_requested = True
+    def _mark(self, number: int, frame: object) -> None:
+        self._marked.add(number)
 
     @handler("generate_events", priority=20)
     def _generate_events(self, event) -> None:
-        if self._stop_requested:
-            self._stop_requested = False
-            self._on_stop()
+        while self._marked:
+            self._action_by_signal[self._marked.pop()]()
         event.reduce_time_left(SIGNAL_CHECK_S)
--- /dev/null
+++ b/rhubarbhall/programs/router.py
@@ -0,0 +1,49 @@
+"""``rhubarb-router``: the daemon on the users' platform, one beside each target."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+import eliot
+
+from rhubarbhall.adapters.clock import boot_time
+from rhubarbhall.adapters.log_output import LogOutput
+from rhubarbhall.platform.settings import PlatformSettings, read_settings
+from rhubarbhall.programs.loop import Loop
+from rhubarbhall.programs.options import option, run
+from rhubarbhall.programs.routing_daemon import RoutingDaemon
+
+
+@click.command("rhubarb-router")
+@option(
+    "--settings-file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="Settings file that the platform writes.",
+)
+def command(settings_file: Path) -> None:
+    """Route requests to the owners of keys and guard the target beside it."""
+    settings = read_settings(settings_file)
+    eliot.add_destinations(LogOutput(sys.stdout.fileno(), boot_time))
+    _serve(settings_file, settings)
+
+
+def _serve(path: Path, settings: PlatformSettings) -> None:
+    loop = Loop(
+        on_stop=lambda: daemon.request_stop(), on_reload=lambda: daemon.reload()
+    )
+    daemon = RoutingDaemon(path, settings, on_exit=loop.stop)
+    loop.add(daemon)
+    daemon.begin()
+    loop.run()
+
+
+def main() -> None:
+    """Run the program."""
+    run(command)
+
+
+if __name__ == "__main__":
+    main()
