Move hot ranges by sampled keys; serve requests that are in time before late ones

Cause: the keys were divided evenly, but busy keys lie together: one target of six got 2.6 times the mean and queued to the deadline.

Ruled out: more keys a target (the hot range is a few hundred keys), buckets of keys (the hottest are narrower than any bucket; a sorted sample of the last 1.5 s shows where to cut).

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -41,6 +41,10 @@
         The sender's number for it.
     left_ms : int
         Time until its answer is of no more use.
+    worth_most_ms : int
+        Time until its answer is worth less; below zero if that has passed.
+    came_back : bool
+        Whether the caller seems to have been refused before.
     key : int
         Key of a service that is divided by key, else -1.
     headers : list of str
@@ -52,7 +56,8 @@
     route: str
     key: int
     left_ms: int
-    target_latency_ms: int
+    worth_most_ms: int
+    came_back: bool
     idempotent: bool
     priority: int
     method: str
@@ -118,12 +123,18 @@
         Time since the read that confirmed this was sent.
     configuration : int
         Offset of the operators' configuration that the sender follows; -1 without.
+    utilization : int
+        Slots that the requests by key of its target need, in thousandths of its slots.
+    cost : int
+        What one such request a second adds to it, in millionths.
     """
 
     number: int
     end: int
     age_ms: int
     configuration: int
+    utilization: int
+    cost: int
 
 
 class SyncAsk(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -352,7 +352,8 @@
             request.route,
             _NO_KEY if request.key is None else request.key,
             int((request.deadline - now) * _MS_PER_S),
-            int(request.target_latency_s * _MS_PER_S),
+            int((request.worth_most_until - now) * _MS_PER_S),
+            request.came_back,
             request.idempotent,
             request.priority,
             request.method,
@@ -490,7 +491,8 @@
             idempotent=frame.idempotent,
             priority=frame.priority,
             deadline=now + frame.left_ms / _MS_PER_S,
-            target_latency_s=frame.target_latency_ms / _MS_PER_S,
+            worth_most_until=now + frame.worth_most_ms / _MS_PER_S,
+            came_back=frame.came_back,
         )
         ticket = self._handler.on_forward(Origin(sock, frame.ticket), request)
         inbound.ticket_by_theirs[frame.ticket] = ticket
--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -18,12 +18,13 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Directory
+    from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
     from rhubarbhall.core.ownership.liveness import Liveness
     from rhubarbhall.core.ownership.target_holds import TargetHolds
     from rhubarbhall.types import Address, Seconds
 
 #: Time after a start in which others announce their targets, before keys are divided.
-GATHERING_S = 1.6
+GATHERING_S = 3.0
 #: Time by which the next in rank waits longer before it does a duty.
 TURN_S = 0.7
 #: Time for which a newcomer is known before it gets keys.
@@ -61,6 +62,8 @@
         What the own target holds.
     liveness : Liveness
         Who is heard.
+    balancer : HeatBalancer
+        Decides what a busy target gives away.
     started_at : float
         When this daemon began, own clock.
     """
@@ -73,6 +76,7 @@
         directory: Directory,
         holds: TargetHolds,
         liveness: Liveness,
+        balancer: HeatBalancer,
         started_at: Seconds,
     ) -> None:
         self._me = me
@@ -81,6 +85,7 @@
         self._directory = directory
         self._holds = holds
         self._liveness = liveness
+        self._balancer = balancer
         self._started_at = started_at
         self._needed_since: dict[str, Seconds] = {}
         self._lost_since: dict[tuple[Address, int], Seconds] = {}
@@ -92,6 +97,7 @@
             self._replace_silent,
             self._replace_left,
             self._welcome,
+            self._cool_down,
         )
 
     def propose(self, now: Seconds) -> Proposal | None:
@@ -243,3 +249,18 @@
             return table
         given = spreading.share_for_newcomers(table, newcomers, len(claims))
         return table.moved(given)
+
+    def _cool_down(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give busy ranges of the own target to targets that are less busy."""
+        if self._holds.state(now) is not TargetState.READY:
+            return table
+        moves = self._balancer.moves(now, table, list(self._claims(now)))
+        if not moves:
+            return table
+        self._balancer.note_moved(now)
+        return table.moved(moves)
+
+    def other_owners(self) -> list[Address]:
+        """Return the daemons whose targets the own one shares the keys with."""
+        members = self._directory.members_of(self._service)
+        return [address for address, _ in members if address != self._me]
--- a/rhubarbhall/core/traffic/choosing.py
+++ b/rhubarbhall/core/traffic/choosing.py
@@ -20,6 +20,10 @@
 REGION_HOP_S = 0.075
 #: Weight of a new sample in a target's mean duration.
 SMOOTHING = 0.1
+#: Weight of a new sample in the share of refusals.
+REFUSAL_SMOOTHING = 0.1
+#: What being refused is taken to cost: another way and another wait.
+REFUSAL_S = 0.3
 #: Duration taken for a target of which nothing is known.
 USUAL_S = 0.05
 #: Time for which a target is passed over after it failed, at first and at most.
@@ -41,6 +45,8 @@
         What its gate said last.
     relative : float
         Its durations over those of the service's routes, smoothed.
+    refusals : float
+        Share of requests that it did not take or failed, smoothed.
     failures : int
         Failures in a row.
     passed_over_until : float
@@ -50,6 +56,7 @@
     outstanding: int = 0
     load: Load = field(default_factory=Load)
     relative: float = 1.0
+    refusals: float = 0.0
     failures: int = 0
     passed_over_until: Seconds = float("-inf")
 
@@ -59,8 +66,13 @@
         pause_s = min(MAX_PENALTY_S, FIRST_PENALTY_S * 2 ** (self.failures - 1))
         self.passed_over_until = now + pause_s
 
+    def note_taken(self, taken: bool) -> None:
+        """Learn whether the target took a request and served it."""
+        self.refusals += REFUSAL_SMOOTHING * ((not taken) - self.refusals)
+
     def note_success(self) -> None:
         """Trust the target again."""
+        self.note_taken(True)
         self.failures = 0
         self.passed_over_until = float("-inf")
 
@@ -147,5 +159,7 @@
         busy = max(view.outstanding, view.load.running + view.load.waiting) + 1
         queue_s = work_s * max(0.0, busy / slots - BUSY_SHARE)
         spread_s = 0.2 * work_s * busy / slots
-        cost_s = self._hop_s(address, member) + work_s + queue_s + spread_s
+        refusal_s = REFUSAL_S * view.refusals
+        hop_s = self._hop_s(address, member)
+        cost_s = hop_s + work_s + queue_s + spread_s + refusal_s
         return now < view.passed_over_until, cost_s
--- a/rhubarbhall/core/traffic/entrance.py
+++ b/rhubarbhall/core/traffic/entrance.py
@@ -39,6 +39,10 @@
 NO_OWNER_RETRY_S = 0.3
 #: Waiting time when the caller names none.
 DEFAULT_TIMEOUT_S = 30.0
+#: Time before a caller's own deadline at which it gets its final answer.
+REPLY_MARGIN_S = 0.01
+#: Time that a caller has lost already if it comes back.
+CAME_BACK_S = 0.03
 #: Rest of the time below which nothing is tried once more.
 MIN_RETRY_S = 0.03
 _SERVER_ERRORS = 500
@@ -181,6 +185,7 @@
         self.budget_by_service: dict[str, RetryBudget] = {}
         self._journey_by_ticket: dict[int, Journey] = {}
         self._tickets = itertools.count(1)
+        self._longest_by_route: dict[str, Seconds] = {}
 
     @property
     def in_flight(self) -> int:
@@ -219,10 +224,11 @@
         return journey.ticket
 
     def _request(self, now: Seconds, asked: CallerRequest, route: HostRoute) -> Request:
-        waits_s = asked.timeout_s or DEFAULT_TIMEOUT_S
+        waits_s = (asked.timeout_s or DEFAULT_TIMEOUT_S) - REPLY_MARGIN_S
         if route.timeout_s is not None:
             waits_s = min(waits_s, route.timeout_s)
         service = self.routing.choose_part(route)
+        spent_s = self._spent_before(route.name, asked.timeout_s)
         return Request(
             id=asked.id,
             service=service,
@@ -237,10 +243,22 @@
             idempotent=route.idempotent,
             priority=route.priority,
             deadline=now + waits_s,
-            target_latency_s=route.target_latency_s,
+            worth_most_until=now + route.target_latency_s - spent_s,
+            came_back=spent_s > CAME_BACK_S,
             max_attempts=route.max_attempts,
         )
 
+    def _spent_before(self, route: str, timeout_s: Seconds | None) -> Seconds:
+        """Return how long the caller has waited in earlier attempts.
+
+        Callers of one route start with the same time; less is left when they come back.
+        """
+        if timeout_s is None:
+            return 0.0
+        longest_s = max(timeout_s, self._longest_by_route.get(route, 0.0))
+        self._longest_by_route[route] = longest_s
+        return longest_s - timeout_s
+
     def _is_by_key(self, service: str) -> bool:
         rules = self.routing.services_by_name.get(service)
         return rules is not None and rules.by_key
@@ -373,9 +391,11 @@
             view.note_success()
             took_s = now - journey.sent_at
             self._chooser.note_duration(address, journey.request.route, took_s)
-        elif self._may_repeat(now, journey):
-            self._advance(now, journey)
-            return
+        else:
+            view.note_taken(False)
+            if self._may_repeat(now, journey):
+                self._advance(now, journey)
+                return
         self._end(now, journey, answer)
 
     def _on_unknown(
@@ -409,14 +429,18 @@
             return
         seen_by_target = outcome.kind is ErrorKind.TARGET_REFUSED
         journey.attempts += seen_by_target
+        self._chooser.view(address).note_taken(False)
         if outcome.kind not in _TARGET_IS_WELL:
             self._chooser.view(address).note_failure(now)
         spent = journey.attempts >= request.max_attempts
         late = request.deadline - now < MIN_RETRY_S
-        if request.key is not None or spent or late or journey.tries >= MAX_TRIES:
+        settled = request.key is not None and not seen_by_target
+        if settled or spent or late or journey.tries >= MAX_TRIES:
             self._end(now, journey, outcome)
         elif seen_by_target and not self._budget(request.service).take(now):
             self._end(now, journey, outcome)
+        elif request.key is not None:
+            self._advance(now, journey)
         else:
             self._advance_or_end(now, journey, outcome)
 
--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -1,16 +1,19 @@
 """The gate of the own target: nobody else gives it work.
 
-It keeps the requests that wait, in the order of their rank and deadline, and sends as
-many as the target has slots for. So it knows of each request whether it was sent.
+It keeps the requests that wait and sends as many as the target has slots for. So it
+knows of each request whether it was sent. Of requests of one rank, those that can still
+be answered while that is worth most go first, then those whose callers have come back
+after a refusal, then the rest: at a crest many are served in time, rather than all late.
 """
 
 from __future__ import annotations
 
+import enum
 import heapq
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 from rhubarbhall.core.admission import ConcurrencyLimit
 from rhubarbhall.core.errors import ErrorKind
@@ -31,6 +34,10 @@
 PARK_S = 1.0
 #: After a refused connection, time until the target is tried again.
 DOWN_S = 0.4
+#: How much longer than the present queue says late requests wait.
+LATE_FACTOR = 1.5
+#: Least time to come back after.
+MIN_RETRY_AFTER_S = 0.05
 #: Least time that is worth sending a request for.
 MIN_WORK_S = 0.005
 
@@ -46,7 +53,16 @@
 
 
 class KeyHolder(Protocol):
-    """Tells which keys the target holds."""
+    """Tells which keys the target holds, and learns which are asked for."""
+
+    def note_request(self, now: Seconds, key: int) -> None:
+        """Count a request for a key."""
+
+    def note_duration(self, took_s: Seconds) -> None:
+        """Learn how long the target worked on a request for a key."""
+
+    def note_refused(self) -> None:
+        """Learn that the target did not take a request for a key."""
 
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Tell whether the target holds a key."""
@@ -55,12 +71,25 @@
         """Tell whether the target is about to hold a key."""
 
 
+class _Turn(enum.IntEnum):
+    """Which of the waiting requests of one rank go first."""
+
+    IN_TIME = 0
+    CAME_BACK = 1
+    LATE = 2
+
+
+#: Rank, turn and time of a waiting request, and its ticket.
+_Place: TypeAlias = "tuple[int, _Turn, Seconds, int]"
+
+
 @dataclass(slots=True)
 class _Entry:
     ticket: int
     request: Request
     arrived_at: Seconds
     on_outcome: Callable[[Outcome], None]
+    turn: _Turn = _Turn.IN_TIME
     sent_at: Seconds | None = None
     is_long: bool = False
 
@@ -109,7 +138,7 @@
         self._target = target
         self._holder = holder
         self._tickets = itertools.count(1)
-        self._waiting: list[tuple[int, Seconds, int]] = []
+        self._waiting: list[_Place] = []
         self._entry_by_ticket: dict[int, _Entry] = {}
         self._parked: dict[int, _Entry] = {}
         self._queued = 0
@@ -159,13 +188,15 @@
             Ticket for `cancel`.
         """
         entry = _Entry(next(self._tickets), request, now, on_outcome)
+        if request.key is not None and self._holder.awaits(request.key):
+            self._holder.note_request(now, request.key)
         refusal = self._refusal(now, request)
         if refusal is not None:
             on_outcome(refusal)
             return entry.ticket
         self._entry_by_ticket[entry.ticket] = entry
         if request.key is None or self._holder.may_work_on(now, request.key):
-            self._enqueue(entry)
+            self._enqueue(now, entry)
             self.pump(now)
         else:
             self._parked[entry.ticket] = entry
@@ -181,50 +212,75 @@
             if not self._holder.awaits(key) or len(self._parked) >= self._room():
                 return NotRun(ErrorKind.NOT_OWNER)
             return None
-        wait_s = self.expected_wait_s(request)
-        needed_s = wait_s + 0.5 * self.durations.mean_s(request.route)
+        turn = self._turn(now, request)
+        wait_s = self.expected_wait_s(request, turn)
+        if turn is not _Turn.IN_TIME:
+            # More that are in time will come and go first.
+            wait_s *= LATE_FACTOR
+        needed_s = wait_s + self.durations.mean_s(request.route)
         if self._queued >= self._room() or now + needed_s > request.deadline:
-            return NotRun(ErrorKind.OVERLOADED, max(wait_s, 0.02))
+            return NotRun(ErrorKind.OVERLOADED, max(wait_s, MIN_RETRY_AFTER_S))
         return None
 
+    def _turn(self, now: Seconds, request: Request) -> _Turn:
+        """Return where a request stands among those of its rank."""
+        wait_s = self.expected_wait_s(request, _Turn.IN_TIME)
+        done_at = now + wait_s + self.durations.mean_s(request.route)
+        if done_at <= request.worth_most_until:
+            return _Turn.IN_TIME
+        return _Turn.CAME_BACK if request.came_back else _Turn.LATE
+
     def _room(self) -> int:
         return QUEUE_PER_SLOT * self.limit.value
 
-    def expected_wait_s(self, request: Request) -> Seconds:
+    def expected_wait_s(self, request: Request, turn: _Turn = _Turn.IN_TIME) -> Seconds:
         """Return how long a request would wait for a slot."""
         if self._running < self.limit.value:
             return 0.0
-        rank = (request.priority, request.deadline)
+        place = _place(request, turn, 0)
         ahead = [
-            self._entry_by_ticket[ticket].request.route
-            for priority, deadline, ticket in self._waiting
-            if ticket in self._entry_by_ticket and (priority, deadline) <= rank
+            self._entry_by_ticket[other[-1]].request.route
+            for other in self._waiting
+            if other[-1] in self._entry_by_ticket and other[:3] <= place[:3]
         ]
         work_s = sum(self.durations.mean_s(route) for route in ahead)
         own_s = self.durations.mean_s(request.route)
         return (work_s + 0.5 * own_s) / self.limit.value
 
-    def _enqueue(self, entry: _Entry) -> None:
-        request = entry.request
-        rank = (request.priority, request.deadline, entry.ticket)
-        heapq.heappush(self._waiting, rank)
+    def _enqueue(self, now: Seconds, entry: _Entry) -> None:
+        entry.turn = self._turn(now, entry.request)
+        place = _place(entry.request, entry.turn, entry.ticket)
+        heapq.heappush(self._waiting, place)
         self._queued += 1
 
     def pump(self, now: Seconds) -> None:
         """Send waiting requests as long as there are slots."""
-        held_back: list[tuple[int, Seconds, int]] = []
+        held_back: list[_Place] = []
         while self._waiting and self._running < self.limit.value:
-            rank = heapq.heappop(self._waiting)
-            entry = self._entry_by_ticket.get(rank[2])
+            place = heapq.heappop(self._waiting)
+            entry = self._entry_by_ticket.get(place[-1])
             if entry is None:
                 continue
-            if self._is_kept_back(entry):
-                held_back.append(rank)
-                continue
-            self._queued -= 1
-            self._send(now, entry)
-        for rank in held_back:
-            heapq.heappush(self._waiting, rank)
+            if self._has_become_late(now, entry):
+                heapq.heappush(
+                    self._waiting, _place(entry.request, entry.turn, entry.ticket)
+                )
+            elif self._is_kept_back(entry):
+                held_back.append(place)
+            else:
+                self._queued -= 1
+                self._send(now, entry)
+        for place in held_back:
+            heapq.heappush(self._waiting, place)
+
+    def _has_become_late(self, now: Seconds, entry: _Entry) -> bool:
+        """Give a request its later turn once it cannot be answered in time."""
+        request = entry.request
+        done_at = now + self.durations.mean_s(request.route)
+        if entry.turn is not _Turn.IN_TIME or done_at <= request.worth_most_until:
+            return False
+        entry.turn = _Turn.CAME_BACK if request.came_back else _Turn.LATE
+        return True
 
     def _is_kept_back(self, entry: _Entry) -> bool:
         """Tell whether long work would take the slots kept for short work."""
@@ -301,8 +357,13 @@
         if isinstance(outcome, NotRun):
             if outcome.kind is ErrorKind.TARGET_REFUSED:
                 self.limit.note_overload(now)
+                if entry.request.key is not None:
+                    self._holder.note_refused()
         elif not isinstance(outcome, Unknown):
-            self.durations.note(entry.request.route, now - entry.sent_at)
+            took_s = now - entry.sent_at
+            self.durations.note(entry.request.route, took_s)
+            if entry.request.key is not None:
+                self._holder.note_duration(took_s)
             self.limit.note_success()
 
     def note_unreachable(self, now: Seconds) -> None:
@@ -316,7 +377,7 @@
             key = entry.request.key
             if self._holder.may_work_on(now, key):
                 del self._parked[entry.ticket]
-                self._enqueue(entry)
+                self._enqueue(now, entry)
             elif not self._holder.awaits(key):
                 self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
         self.pump(now)
@@ -331,3 +392,9 @@
                 self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
             elif now + MIN_WORK_S > entry.request.deadline:
                 self._drop(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+
+
+def _place(request: Request, turn: _Turn, ticket: int) -> _Place:
+    in_time = turn is _Turn.IN_TIME
+    due = request.worth_most_until if in_time else request.deadline
+    return request.priority, turn, due, ticket
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -39,8 +39,10 @@
         Rank of its route; 0 is the highest.
     deadline : float
         When its answer is of no more use, own clock.
-    target_latency_s : float
-        Time within which an answer is worth most.
+    worth_most_until : float
+        Until when an answer is worth most to its caller, own clock.
+    came_back : bool
+        Whether the caller seems to have been refused before.
     max_attempts : int
         Targets that it may be sent to.
     """
@@ -58,7 +60,8 @@
     idempotent: bool
     priority: int
     deadline: Seconds
-    target_latency_s: Seconds
+    worth_most_until: Seconds
+    came_back: bool = False
     max_attempts: int = 1
 
 
--- a/rhubarbhall/core/traffic/retry_budget.py
+++ b/rhubarbhall/core/traffic/retry_budget.py
@@ -11,10 +11,13 @@
 if TYPE_CHECKING:
     from rhubarbhall.types import Seconds
 
-#: Part of the allowed ratio that is used; the rest covers shifts between daemons.
-USED_RATIO = 0.6
+#: Part of the allowed ratio that is used. The rest covers shifts between daemons, and
+#: the calls of a repeated run, which are repeats at the services that it calls.
+USED_RATIO = 0.3
 #: Repeats that a daemon may make without requests to earn them, in one window.
 FREE_REPEATS = 1.0
+#: Repeats that may be saved up.
+MAX_SAVED = 3.0
 
 
 class RetryBudget:
@@ -37,7 +40,7 @@
     def note_request(self, now: Seconds) -> None:
         """Earn the share of one request; what is not used ages out in a window."""
         self._age(now)
-        self._left += self._per_request
+        self._left = min(MAX_SAVED, self._left + self._per_request)
 
     def _age(self, now: Seconds) -> None:
         if self._filled_at is not None:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -20,7 +20,9 @@
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
 from rhubarbhall.core.ownership.directory import Directory, Entry
 from rhubarbhall.core.ownership.follower import Follower
+from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
 from rhubarbhall.core.ownership.keeper import Keeper
+from rhubarbhall.core.ownership.key_heat import KeyHeat, TargetLoad
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.publisher import TOPIC, Publisher
 from rhubarbhall.core.ownership.read_lease import ReadLease
@@ -73,11 +75,23 @@
 
 
 class _KeyView:
-    """Tells the gate which keys the own target holds or is about to hold."""
+    """What the gate asks and tells about keys."""
 
     def __init__(self, daemon: RoutingDaemon) -> None:
         self._daemon = daemon
 
+    def note_request(self, now: Seconds, key: int) -> None:
+        """Count a request for a key."""
+        self._daemon.balancer.heat.note_request(now, key)
+
+    def note_duration(self, took_s: Seconds) -> None:
+        """Learn how long a request for a key took."""
+        self._daemon.balancer.heat.note_duration(took_s)
+
+    def note_refused(self) -> None:
+        """Learn that the target did not take a request for a key."""
+        self._daemon.balancer.heat.note_refused()
+
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Tell whether the target holds a key."""
         return self._daemon.holds.may_work_on(now, key)
@@ -175,6 +189,7 @@
         writes = HttpClient(f"store-writes-{self.me}", STORE_WRITES)
         self._clients = (reads, writes)
         store = LogStore(reads, writes, settings.store)
+        self.balancer = HeatBalancer(self.me, KeyHeat(started_at))
         self.keeper = Keeper(
             self.me,
             settings.service,
@@ -182,6 +197,7 @@
             self.directory,
             self.holds,
             self.liveness,
+            self.balancer,
             started_at,
         )
         self.publisher = Publisher(
@@ -285,6 +301,7 @@
         self.hub.look()
         self._look_at_target(now)
         self.gate.expire(now)
+        self._ask_for_loads(now)
         self.publisher.look(now, self._member(now))
         if self._stop_at is not None:
             self._look_whether_to_end(now)
@@ -302,6 +319,12 @@
             silence_s = round(now - self.holds.heard_at, 3)
             self.note(Note(214, {"run": self.holds.run, "silence_s": silence_s}))
 
+    def _ask_for_loads(self, now: Seconds) -> None:
+        """Ask those who could take keys how busy they are, if the own target is."""
+        if self.publisher.by_key and self.balancer.is_busy(now):
+            for address in self.keeper.other_owners():
+                self.hub.ping(address)
+
     def own_table(self):
         """Return the table of the own service, if there is one."""
         return self.directory.table_by_service.get(self.settings.service)
@@ -428,6 +451,7 @@
         state = self.holds.state(now)
         if state is TargetState.READY:
             self.gate.open(self.holds.heartbeat.slots)
+            self.balancer.slots = self.holds.heartbeat.slots
         elif before is not TargetState.LEAVING:
             self._close_gate_soon(now)
         self.publisher.look(now, self._member(now))
@@ -526,7 +550,9 @@
         self.note(Note(311 if is_up else 312, {"peer": address}))
 
     def on_pong(self, address: Address, pong: Pong) -> None:
-        """Learn what a daemon knows of the store."""
+        """Learn what a daemon knows of the store, and how busy its target is."""
+        load = TargetLoad(pong.utilization / 1000, pong.cost / 1_000_000)
+        self.balancer.note_load(self._told_now(), address, load)
 
     def on_sync_ask(self, ask: SyncAsk) -> SyncTell:
         """Return records for a daemon that lacks them."""
@@ -545,7 +571,15 @@
         """Return the answer to a ping."""
         age_s = min(self.lease.age_s(self._told_now()), 3600.0)
         offset = self._configuration.offset if self._configuration else -1
-        return Pong(number, self.directory.end, int(age_s * 1000), offset)
+        load = self.balancer.own_load(self.timers.now())
+        return Pong(
+            number,
+            self.directory.end,
+            int(age_s * 1000),
+            offset,
+            int(load.utilization * 1000),
+            int(load.cost * 1_000_000),
+        )
 
     # Settings and the end
 
