Pass table changes on between peers; bring the hottest key to the fastest target

Cause: every change of the table woke a long poll in every daemon (58 changes, 20 daemons), and a single hot key stayed on a slow target, because ranges were only cut from the ends.

Leases are now also confirmed by peers that have read the store.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -179,12 +179,35 @@
     configuration: SyncEntry | None = None
 
 
+class Push(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Passes a record on that has just been written.
+
+    Parameters
+    ----------
+    relay : bool
+        Whether the receiver passes it on within its region.
+    """
+
+    entry: SyncEntry
+    relay: bool
+
+
 class Bye(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Says that the sender ends soon and takes no more requests."""
 
 
 Frame: TypeAlias = (
-    Hello | Forward | Reply | Refused | Cancel | Ping | Pong | SyncAsk | SyncTell | Bye
+    Hello
+    | Forward
+    | Reply
+    | Refused
+    | Cancel
+    | Ping
+    | Pong
+    | SyncAsk
+    | SyncTell
+    | Push
+    | Bye
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -21,9 +21,11 @@
     Hello,
     Ping,
     Pong,
+    Push,
     Refused,
     Reply,
     SyncAsk,
+    SyncEntry,
     SyncTell,
     encode_frame,
 )
@@ -53,6 +55,10 @@
 #: Time for the answer to a ping, in the own region and across regions.
 NEAR_PONG_S = 0.7
 FAR_PONG_S = 1.0
+#: Time there and back before it was measured, and the longest that is believed.
+NEAR_WAY_S = 0.003
+FAR_WAY_S = 0.065
+MAX_WAY_S = 0.2
 #: Time for a connection to be made.
 CONNECT_S = 1.0
 #: Pause between two attempts to connect.
@@ -86,7 +92,7 @@
     def on_link(self, address: Address, is_up: bool) -> None:
         """Learn that a connection stands, or no longer does."""
 
-    def on_pong(self, address: Address, pong: Pong) -> None:
+    def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
         """Learn what a daemon knows of the store."""
 
     def on_sync_ask(self, ask: SyncAsk) -> SyncTell:
@@ -95,6 +101,9 @@
     def on_sync_tell(self, address: Address, asked_at: Seconds, tell: SyncTell) -> None:
         """Take records that a daemon passes on."""
 
+    def on_push(self, push: Push) -> None:
+        """Take a record that was just written."""
+
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping."""
 
@@ -113,6 +122,8 @@
 
     address: Address
     near: bool
+    region: str = ""
+    way_s: Seconds = 0.0
     sock: socket.socket | None = None
     is_open: bool = False
     is_leaving: bool = False
@@ -240,21 +251,27 @@
 
     # Who there is
 
-    def set_members(self, near_by_address: Mapping[Address, bool]) -> None:
+    def set_members(
+        self, region: str, region_by_address: Mapping[Address, str]
+    ) -> None:
         """Keep a connection to each of these daemons.
 
         Parameters
         ----------
-        near_by_address : mapping of str to bool
-            Whether each one is in the own region.
+        region : str
+            The own region.
+        region_by_address : mapping of str to str
+            Where each one is.
         """
-        for address in set(self._link_by_address) - set(near_by_address):
+        for address in set(self._link_by_address) - set(region_by_address):
             link = self._link_by_address.pop(address)
             if link.sock is not None:
                 self.dialer.drop(link.sock)
-        for address, near in near_by_address.items():
+        for address, place in region_by_address.items():
+            near = place == region
             link = self._link_by_address.setdefault(address, _Link(address, near))
-            link.near = near
+            link.near, link.region = near, place
+            link.way_s = link.way_s or (NEAR_WAY_S if near else FAR_WAY_S)
 
     def look(self) -> None:
         """Dial, ping and give up links as needed; called every `LOOK_S`."""
@@ -272,9 +289,7 @@
     def _check(self, now: Seconds, link: _Link) -> None:
         if link.pinged_at is not None:
             bound = NEAR_PONG_S if link.near else FAR_PONG_S
-            if link.heard_at >= link.pinged_at:
-                link.pinged_at = None
-            elif now - link.pinged_at > bound:
+            if now - max(link.pinged_at, link.heard_at) > bound:
                 self.dialer.drop(link.sock)
             return
         idle_s = NEAR_PING_S if link.near else FAR_PING_S
@@ -305,6 +320,27 @@
         link = self._link_by_address.get(address)
         return link is not None and link.is_open and not link.is_leaving
 
+    def push(self, entry: SyncEntry, everywhere: bool) -> None:
+        """Pass a record on that has just been written.
+
+        Bytes between regions are dear: one daemon of each other region gets it and
+        passes it on there.
+
+        Parameters
+        ----------
+        everywhere : bool
+            Whether other regions get it too.
+        """
+        regions: set[str] = set()
+        for link in self._link_by_address.values():
+            if not link.is_open:
+                continue
+            if link.near:
+                self._send(link, Push(entry, relay=False))
+            elif everywhere and link.region not in regions:
+                regions.add(link.region)
+                self._send(link, Push(entry, relay=True))
+
     def say_goodbye(self) -> None:
         """Ask all daemons to send no more requests here."""
         for sock in list(self._inbound_by_sock):
@@ -346,13 +382,15 @@
         if link is None or not link.is_open or link.is_leaving:
             return False
         link.tickets.add(ticket)
+        # The answer has to be back in time.
+        there_and_back_at = now + link.way_s
         frame = Forward(
             ticket,
             request.service,
             request.route,
             _NO_KEY if request.key is None else request.key,
-            int((request.deadline - now) * _MS_PER_S),
-            int((request.worth_most_until - now) * _MS_PER_S),
+            int((request.deadline - there_and_back_at) * _MS_PER_S),
+            int((request.worth_most_until - there_and_back_at) * _MS_PER_S),
             request.came_back,
             request.idempotent,
             request.priority,
@@ -402,13 +440,20 @@
         elif isinstance(frame, Refused):
             self._settle(link, frame, _refused_outcome(frame))
         elif isinstance(frame, Pong):
-            self._handler.on_pong(link.address, frame)
+            self._on_pong(link, frame)
         elif isinstance(frame, Bye):
             link.is_leaving = True
             self._handler.on_link(link.address, False)
         elif isinstance(frame, SyncTell):
             self._handler.on_sync_tell(link.address, link.sync_asked_at, frame)
 
+    def _on_pong(self, link: _Link, pong: Pong) -> None:
+        if link.pinged_at is None or pong.number != link.ping_number:
+            return
+        asked_at, link.pinged_at = link.pinged_at, None
+        link.way_s = min(MAX_WAY_S, self._clock() - asked_at)
+        self._handler.on_pong(link.address, asked_at, pong)
+
     def _settle(self, link: _Link, frame: Reply | Refused, outcome: Outcome) -> None:
         if frame.ticket not in link.tickets:
             return
@@ -465,6 +510,8 @@
                 self._handler.on_cancel(ticket)
         elif isinstance(frame, Ping):
             self._answer(sock, self._handler.pong(frame.number))
+        elif isinstance(frame, Push):
+            self._handler.on_push(frame)
         elif isinstance(frame, SyncAsk):
             self._answer(sock, self._handler.on_sync_ask(frame))
 
--- a/rhubarbhall/core/notes.py
+++ b/rhubarbhall/core/notes.py
@@ -76,6 +76,11 @@
     214: NoteSpec(
         "target_silent", "No heartbeat came for too long.", ("run", "silence_s")
     ),
+    215: NoteSpec(
+        "keys_given_away",
+        "The own target was busier than others and gives ranges of keys to them.",
+        ("utilization", "cost", "others", "moves"),
+    ),
     301: NoteSpec("drain_begun", "The member has begun to leave.", ("member",)),
     302: NoteSpec("drain_ended", "The member has left; nothing was cut.", ("member",)),
     311: NoteSpec("link_up", "The connection to a daemon stands.", ("peer",)),
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -100,6 +100,13 @@
         self.is_loaded = True
         self.end = max(self.end, end)
 
+    def apply_next(self, now: Seconds, entry: Entry) -> Rejected | None:
+        """Take in a record that a peer passed on right after it was written."""
+        rejected = self.apply(now, entry)
+        if self.is_loaded and entry.offset == self.end:
+            self.end += 1
+        return rejected
+
     def entries_from(self, offset: Offset) -> list[Entry]:
         """Return the newest records at `offset` or later, for another daemon."""
         entries = [
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -24,8 +24,6 @@
 #: Pause after a failed read, at first and at most.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.0
-#: Pause between two reads, so that several records come with one.
-GATHER_S = 0.02
 
 
 class Follower:
@@ -41,6 +39,8 @@
         For pauses.
     wait_s : float
         How long the store holds a read when nothing is new.
+    pause_s : float
+        Pause between two reads.
     on_entries : callable
         Takes the time and records.
     on_complete : callable
@@ -57,6 +57,7 @@
         topic: str,
         timers: TimerService,
         wait_s: Seconds,
+        pause_s: Seconds,
         on_entries: Callable[[Seconds, tuple[Entry, ...]], None],
         on_complete: Callable[[Seconds, Seconds, Offset], None],
         on_contact: Callable[[bool, str], None],
@@ -66,6 +67,7 @@
         self._topic = topic
         self._timers = timers
         self._wait_s = wait_s
+        self._pause_s = pause_s
         self._on_entries = on_entries
         self._on_complete = on_complete
         self._on_contact = on_contact
@@ -137,7 +139,7 @@
         self._position = max(self._position, result.next_offset)
         if self._position >= result.end:
             self._on_complete(now, sent_at, result.end)
-            self._again(now, GATHER_S, self._wait_s)
+            self._again(now, self._pause_s, self._wait_s)
         else:
             self._read_tail(now, wait_s=0.0)
 
--- a/rhubarbhall/core/ownership/heat_balancer.py
+++ b/rhubarbhall/core/ownership/heat_balancer.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership.key_heat import KeyHeat, TargetLoad, choose_piece
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.key_table import Claim, KeyTable, Range
+    from rhubarbhall.core.ownership.key_table import Claim, KeyTable, Range, Span
     from rhubarbhall.types import Address, Seconds
 
 #: Utilization below which a target keeps its keys however idle the others are.
@@ -16,6 +17,12 @@
 MIN_DIFFERENCE = 0.2
 #: Part of the difference that one move takes away.
 MOVED_PART = 0.45
+#: Utilization from which a single hot key is moved as a whole.
+OVERLOADED = 0.85
+#: Part of the requests from which on a key counts as hot.
+HOT_PART = 0.3
+#: Utilization of a receiver over the present one that makes such a move worth it.
+MUCH_BETTER = 0.75
 #: Targets that get keys at one time.
 MAX_RECEIVERS = 3
 #: Time after a move before the next, so that its effect shows first.
@@ -45,6 +52,8 @@
         self.slots = 1
         self._load_by_owner: dict[Address, tuple[Seconds, TargetLoad]] = {}
         self._moved_at: Seconds = float("-inf")
+        #: What the last moves rested on, for the log.
+        self.last_decision: dict[str, object] | None = None
 
     def note_load(self, now: Seconds, owner: Address, load: TargetLoad) -> None:
         """Take what another daemon says of its target."""
@@ -74,7 +83,9 @@
         sampled = sum(len(keys) for _, keys in keys_by_span)
         if sampled < MIN_SAMPLES:
             return []
-        given: list[tuple[Range, Claim]] = []
+        given = _hottest_key_moved(own, receivers, keys_by_span)
+        if given:
+            return given
         left = own.utilization
         for claim, load in receivers[:MAX_RECEIVERS]:
             difference = left - load.utilization
@@ -91,9 +102,19 @@
             keys_by_span = _without(keys_by_span, taken)
         return given
 
-    def note_moved(self, now: Seconds) -> None:
-        """Note that keys are given away."""
+    def note_moved(self, now: Seconds, moves: list[tuple[Range, Claim]]) -> None:
+        """Note that keys are given away, and what that rests on."""
         self._moved_at = now
+        own = self.own_load(now)
+        self.last_decision = {
+            "utilization": round(own.utilization, 3),
+            "cost": round(own.cost, 5),
+            "others": {
+                owner: [round(now - at, 2), round(load.utilization, 3)]
+                for owner, (at, load) in self._load_by_owner.items()
+            },
+            "moves": [[*given, claim.owner] for given, claim in moves],
+        }
 
     def _receivers(
         self, now: Seconds, table: KeyTable, claims: list[Claim]
@@ -111,6 +132,35 @@
         return sorted(receivers, key=lambda each: each[1].utilization)
 
 
+def _hottest_key_moved(
+    own: TargetLoad,
+    receivers: list[tuple[Claim, TargetLoad]],
+    keys_by_span: list[tuple[Span, list[int]]],
+) -> list[tuple[Range, Claim]]:
+    """Return the move of a key that is most of the work to a faster target.
+
+    A single key cannot be divided, so it belongs to a target that is quick enough.
+    """
+    counts = Counter(key for _, keys in keys_by_span for key in keys)
+    if not counts or own.utilization < OVERLOADED:
+        return []
+    key, count = counts.most_common(1)[0]
+    needed = own.utilization * count / counts.total()
+    if count < HOT_PART * counts.total():
+        return []
+    if not receivers:
+        return []
+
+    def utilization_after(receiver: tuple[Claim, TargetLoad]) -> float:
+        load = receiver[1]
+        return load.utilization + needed * load.cost / own.cost
+
+    best = min(receivers, key=utilization_after)
+    if utilization_after(best) >= MUCH_BETTER * own.utilization:
+        return []
+    return [((key, key), best[0])]
+
+
 def _without(keys_by_span: list, taken: Range) -> list:
     """Return the spans and their keys without a range that was cut from an end."""
     first, last = taken
--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -257,7 +257,7 @@
         moves = self._balancer.moves(now, table, list(self._claims(now)))
         if not moves:
             return table
-        self._balancer.note_moved(now)
+        self._balancer.note_moved(now, moves)
         return table.moved(moves)
 
     def other_owners(self) -> list[Address]:
--- a/rhubarbhall/core/ownership/key_heat.py
+++ b/rhubarbhall/core/ownership/key_heat.py
@@ -19,6 +19,8 @@
 
 #: Time that the sample covers; short, as hot keys change within seconds.
 WINDOW_S = 1.5
+#: Time that a sample is taken to cover at least.
+MIN_WINDOW_S = 0.4
 #: Requests that the sample holds at most.
 MAX_SAMPLES = 2000
 #: Weight of a new duration in the mean.
@@ -44,16 +46,9 @@
 
 
 class KeyHeat:
-    """Samples the requests by key of the own target.
+    """Samples the requests by key of the own target."""
 
-    Parameters
-    ----------
-    started_at : float
-        When counting began, own clock.
-    """
-
-    def __init__(self, started_at: Seconds) -> None:
-        self._started_at = started_at
+    def __init__(self) -> None:
         self._samples: deque[tuple[Seconds, int]] = deque(maxlen=MAX_SAMPLES)
         self._mean_s = USUAL_S
         self._refusals = 0.0
@@ -77,18 +72,18 @@
 
     def load(self, now: Seconds, slots: int) -> TargetLoad:
         """Return how busy the target is."""
-        self._forget(now)
-        window_s = max(0.2, min(WINDOW_S, now - self._started_at))
         cost = self._mean_s / max(1, slots)
         # A target that refuses is as good as busy, whatever it works on.
-        utilization = len(self._samples) / window_s * cost + self._refusals
-        return TargetLoad(utilization, cost)
+        return TargetLoad(self.rate(now) * cost + self._refusals, cost)
 
     def rate(self, now: Seconds) -> float:
         """Return the requests in a second."""
         self._forget(now)
-        window_s = max(0.2, min(WINDOW_S, now - self._started_at))
-        return len(self._samples) / window_s
+        if not self._samples:
+            return 0.0
+        # A sample that has just begun covers less than the window.
+        covered_s = now - self._samples[0][0]
+        return len(self._samples) / max(MIN_WINDOW_S, min(WINDOW_S, covered_s))
 
     def keys_in(
         self, now: Seconds, spans: Iterable[Span]
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -54,7 +54,9 @@
     rng : random.Random
         Spreads the pauses of several daemons.
     on_written : callable
-        Takes the time, a record's key and why it was written.
+        Takes the time, a record and why it was written.
+    on_conflict : callable
+        Called with the time when others have written first, to read what.
     """
 
     def __init__(
@@ -67,7 +69,8 @@
         lease: ReadLease,
         timers: TimerService,
         rng: random.Random,
-        on_written: Callable[[Seconds, str, str], None],
+        on_written: Callable[[Seconds, Entry, str], None],
+        on_conflict: Callable[[Seconds], None],
     ) -> None:
         self._me = me
         self._service = service
@@ -78,6 +81,7 @@
         self._timers = timers
         self._rng = rng
         self._on_written = on_written
+        self._on_conflict = on_conflict
         self.by_key = False
         self._is_writing = False
         self._paused_until: Seconds = float("-inf")
@@ -116,10 +120,12 @@
             self._is_writing = False
             later = self._timers.now()
             if isinstance(result, Appended):
-                self._on_appended(later, now, Entry(result.offset, key, value), at)
-                self._on_written(later, key, reason)
+                entry = Entry(result.offset, key, value)
+                self._on_appended(later, now, entry, at)
+                self._on_written(later, entry, reason)
             elif isinstance(result, Conflict):
                 self._paused_until = later + self._rng.uniform(*CONFLICT_PAUSE_S)
+                self._on_conflict(later)
             else:
                 self._paused_until = later + FAILURE_PAUSE_S
 
--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -3,7 +3,7 @@
 It keeps the requests that wait and sends as many as the target has slots for. So it
 knows of each request whether it was sent. Of requests of one rank, those that can still
 be answered while that is worth most go first, then those whose callers have come back
-after a refusal, then the rest: at a crest many are served in time, rather than all late.
+after a refusal, then the rest: at a crest many are served in time, not all late.
 """
 
 from __future__ import annotations
@@ -36,6 +36,12 @@
 DOWN_S = 0.4
 #: How much longer than the present queue says late requests wait.
 LATE_FACTOR = 1.5
+#: Part of a route's mean duration that has to be left for a request to be sent.
+NEEDED_PART = 0.8
+#: Part of its time that a late request waits before it is told to come back.
+LATE_WAIT_PART = 0.2
+#: Part of the time left after which it shall come back; callers wait a third at most.
+RETRY_PART = 0.3
 #: Least time to come back after.
 MIN_RETRY_AFTER_S = 0.05
 #: Least time that is worth sending a request for.
@@ -290,7 +296,7 @@
 
     def _send(self, now: Seconds, entry: _Entry) -> None:
         request = entry.request
-        if request.deadline - now < MIN_WORK_S:
+        if request.deadline - now < self._least_work_s(request):
             self._drop_unsent(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             return
         if request.key is not None and not self._holder.may_work_on(now, request.key):
@@ -301,6 +307,10 @@
         self._long_running += entry.is_long
         self._target.send(entry.ticket, request, now)
 
+    def _least_work_s(self, request: Request) -> Seconds:
+        """Return the time below which sending a request would be work for nothing."""
+        return max(MIN_WORK_S, NEEDED_PART * self.durations.mean_s(request.route))
+
     def _drop_unsent(self, entry: _Entry, outcome: NotRun) -> None:
         """Answer for an entry that is in no queue any more."""
         del self._entry_by_ticket[entry.ticket]
@@ -390,8 +400,23 @@
             parked = entry.ticket in self._parked
             if parked and now - entry.arrived_at > PARK_S:
                 self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
-            elif now + MIN_WORK_S > entry.request.deadline:
+            elif now + self._least_work_s(entry.request) > entry.request.deadline:
                 self._drop(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            elif not parked and self._has_waited_enough(now, entry):
+                left_s = entry.request.deadline - now
+                retry_after_s = RETRY_PART * left_s
+                self._drop(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
+
+    @staticmethod
+    def _has_waited_enough(now: Seconds, entry: _Entry) -> bool:
+        """Tell whether a late request does better to come back.
+
+        One that has come back waits as long as there is hope.
+        """
+        if entry.turn is not _Turn.LATE:
+            return False
+        time_s = entry.request.deadline - entry.arrived_at
+        return now - entry.arrived_at > LATE_WAIT_PART * time_s
 
 
 def _place(request: Request, turn: _Turn, ticket: int) -> _Place:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -14,7 +14,7 @@
 from rhubarbhall.adapters.client import SWEEP_S, HttpClient
 from rhubarbhall.adapters.clock import Clock, boot_time
 from rhubarbhall.adapters.journal import write_note
-from rhubarbhall.adapters.peer_frames import Pong, SyncAsk, SyncEntry, SyncTell
+from rhubarbhall.adapters.peer_frames import Pong, Push, SyncAsk, SyncEntry, SyncTell
 from rhubarbhall.adapters.peer_links import LOOK_S, Origin, PeerHub
 from rhubarbhall.core.commands import Note
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
@@ -51,10 +51,15 @@
     from rhubarbhall.platform.heartbeats import Announcement
     from rhubarbhall.types import Address, Offset, Seconds
 
-#: Time that the store holds a read when nothing is new: for the directory, on which the
-#: lease rests, and for the operators' configuration.
-DIRECTORY_WAIT_S = 2.0
-CONFIGURATION_WAIT_S = 3.0
+#: Time between two reads of the directory. Peers pass news on, so these reads only
+#: confirm the lease and find what was not passed on.
+DIRECTORY_PAUSE_S = 2.0
+#: Time that the store holds a read of the operators' configuration, and the pause after
+#: one, so that several changes come with the next.
+CONFIGURATION_WAIT_S = 8.0
+CONFIGURATION_PAUSE_S = 0.1
+#: Time between two questions to a peer of the own region.
+COMPARE_S = 1.0
 #: Connections to the store for reads that wait, and for other calls.
 STORE_READS = 4
 STORE_WRITES = 4
@@ -142,6 +147,7 @@
         self.lease = ReadLease()
         self.holds = TargetHolds(self.me, started_at)
         self._configuration: Entry | None = None
+        self._noted_decision: dict[str, object] | None = None
         self._build_traffic()
         self._build_ownership(started_at)
         self._build_ports()
@@ -189,7 +195,7 @@
         writes = HttpClient(f"store-writes-{self.me}", STORE_WRITES)
         self._clients = (reads, writes)
         store = LogStore(reads, writes, settings.store)
-        self.balancer = HeatBalancer(self.me, KeyHeat(started_at))
+        self.balancer = HeatBalancer(self.me, KeyHeat())
         self.keeper = Keeper(
             self.me,
             settings.service,
@@ -210,12 +216,14 @@
             self.timers,
             self._rng,
             self._on_written,
+            lambda now: self._follower.start(now),
         )
         self._follower = Follower(
             store,
             TOPIC,
             self.timers,
-            DIRECTORY_WAIT_S,
+            0.0,
+            DIRECTORY_PAUSE_S,
             self._on_entries,
             self._on_complete,
             self._on_store_contact,
@@ -226,6 +234,7 @@
             OPERATOR_TOPIC,
             self.timers,
             CONFIGURATION_WAIT_S,
+            CONFIGURATION_PAUSE_S,
             self._on_operator_entries,
             lambda now, sent_at, end: None,
             lambda reachable, reason: None,
@@ -278,6 +287,7 @@
             (LOOK_S, self._look),
             (SWEEP_S, self._sweep),
             (SETTINGS_LOOK_S, self._look_at_settings),
+            (COMPARE_S, self._compare),
         ):
             self.timers.every(interval_s, Alarm(look), first=now + interval_s)
         # Connections can be opened once the loop runs.
@@ -325,6 +335,12 @@
             for address in self.keeper.other_owners():
                 self.hub.ping(address)
 
+    def _compare(self, now: Seconds) -> None:
+        """Ask a peer nearby what it knows of the store."""
+        peers = self.hub.near_peers()
+        if peers:
+            self.hub.ping(self._rng.choice(peers))
+
     def own_table(self):
         """Return the table of the own service, if there is one."""
         return self.directory.table_by_service.get(self.settings.service)
@@ -365,12 +381,12 @@
 
     def _on_directory_changed(self, now: Seconds) -> None:
         region = self.settings.region
-        near_by_address = {
-            address: member.region == region
+        region_by_address = {
+            address: member.region
             for address, member in self.directory.member_by_address.items()
             if address != self.me
         }
-        self.hub.set_members(near_by_address)
+        self.hub.set_members(region, region_by_address)
         self.gate.keys_changed(now)
         self.publisher.look(now, self._member(now))
 
@@ -384,9 +400,19 @@
         else:
             self.note(Note(113, {"reason": reason}))
 
-    def _on_written(self, now: Seconds, key: str, reason: str) -> None:
-        self.note(Note(211, {"key": key, "reason": str(reason)}))
+    def _note_moves(self, now: Seconds) -> None:
+        """Write down what the last moves away from the own target rested on."""
+        decision = self.balancer.last_decision
+        if decision is not None and decision is not self._noted_decision:
+            self._noted_decision = decision
+            self.note(Note(215, decision))
+
+    def _on_written(self, now: Seconds, entry: Entry, reason: str) -> None:
+        self._note_moves(now)
+        self.note(Note(211, {"key": entry.key, "reason": str(reason)}))
         self._on_directory_changed(now)
+        passed_on = SyncEntry(entry.offset, entry.key, entry.value)
+        self.hub.push(passed_on, everywhere=True)
 
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
@@ -549,10 +575,29 @@
         """Learn that a connection stands, or no longer does."""
         self.note(Note(311 if is_up else 312, {"peer": address}))
 
-    def on_pong(self, address: Address, pong: Pong) -> None:
+    def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
         """Learn what a daemon knows of the store, and how busy its target is."""
+        now = self._told_now()
         load = TargetLoad(pong.utilization / 1000, pong.cost / 1_000_000)
-        self.balancer.note_load(self._told_now(), address, load)
+        self.balancer.note_load(now, address, load)
+        if not self.directory.is_loaded:
+            return
+        own = self._configuration.offset if self._configuration else -1
+        if pong.end > self.directory.end or pong.configuration > own:
+            self.hub.ask_sync(address, self.directory.end, own)
+        else:
+            self.lease.confirm(asked_at - pong.age_ms / 1000)
+
+    def on_push(self, push: Push) -> None:
+        """Take a record that was just written."""
+        now = self._told_now()
+        entry = Entry(push.entry.offset, push.entry.key, push.entry.value)
+        rejected = self.directory.apply_next(now, entry)
+        if rejected is not None:
+            self.note(Note(112, {"key": entry.key, "reason": rejected.reason}))
+        if push.relay:
+            self.hub.push(push.entry, everywhere=False)
+        self._on_directory_changed(now)
 
     def on_sync_ask(self, ask: SyncAsk) -> SyncTell:
         """Return records for a daemon that lacks them."""
@@ -561,11 +606,28 @@
             SyncEntry(entry.offset, entry.key, entry.value)
             for entry in self.directory.entries_from(ask.offset)
         ]
-        age_ms = int(self.lease.age_s(now) * 1000)
-        return SyncTell(entries, self.directory.end, age_ms)
+        age_ms = int(min(self.lease.age_s(now), 3600.0) * 1000)
+        known = self._configuration
+        newer = None
+        if known is not None and known.offset > ask.configuration:
+            newer = SyncEntry(known.offset, known.key, known.value)
+        return SyncTell(entries, self.directory.end, age_ms, newer)
 
     def on_sync_tell(self, address: Address, asked_at: Seconds, tell: SyncTell) -> None:
         """Take records that a daemon passes on."""
+        now = self._told_now()
+        if tell.configuration is not None:
+            told = tell.configuration
+            self._take_configuration(Entry(told.offset, told.key, told.value))
+        entries = tuple(
+            Entry(each.offset, each.key, each.value) for each in tell.entries
+        )
+        if not self.directory.is_loaded:
+            return
+        self._on_entries(now, entries)
+        self.directory.note_end(tell.end)
+        if tell.end >= self.directory.end:
+            self.lease.confirm(asked_at - tell.age_ms / 1000)
 
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping."""
