Prove sole ownership on a virtual clock; free the slots of a silent target

Cause (found by a new test of the gate): a request that may not repeat and whose target fell silent kept its slot for ever, since nobody cancels such work.

Ruled out: cancelling it when its caller leaves (its effect counts, whoever waits).

Before: the slot stays taken.

--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -36,6 +36,8 @@
 DOWN_S = 0.4
 #: How much longer than the present queue says late requests wait.
 LATE_FACTOR = 1.5
+#: Time after a deadline for the target's own answer to come.
+ANSWER_GRACE_S = 0.2
 #: Part of a route's mean duration that has to be left for a request to be sent.
 NEEDED_PART = 0.8
 #: Part of its time that a late request waits before it is told to come back.
@@ -393,9 +395,11 @@
         self.pump(now)
 
     def expire(self, now: Seconds) -> None:
-        """Turn away what has waited for too long."""
+        """Turn away what has waited for too long, and give up silent work."""
         for entry in list(self._entry_by_ticket.values()):
             if entry.sent_at is not None:
+                if now > entry.request.deadline + ANSWER_GRACE_S:
+                    self._give_up(entry)
                 continue
             parked = entry.ticket in self._parked
             if parked and now - entry.arrived_at > PARK_S:
@@ -406,6 +410,13 @@
                 left_s = entry.request.deadline - now
                 retry_after_s = RETRY_PART * left_s
                 self._drop(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
+        self.pump(now)
+
+    def _give_up(self, entry: _Entry) -> None:
+        """Free the slot of a request that the target does not answer."""
+        self._target.cancel(entry.ticket)
+        self._free(entry)
+        entry.on_outcome(Unknown(ErrorKind.DEADLINE_PASSED))
 
     @staticmethod
     def _has_waited_enough(now: Seconds, entry: _Entry) -> bool:
--- /dev/null
+++ b/tests/core/ownership/mesh.py
@@ -0,0 +1,539 @@
+"""A mesh on a virtual clock: daemons with their targets, a store, and what fails."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from rhubarbhall.core.ownership.directory import Directory, Entry
+from rhubarbhall.core.ownership.follower import Follower
+from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
+from rhubarbhall.core.ownership.keeper import Keeper
+from rhubarbhall.core.ownership.key_heat import KeyHeat
+from rhubarbhall.core.ownership.liveness import Liveness
+from rhubarbhall.core.ownership.publisher import Publisher
+from rhubarbhall.core.ownership.read_lease import ReadLease
+from rhubarbhall.core.ownership.records import Member, TargetState
+from rhubarbhall.core.ownership.store_port import (
+    Appended,
+    Conflict,
+    NewestPage,
+    Tail,
+    Unavailable,
+)
+from rhubarbhall.core.ownership.target_holds import Grant, Heartbeat, TargetHolds
+from rhubarbhall.core.timers import TimerService
+
+SERVICE = "status"
+HEARTBEAT_S = 0.87
+#: How slow a target's clock may run.
+SLOW_CLOCK = 1.02
+
+
+class World:
+    """The virtual clock and what is due on it."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (self.now + delay_s, next(self._order), action))
+
+    def run_until(self, end: float) -> None:
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+
+class FakeLog:
+    """One partition of the store, with its faults."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.entries: list[Entry] = []
+        self.down = False
+        #: Part of the appends whose answer is lost, and which may be done later.
+        self.lose_answers = 0.0
+
+    def append(self, key: str, value: bytes, at: int | None):
+        if at is not None and at != len(self.entries):
+            return Conflict()
+        offset = len(self.entries)
+        self.entries.append(Entry(offset, key, value))
+        return Appended(offset)
+
+
+class LogPort:
+    """The store as one daemon reaches it."""
+
+    def __init__(self, log: FakeLog, daemon: FakeDaemon) -> None:
+        self._log = log
+        self._daemon = daemon
+
+    def _is_reached(self) -> bool:
+        return not self._log.down and not self._daemon.is_cut_from_store
+
+    def _answer(self, on_done, result) -> None:
+        world, daemon = self._log.world, self._daemon
+        life = daemon.life
+
+        def arrive() -> None:
+            if daemon.is_frozen:
+                world.after(0.05, arrive)
+            elif daemon.life == life:
+                daemon.timers.tell(world.now)
+                on_done(result)
+
+        world.after(world.rng.uniform(0.005, 0.07), arrive)
+
+    def _call(self, on_done, action) -> None:
+        world = self._log.world
+
+        def execute() -> None:
+            if self._is_reached():
+                self._answer(on_done, action())
+            else:
+                world.after(2.0, lambda: self._answer(on_done, Unavailable("down")))
+
+        world.after(world.rng.uniform(0.005, 0.07), execute)
+
+    def read_newest(self, topic, after, on_done) -> None:
+        def read():
+            newest = {entry.key: entry for entry in self._log.entries}
+            return NewestPage(tuple(newest.values()), None, len(self._log.entries))
+
+        self._call(on_done, read)
+
+    def read_tail(self, topic, offset, wait_s, on_done) -> None:
+        def read():
+            entries = tuple(self._log.entries[offset:])
+            end = len(self._log.entries)
+            return Tail(entries, end, end)
+
+        self._call(on_done, read)
+
+    def append(self, topic, key, value, at, on_done) -> None:
+        log, world = self._log, self._log.world
+        if world.rng.random() < log.lose_answers and self._is_reached():
+            late_s = world.rng.choice([0.0, 1.0, 4.0])
+            world.after(late_s, lambda: log.append(key, value, at))
+            lost = Unavailable("lost", may_be_done=True)
+            world.after(2.0, lambda: self._answer(on_done, lost))
+            return
+        self._call(on_done, lambda: log.append(key, value, at))
+
+
+@dataclass
+class Held:
+    """A range that a target holds."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+class FakeTarget:
+    """Beats to its daemon and takes what the answers grant."""
+
+    def __init__(self, mesh: OwnershipMesh, daemon: FakeDaemon, life: int) -> None:
+        self.mesh = mesh
+        self.daemon = daemon
+        self.instance = f"i-{daemon.me}-{life}"
+        self.born = int(mesh.world.now * 1000) + 1
+        self.state = TargetState.READY
+        self.held: list[Held] = []
+        self.freed: dict[tuple[int, int], str] = {}
+        self.sequence = 0
+        self.is_up = True
+        self._tokens = itertools.count()
+        mesh.world.after(mesh.world.rng.uniform(0.1, 1.0), self.beat)
+
+    def holdings(self) -> list[Held]:
+        now = self.mesh.world.now
+        self.held = [each for each in self.held if each.until > now]
+        return self.held
+
+    def beat(self, again: bool = True) -> None:
+        if not self.is_up:
+            return
+        world = self.mesh.world
+        if again:
+            world.after(HEARTBEAT_S * world.rng.uniform(0.95, 1.05), self.beat)
+        if not self.daemon.is_running:
+            return
+        self.sequence += 1
+        sent_at = world.now
+        heartbeat = Heartbeat(
+            self.instance,
+            self.born,
+            self.sequence,
+            self.state,
+            18,
+            holds=tuple((h.first, h.last, h.fence) for h in self.holdings()),
+            handed_over=dict(self.freed),
+        )
+        delay_s = 0.001
+        if world.rng.random() < self.mesh.late_heartbeats:
+            delay_s = world.rng.uniform(0.2, 2.5)
+        world.after(delay_s, lambda: self._arrive(heartbeat, sent_at))
+
+    def _arrive(self, heartbeat: Heartbeat, sent_at: float) -> None:
+        daemon = self.daemon
+        if not daemon.is_running or daemon.target is not self:
+            return
+        if daemon.is_frozen:
+            self.mesh.world.after(0.05, lambda: self._arrive(heartbeat, sent_at))
+            return
+        grant = daemon.on_heartbeat(heartbeat)
+        if grant is not None and self.mesh.world.now - sent_at < 1.0:
+            self.mesh.world.after(0.001, lambda: self._take(grant, sent_at, heartbeat))
+
+    def _take(self, grant: Grant, sent_at: float, heartbeat: Heartbeat) -> None:
+        if not self.is_up:
+            return
+        for row in heartbeat.handed_over:
+            self.freed.pop(row, None)
+        if grant.hold_s <= 0:
+            return
+        until = sent_at + grant.hold_s * SLOW_CLOCK
+        wanted = {(span.first, span.last): span for span in grant.spans}
+        released = False
+        for held in self.holdings():
+            if (held.first, held.last) not in wanted:
+                self.freed[held.first, held.last] = f"t{next(self._tokens)}"
+                released = True
+        self.held = [
+            Held(first, last, span.fence, until)
+            for (first, last), span in wanted.items()
+        ]
+        self.mesh.check(self)
+        if released:
+            self.mesh.world.after(0.1, lambda: self.beat(again=False))
+
+
+class FakeDaemon:
+    """The parts of a daemon that ownership needs, without ports."""
+
+    def __init__(self, mesh: OwnershipMesh, number: int, region: str) -> None:
+        self.mesh = mesh
+        self.me = f"10.0.0.{number}:1"
+        self.region = region
+        self.life = 0
+        self.is_running = False
+        self.is_frozen = False
+        self.is_cut_from_store = False
+        self.is_cut_from_peers = False
+        self.target: FakeTarget | None = None
+        self.targets = 0
+
+    def start(self) -> None:
+        self.life += 1
+        self.is_running, self.is_frozen = True, False
+        now = self.mesh.world.now
+        self.timers = TimerService()
+        self.timers.tell(now)
+        self.directory = Directory()
+        self.lease = ReadLease()
+        self.liveness = Liveness(now)
+        self.holds = TargetHolds(self.me, now)
+        self.balancer = HeatBalancer(self.me, KeyHeat())
+        self.keeper = Keeper(
+            self.me,
+            SERVICE,
+            self.region,
+            self.directory,
+            self.holds,
+            self.liveness,
+            self.balancer,
+            now,
+        )
+        store = LogPort(self.mesh.log, self)
+        rng = random.Random(f"{self.me} {self.life} {self.mesh.seed}")
+        self.follower = Follower(
+            store,
+            "t",
+            self.timers,
+            0.0,
+            2.0,
+            self._on_entries,
+            self._on_complete,
+            lambda reachable, reason: None,
+            rng,
+        )
+        self.publisher = Publisher(
+            self.me,
+            SERVICE,
+            store,
+            self.directory,
+            self.keeper,
+            self.lease,
+            self.timers,
+            rng,
+            self._on_written,
+            self.follower.start,
+        )
+        self.publisher.by_key = True
+        self.follower.start(now)
+        life = self.life
+        self.mesh.world.after(0.1, lambda: self._tick(life))
+
+    def kill(self) -> None:
+        self.is_running = False
+        self.life += 1
+
+    def _on_entries(self, now, entries) -> None:
+        for entry in entries:
+            self.directory.apply(now, entry)
+
+    def _on_complete(self, now, sent_at, end) -> None:
+        self.directory.note_end(end)
+        self.lease.confirm(sent_at)
+
+    def _on_written(self, now, entry, reason) -> None:
+        for peer in self.mesh.reachable_peers(self):
+            delay_s = self.mesh.world.rng.uniform(0.001, 0.05)
+            self.mesh.world.after(delay_s, lambda p=peer: p.on_push(entry))
+
+    def on_push(self, entry: Entry) -> None:
+        if self.is_running and not self.is_frozen:
+            self.directory.apply_next(self.mesh.world.now, entry)
+
+    def _tick(self, life: int) -> None:
+        if self.life != life:
+            return
+        self.mesh.world.after(0.1, lambda: self._tick(life))
+        if self.is_frozen:
+            return
+        now = self.mesh.world.now
+        for event in list(self.timers.due(now)):
+            event.ring(now)
+        for peer in self.mesh.reachable_peers(self):
+            if not peer.is_frozen:
+                self.liveness.note_heard(now, peer.me)
+        self.publisher.look(now, self._member(now))
+        if int(now * 10) % 10 == 0:
+            self._compare(now)
+
+    def _compare(self, now: float) -> None:
+        """Confirm the lease by a peer, as pings do."""
+        peers = [peer for peer in self.mesh.reachable_peers(self) if not peer.is_frozen]
+        if not peers or not self.directory.is_loaded:
+            return
+        peer = self.mesh.world.rng.choice(peers)
+        if peer.directory.is_loaded and peer.directory.end <= self.directory.end:
+            self.lease.confirm(now - peer.lease.age_s(now))
+
+    def _member(self, now: float) -> Member | None:
+        heartbeat = self.holds.heartbeat
+        if heartbeat is None and not self.holds.is_overdue(now):
+            return None
+        run = heartbeat.run if heartbeat else ""
+        state = self.holds.state(now)
+        return Member(SERVICE, "d", self.region, run, 18, state)
+
+    def on_heartbeat(self, heartbeat: Heartbeat) -> Grant | None:
+        now = self.mesh.world.now
+        if not self.holds.accepts(heartbeat):
+            return None
+        self.holds.note(now, heartbeat)
+        self.publisher.look(now, self._member(now))
+        table = self.directory.table_by_service.get(SERVICE)
+        return self.holds.grant(now, table, self.lease.left_s(now))
+
+
+@dataclass
+class Overlap:
+    """Two targets that held keys at the same time, or a fence that did not rise."""
+
+    at: float
+    what: str
+
+
+class OwnershipMesh:
+    """Daemons with their targets on one log."""
+
+    def __init__(self, seed: int, count: int = 4) -> None:
+        self.seed = seed
+        self.world = World(seed)
+        self.log = FakeLog(self.world)
+        self.late_heartbeats = 0.0
+        self.overlaps: list[Overlap] = []
+        self._fence_rows: list[tuple[int, int, int, str]] = []
+        self.daemons = [
+            FakeDaemon(self, number, f"r{number % 2}") for number in range(1, count + 1)
+        ]
+        for daemon in self.daemons:
+            self.world.after(self.world.rng.uniform(0, 0.3), daemon.start)
+            self.new_target(daemon)
+
+    def new_target(self, daemon: FakeDaemon) -> None:
+        if daemon.target is not None:
+            daemon.target.is_up = False
+        daemon.targets += 1
+        daemon.target = FakeTarget(self, daemon, daemon.targets)
+
+    def reachable_peers(self, daemon: FakeDaemon) -> list[FakeDaemon]:
+        if daemon.is_cut_from_peers:
+            return []
+        return [
+            each
+            for each in self.daemons
+            if each is not daemon and each.is_running and not each.is_cut_from_peers
+        ]
+
+    def check(self, taker: FakeTarget) -> None:
+        """Check that nobody else holds what a target has just taken."""
+        for daemon in self.daemons:
+            other = daemon.target
+            if other is None or other is taker or not other.is_up:
+                continue
+            for mine in taker.held:
+                for theirs in other.holdings():
+                    if mine.first <= theirs.last and theirs.first <= mine.last:
+                        what = f"{taker.instance} {mine} and {other.instance} {theirs}"
+                        self.overlaps.append(Overlap(self.world.now, what))
+        self._check_fences(taker)
+
+    def _check_fences(self, taker: FakeTarget) -> None:
+        for held in taker.held:
+            for first, last, fence, instance in self._fence_rows:
+                overlaps = held.first <= last and first <= held.last
+                if overlaps and instance != taker.instance and fence >= held.fence:
+                    what = f"{taker.instance} {held} after {instance} with {fence}"
+                    self.overlaps.append(Overlap(self.world.now, what))
+            row = (held.first, held.last, held.fence, taker.instance)
+            if row not in self._fence_rows:
+                self._fence_rows.append(row)
+
+    def owners(self) -> dict[str, int]:
+        """Return how many keys each target holds now."""
+        return {
+            daemon.target.instance: sum(
+                held.last - held.first + 1 for held in daemon.target.holdings()
+            )
+            for daemon in self.daemons
+            if daemon.target is not None and daemon.target.is_up
+        }
+
+
+@dataclass
+class FaultPlan:
+    """Random faults over a run."""
+
+    mesh: OwnershipMesh
+    done: list[str] = field(default_factory=list)
+
+    def schedule(self, count: int, start: float, end: float) -> None:
+        """Spread faults over a time."""
+        rng = self.mesh.world.rng
+        faults = [
+            self._kill_daemon,
+            self._restart_target,
+            self._lose_target,
+            self._freeze,
+            self._cut_store,
+            self._cut_peers,
+            self._cut_all,
+            self._store_down,
+            self._lose_answers,
+            self._late_heartbeats,
+            self._leave,
+        ]
+        for _ in range(count):
+            fault = rng.choice(faults)
+            daemon = rng.choice(self.mesh.daemons)
+            at = rng.uniform(start, end)
+            for_s = rng.uniform(0.3, 9.0)
+            self.mesh.world.after(at, lambda f=fault, d=daemon, s=for_s: f(d, s))
+
+    def _note(self, what: str, daemon: FakeDaemon | None, for_s: float) -> None:
+        who = daemon.me if daemon else "store"
+        self.done.append(f"{self.mesh.world.now:.2f} {what} {who} {for_s:.1f}")
+
+    def _later(self, for_s: float, action: Callable[[], None]) -> None:
+        self.mesh.world.after(for_s, action)
+
+    def _kill_daemon(self, daemon: FakeDaemon, for_s: float) -> None:
+        if daemon.is_running:
+            self._note("kill", daemon, for_s)
+            daemon.kill()
+            self._later(for_s / 2, daemon.start)
+
+    def _restart_target(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("restart target", daemon, for_s)
+        self.mesh.new_target(daemon)
+
+    def _lose_target(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("lose target", daemon, for_s)
+        daemon.target.is_up = False
+        self._later(for_s, lambda: self.mesh.new_target(daemon))
+
+    def _freeze(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("freeze", daemon, for_s)
+        daemon.is_frozen = True
+
+        def thaw() -> None:
+            daemon.is_frozen = False
+
+        self._later(for_s, thaw)
+
+    def _cut(self, daemon: FakeDaemon, for_s: float, *names: str) -> None:
+        self._note(f"cut {names}", daemon, for_s)
+        for name in names:
+            setattr(daemon, name, True)
+
+        def heal() -> None:
+            for name in names:
+                setattr(daemon, name, False)
+
+        self._later(for_s, heal)
+
+    def _cut_store(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._cut(daemon, for_s, "is_cut_from_store")
+
+    def _cut_peers(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._cut(daemon, for_s, "is_cut_from_peers")
+
+    def _cut_all(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._cut(daemon, 1.5 * for_s, "is_cut_from_store", "is_cut_from_peers")
+
+    def _store_down(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("store down", None, for_s)
+        self.mesh.log.down = True
+
+        def heal() -> None:
+            self.mesh.log.down = False
+
+        self._later(for_s, heal)
+
+    def _lose_answers(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("answers lost", None, for_s)
+        self.mesh.log.lose_answers = 0.5
+
+        def heal() -> None:
+            self.mesh.log.lose_answers = 0.0
+
+        self._later(for_s, heal)
+
+    def _late_heartbeats(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("late heartbeats", None, for_s)
+        self.mesh.late_heartbeats = 0.4
+
+        def heal() -> None:
+            self.mesh.late_heartbeats = 0.0
+
+        self._later(for_s, heal)
+
+    def _leave(self, daemon: FakeDaemon, for_s: float) -> None:
+        self._note("leave", daemon, for_s)
+        target = daemon.target
+        target.state = TargetState.LEAVING
+        self._later(for_s, lambda: self.mesh.new_target(daemon))
--- /dev/null
+++ b/tests/core/ownership/test_heat_balancer.py
@@ -0,0 +1,107 @@
+"""Hot keys: where a range is cut, and which target gets the work."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
+from rhubarbhall.core.ownership.key_heat import KeyHeat, TargetLoad, choose_piece
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+
+ME, B, C = Claim("a:1", "ra"), Claim("b:1", "rb"), Claim("c:1", "rc")
+SLOTS = 9
+
+
+def balancer_with(keys: list[int], rate: float, took_s: float) -> HeatBalancer:
+    """Return the balancer of a target that gets these keys at a rate."""
+    heat = KeyHeat()
+    for _ in range(200):
+        heat.note_duration(took_s)
+    for index, key in enumerate(keys):
+        heat.note_request(10.0 + index / rate, key)
+    balancer = HeatBalancer(ME.owner, heat)
+    balancer.slots = SLOTS
+    return balancer
+
+
+class HotRangeTests(unittest.TestCase):
+    """Pattern: two hundred neighbouring keys get most of the traffic."""
+
+    def setUp(self):
+        rng = random.Random(1)
+        self.keys = [rng.randrange(5000, 5200) for _ in range(150)]
+        self.balancer = balancer_with(self.keys, rate=150, took_s=0.06)
+        self.now = 11.0
+        self.table = KeyTable.divided([ME, B, C])
+        idle = TargetLoad(0.1, 0.06 / SLOTS)
+        self.balancer.note_load(self.now, B.owner, idle)
+        self.balancer.note_load(self.now, C.owner, idle)
+
+    def moves(self):
+        return self.balancer.moves(self.now, self.table, [ME, B, C])
+
+    def test_the_hot_range_is_cut_through_and_shared(self):
+        moves = self.moves()
+        self.assertEqual({claim.owner for _, claim in moves}, {"b:1", "c:1"})
+        kept = [
+            key
+            for key in self.keys
+            if not any(first <= key <= last for (first, last), _ in moves)
+        ]
+        self.assertLess(len(kept), 0.75 * len(self.keys))
+        self.assertGreater(len(kept), 0.2 * len(self.keys))
+
+    def test_nothing_moves_to_targets_that_are_as_busy(self):
+        for claim in (B, C):
+            self.balancer.note_load(self.now, claim.owner, TargetLoad(1.0, 0.006))
+        self.assertEqual(self.moves(), [])
+
+    def test_old_news_of_a_load_is_not_used(self):
+        self.now += 5.0
+        for key in self.keys:
+            self.balancer.heat.note_request(self.now - 0.1, key)
+        self.assertEqual(self.moves(), [])
+
+    def test_nothing_more_moves_while_a_range_is_on_its_way(self):
+        self.table = self.table.moved(self.moves())
+        self.now += 2.0
+        self.assertEqual(self.moves(), [])
+
+    def test_a_calm_target_keeps_its_keys(self):
+        self.balancer = balancer_with([7] * 20, rate=20, took_s=0.06)
+        self.balancer.note_load(self.now, B.owner, TargetLoad(0.0, 0.006))
+        self.assertEqual(self.moves(), [])
+
+
+class HottestKeyTests(unittest.TestCase):
+    """Pattern: one key alone is more than a slow target can work on."""
+
+    def test_it_goes_to_the_fastest_target(self):
+        balancer = balancer_with([4242] * 180, rate=150, took_s=0.1)
+        balancer.note_load(11.0, B.owner, TargetLoad(0.05, 0.1 / SLOTS))
+        balancer.note_load(11.0, C.owner, TargetLoad(0.2, 0.04 / SLOTS))
+        table = KeyTable.divided([ME, B, C])
+        moves = balancer.moves(11.1, table, [ME, B, C])
+        self.assertEqual(moves, [((4242, 4242), C)])
+
+    def test_it_stays_if_nobody_is_faster(self):
+        balancer = balancer_with([4242] * 180, rate=150, took_s=0.1)
+        balancer.note_load(11.0, B.owner, TargetLoad(0.3, 0.1 / SLOTS))
+        table = KeyTable.divided([ME, B])
+        moves = balancer.moves(11.1, table, [ME, B])
+        self.assertNotIn(((4242, 4242), B), moves)
+
+
+class PieceTests(unittest.TestCase):
+    def test_the_smallest_range_with_the_wanted_requests_is_taken(self):
+        table = KeyTable.divided([ME])
+        keys = sorted([10, 11, 12, 13] + [60000] * 4)
+        held, (first, last) = choose_piece([(table.spans[0], keys)], 4)
+        self.assertEqual(held, 4)
+        # The other end holds as many: 14 to 65535, which are more keys.
+        self.assertEqual((first, last), (0, 59999))
+
+    def test_no_piece_of_a_single_key_that_is_too_much(self):
+        table = KeyTable.divided([ME])
+        self.assertIsNone(choose_piece([(table.spans[0], [7] * 50)], 10))
--- /dev/null
+++ b/tests/core/ownership/test_sole_owner.py
@@ -0,0 +1,72 @@
+"""No key is ever held by two targets, whatever fails, on a virtual clock."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from rhubarbhall.core.ownership import keeper, target_holds
+from rhubarbhall.core.ownership.key_table import KEY_COUNT
+from rhubarbhall.core.ownership.target_holds import TargetHolds
+from tests.core.ownership.mesh import FaultPlan, OwnershipMesh
+
+#: Virtual time of a run, and the time without faults that it ends with.
+RUN_S = 60.0
+CALM_S = 25.0
+SEEDS = range(40)
+
+
+def play(seed: int, faults: int = 14) -> tuple[OwnershipMesh, FaultPlan]:
+    """Return a mesh after random faults and a calm time."""
+    mesh = OwnershipMesh(seed)
+    plan = FaultPlan(mesh)
+    plan.schedule(faults, 6.0, RUN_S - CALM_S)
+    mesh.world.run_until(RUN_S)
+    return mesh, plan
+
+
+class SoleOwnerTests(unittest.TestCase):
+    def test_no_key_has_two_holders_and_fences_rise(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                mesh, plan = play(seed)
+                told = "\n".join(plan.done + [str(each) for each in mesh.overlaps[:5]])
+                self.assertEqual(mesh.overlaps, [], told)
+
+    def test_every_key_has_a_holder_again_after_the_faults(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                mesh, plan = play(seed)
+                held = sum(mesh.owners().values())
+                self.assertEqual(held, KEY_COUNT, "\n".join(plan.done))
+
+
+class RulesMatterTests(unittest.TestCase):
+    """Each rule of ownership, switched off, gives a key two holders."""
+
+    def assert_breaks(self, seeds: range = range(120)) -> None:
+        for seed in seeds:
+            mesh, _ = play(seed, faults=18)
+            if mesh.overlaps:
+                return
+        self.fail("no seed gave a key two holders without the rule")
+
+    def test_waiting_for_the_lease_of_a_silent_daemon(self):
+        with mock.patch.object(keeper, "takeover_wait_s", lambda: 0.0):
+            self.assert_breaks()
+
+    def test_granting_only_within_the_lease(self):
+        def grant(self, now, table, lease_left_s):
+            return real(self, now, table, 100.0)
+
+        real = TargetHolds.grant
+        with mock.patch.object(TargetHolds, "grant", grant):
+            self.assert_breaks()
+
+    def test_letting_go_only_when_the_target_has(self):
+        with mock.patch.object(TargetHolds, "_holds_none_of", lambda *args: True):
+            self.assert_breaks()
+
+    def test_waiting_for_the_end_of_grants_to_a_lost_target(self):
+        with mock.patch.object(target_holds, "_grant_end", lambda sent, hold: sent):
+            self.assert_breaks()
--- /dev/null
+++ b/tests/core/traffic/test_gate.py
@@ -0,0 +1,259 @@
+"""The gate under the loads that it is for."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import replace
+
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.gate import Gate
+from rhubarbhall.core.traffic.requests import Answered, NotRun, Request, Unknown
+
+ANSWER = Answered(200, (), b"ok")
+REQUEST = Request(
+    id="q",
+    service="s",
+    route="r",
+    key=None,
+    method="GET",
+    path="/",
+    host="h",
+    headers=(),
+    body=b"",
+    caller="c",
+    idempotent=True,
+    priority=1,
+    deadline=1.0,
+    worth_most_until=0.4,
+)
+
+
+class FakeTarget:
+    def __init__(self):
+        self.sent: dict[int, Request] = {}
+        self.cancelled: list[int] = []
+
+    def send(self, ticket, request, now):
+        self.sent[ticket] = request
+
+    def cancel(self, ticket):
+        self.cancelled.append(ticket)
+        self.sent.pop(ticket, None)
+
+
+class FakeKeys:
+    def __init__(self):
+        self.held: set[int] = set()
+        self.awaited: set[int] = set()
+
+    def note_request(self, now, key):
+        pass
+
+    def note_duration(self, took_s):
+        pass
+
+    def note_refused(self):
+        pass
+
+    def may_work_on(self, now, key):
+        return key in self.held
+
+    def awaits(self, key):
+        return key in self.held or key in self.awaited
+
+
+class GateCase(unittest.TestCase):
+    SLOTS = 2
+
+    def setUp(self):
+        self.target = FakeTarget()
+        self.keys = FakeKeys()
+        self.gate = Gate(self.target, self.keys)
+        self.gate.open(self.SLOTS)
+        self.outcomes: dict[str, object] = {}
+
+    def submit(self, now: float, id: str, **changes) -> int:
+        request = replace(REQUEST, id=id, **changes)
+        return self.gate.submit(
+            now, request, lambda outcome: self.outcomes.__setitem__(id, outcome)
+        )
+
+    def ticket_of(self, id: str) -> int:
+        return next(t for t, request in self.target.sent.items() if request.id == id)
+
+    def finish(self, now: float, id: str, outcome=ANSWER) -> None:
+        ticket = self.ticket_of(id)
+        del self.target.sent[ticket]
+        self.gate.finish(now, ticket, outcome)
+
+    def sent_ids(self) -> list[str]:
+        return [request.id for request in self.target.sent.values()]
+
+    def learn(self, route: str, took_s: float) -> None:
+        for _ in range(60):
+            self.gate.durations.note(route, took_s)
+
+
+class GateTests(GateCase):
+    def test_no_more_than_the_slots_are_sent(self):
+        for id in "abc":
+            self.submit(0.0, id)
+        self.assertEqual(self.sent_ids(), ["a", "b"])
+        self.finish(0.05, "a")
+        self.assertEqual(self.sent_ids(), ["b", "c"])
+        self.assertEqual(self.outcomes["a"], ANSWER)
+
+    def test_a_closed_gate_says_truthfully_that_nothing_ran(self):
+        self.submit(0.0, "a")
+        for id in "bcd":
+            self.submit(0.0, id)
+        self.gate.close(ErrorKind.SHUTTING_DOWN)
+        refused = [id for id in "abcd" if isinstance(self.outcomes.get(id), NotRun)]
+        self.assertEqual(refused, ["c", "d"])
+        self.assertEqual(self.sent_ids(), ["a", "b"])
+
+    def test_a_refused_request_is_never_sent_later(self):
+        for id in "abc":
+            self.submit(0.0, id)
+        self.gate.close(ErrorKind.SHUTTING_DOWN)
+        self.gate.open(self.SLOTS)
+        self.finish(0.1, "a")
+        self.assertEqual(self.sent_ids(), ["b"])
+
+    def test_a_cancelled_request_that_waits_certainly_does_not_run(self):
+        for id in "ab":
+            self.submit(0.0, id)
+        ticket = self.submit(0.0, "c")
+        self.assertTrue(self.gate.cancel(0.0, ticket))
+        self.finish(0.1, "a")
+        self.assertEqual(self.sent_ids(), ["b"])
+
+    def test_work_that_must_not_repeat_goes_on_without_its_caller(self):
+        ticket = self.submit(0.0, "a", idempotent=False)
+        self.assertFalse(self.gate.cancel(0.1, ticket))
+        self.assertEqual(self.target.cancelled, [])
+        self.assertEqual(self.sent_ids(), ["a"])
+
+    def test_an_unreachable_target_turns_waiting_requests_away(self):
+        for id in "abc":
+            self.submit(0.0, id)
+        self.gate.note_unreachable(0.1)
+        self.assertEqual(self.outcomes["c"].kind, ErrorKind.TARGET_UNREACHABLE)
+        self.submit(0.2, "d")
+        self.assertEqual(self.outcomes["d"].kind, ErrorKind.TARGET_UNREACHABLE)
+        self.submit(0.6, "e", deadline=2.0)
+        self.assertNotIn("e", self.outcomes)
+
+    def test_a_silent_target_does_not_keep_its_slots_for_good(self):
+        self.submit(0.0, "a")
+        self.submit(0.0, "b")
+        self.gate.expire(1.5)
+        self.assertIsInstance(self.outcomes["a"], Unknown)
+        self.assertEqual(self.gate.load.running, 0)
+
+
+class KeyTests(GateCase):
+    def test_a_request_waits_for_a_key_that_is_about_to_come(self):
+        self.keys.awaited.add(5)
+        self.submit(0.0, "a", key=5)
+        self.assertEqual(self.sent_ids(), [])
+        self.keys.held.add(5)
+        self.gate.keys_changed(0.3)
+        self.assertEqual(self.sent_ids(), ["a"])
+
+    def test_a_key_of_another_target_is_refused_at_once(self):
+        self.submit(0.0, "a", key=6)
+        self.assertEqual(self.outcomes["a"], NotRun(ErrorKind.NOT_OWNER))
+
+    def test_a_key_that_does_not_come_is_refused_after_a_heartbeat(self):
+        self.keys.awaited.add(5)
+        self.submit(0.0, "a", key=5, deadline=9.0)
+        self.gate.expire(1.2)
+        self.assertEqual(self.outcomes["a"], NotRun(ErrorKind.NOT_OWNER))
+
+    def test_a_key_that_moved_while_its_request_waited_is_not_worked_on(self):
+        self.keys.held.add(5)
+        for id in "ab":
+            self.submit(0.0, id)
+        self.submit(0.0, "c", key=5)
+        self.keys.held.clear()
+        self.finish(0.1, "a")
+        self.assertEqual(self.outcomes["c"], NotRun(ErrorKind.NOT_OWNER))
+
+
+class CrestTests(GateCase):
+    """Pattern: for seconds, more requests come than the target can work on."""
+
+    SLOTS = 4
+    TOOK_S = 0.1
+
+    def play(self, rate: float, length_s: float = 4.0) -> dict[str, float]:
+        """Return when each answered request was answered, after its arrival."""
+        self.learn("r", self.TOOK_S)
+        rng = random.Random(7)
+        arrivals = []
+        at = 0.0
+        while at < length_s:
+            at += rng.expovariate(rate)
+            arrivals.append(at)
+        began: dict[str, float] = {}
+        done: dict[str, float] = {}
+        running: list[tuple[float, str]] = []
+        now, step = 0.0, 0.002
+        while now < length_s + 1.5:
+            now += step
+            while arrivals and arrivals[0] <= now:
+                id = str(len(began))
+                began[id] = arrivals.pop(0)
+                self.submit(now, id, deadline=now + 1.0, worth_most_until=now + 0.4)
+            for ends, id in [each for each in running if each[0] <= now]:
+                running.remove((ends, id))
+                done[id] = now - began[id]
+                self.finish(now, id)
+            known = {id for _, id in running}
+            running += [
+                (now + self.TOOK_S, id) for id in self.sent_ids() if id not in known
+            ]
+            self.gate.expire(now)
+        self.began = began
+        return done
+
+    def test_at_twice_the_capacity_most_of_it_answers_in_time(self):
+        capacity = self.SLOTS / self.TOOK_S
+        done = self.play(rate=2 * capacity)
+        in_time = sum(took <= 0.4 for took in done.values())
+        self.assertGreaterEqual(in_time, 0.8 * capacity * 4.0)
+
+    def test_refusals_come_early(self):
+        self.play(rate=3 * self.SLOTS / self.TOOK_S)
+        unanswered = set(self.began) - set(self.outcomes)
+        self.assertEqual(unanswered, set())
+        refused = [o for o in self.outcomes.values() if isinstance(o, NotRun)]
+        self.assertTrue(refused)
+        self.assertTrue(all(o.retry_after_s > 0 for o in refused))
+
+    def test_urgent_requests_pass_others(self):
+        self.learn("r", self.TOOK_S)
+        for id in "abcd":
+            self.submit(0.0, id, priority=2)
+        self.submit(0.0, "low", priority=2)
+        self.submit(0.0, "high", priority=0)
+        self.finish(0.1, "a")
+        self.assertIn("high", self.sent_ids())
+        self.assertNotIn("low", self.sent_ids())
+
+
+class LongWorkTests(GateCase):
+    """Pattern: long reports and short look-ups share the slots of one target."""
+
+    SLOTS = 10
+
+    def test_long_work_never_takes_all_slots(self):
+        self.learn("short", 0.03)
+        self.learn("long", 0.3)
+        for index in range(30):
+            self.submit(0.0, f"l{index}", route="long", deadline=9.0)
+        self.assertLess(len(self.sent_ids()), self.SLOTS)
+        self.submit(0.0, "s", route="short")
+        self.assertIn("s", self.sent_ids())
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+import base64
+import struct
+import unittest
+
+import msgspec
+
+from rhubarbhall.adapters.client import Failed
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.store_port import (
+    Appended,
+    Conflict,
+    NewestPage,
+    Tail,
+    Trimmed,
+    Unavailable,
+)
+from rhubarbhall.core.requests import Response
+from rhubarbhall.platform.store import LogStore
+
+
+class FakeHttp:
+    def __init__(self):
+        self.calls: list[tuple] = []
+        self.replies: list = []
+
+    def fetch(self, address, method, path, headers, body, timeout_s, on_done):
+        self.calls.append((method, path, body))
+        on_done(self.replies.pop(0))
+
+
+def record(key: bytes, value: bytes) -> bytes:
+    content = bytes([len(key)]) + key + value
+    return struct.pack(">I", len(content)) + content
+
+
+class StoreTests(unittest.TestCase):
+    def setUp(self):
+        self.http = FakeHttp()
+        self.store = LogStore(self.http, self.http, "10.0.0.9:1")
+        self.results: list = []
+
+    def read_tail(self, reply):
+        self.http.replies.append(reply)
+        self.store.read_tail("t", 7, 1.5, self.results.append)
+        return self.results[-1]
+
+    def test_a_tail_has_offsets_by_place(self):
+        body = struct.pack(">QQ", 9, 0) + record(b"a", b"1") + record(b"b", b"")
+        result = self.read_tail(Response(200, (), body))
+        self.assertEqual(result, Tail((Entry(7, "a", b"1"), Entry(8, "b", b"")), 9, 9))
+        self.assertIn("from=7&wait_ms=1500", self.http.calls[0][1])
+
+    def test_a_foreign_record_is_passed_over_and_counted(self):
+        foreign = struct.pack(">I", 3) + b"\xffab"
+        body = struct.pack(">QQ", 9, 0) + foreign + record(b"b", b"2")
+        result = self.read_tail(Response(200, (), body))
+        self.assertEqual(result, Tail((Entry(8, "b", b"2"),), 9, 9))
+
+    def test_a_cut_answer_is_no_answer(self):
+        body = struct.pack(">QQ", 9, 0) + record(b"a", b"1")[:-1]
+        self.assertIsInstance(self.read_tail(Response(200, (), body)), Unavailable)
+        self.assertIsInstance(self.read_tail(Response(200, (), b"x")), Unavailable)
+
+    def test_dropped_history_is_told(self):
+        self.assertEqual(self.read_tail(Response(410)), Trimmed())
+
+    def test_pages_go_on_after_the_last_key(self):
+        value = base64.b64encode(b"v").decode()
+        items = [{"key": "k", "value": value, "offset": 4}]
+        body = msgspec.json.encode({"items": items, "more": True, "end": 6})
+        self.http.replies.append(Response(200, (), body))
+        self.store.read_newest("t", None, self.results.append)
+        expected = NewestPage((Entry(4, "k", b"v"),), "k", 6)
+        self.assertEqual(self.results, [expected])
+
+    def append(self, reply):
+        self.http.replies.append(reply)
+        self.store.append("t", "k", b"v", 5, self.results.append)
+        return self.results[-1]
+
+    def test_appends(self):
+        done = msgspec.json.encode({"offset": 5, "end": 6})
+        self.assertEqual(self.append(Response(200, (), done)), Appended(5))
+        self.assertEqual(self.http.calls[0][2], record(b"k", b"v"))
+        self.assertIn("at=5", self.http.calls[0][1])
+        self.assertEqual(self.append(Response(412)), Conflict())
+
+    def test_a_lost_answer_may_be_done_and_a_refusal_is_not(self):
+        lost = self.append(Failed(True, ErrorKind.ANSWER_LOST))
+        self.assertTrue(lost.may_be_done)
+        self.assertFalse(self.append(Response(503)).may_be_done)
