Test the whole path over sockets against stand-ins; serve figures, dump and traces

Ruled out: aioprometheus in every process from the start (11 MB of some 30); it is imported when the figures are first asked for. circuits.web for the small ports, for the same reason.

After: ten tests of the path on loopback (owners, foreign and cut answers, shed requests, a lost target, a planned stop, a store that is away); rubarb-ctl trace and explain.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -172,6 +172,10 @@
             )
             self._sink.take(request_id, raw)
 
+    def sock_of(self, request_id: RequestId) -> socket.socket | None:
+        """Return the connection that a request came over, while it is open."""
+        return self._sock_by_request.get(request_id)
+
     def answer(self, request_id: RequestId, response: Response) -> None:
         """Write the answer to a request, if its caller is still there."""
         sock = self._sock_by_request.pop(request_id, None)
--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -140,9 +140,18 @@
         Where requests are sent.
     holder : KeyHolder
         Which keys the target holds.
+    on_worked : callable
+        Takes the service of an answered request, how long it waited and how long the
+        target worked on it.
     """
 
-    def __init__(self, target: Target, holder: KeyHolder) -> None:
+    def __init__(
+        self,
+        target: Target,
+        holder: KeyHolder,
+        on_worked: Callable[[str, Seconds, Seconds], None] = lambda *_: None,
+    ) -> None:
+        self._on_worked = on_worked
         self._target = target
         self._holder = holder
         self._tickets = itertools.count(1)
@@ -374,6 +383,8 @@
         elif not isinstance(outcome, Unknown):
             took_s = now - entry.sent_at
             self.durations.note(entry.request.route, took_s)
+            waited_s = entry.sent_at - entry.arrived_at
+            self._on_worked(entry.request.service, waited_s, took_s)
             if entry.request.key is not None:
                 self._holder.note_duration(took_s)
             self.limit.note_success()
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -134,12 +134,21 @@
         Connections for reads that may wait, and for all others.
     address : str
         Address of the store.
+    on_call : callable
+        Takes the kind of a call and of its result, for counters.
     """
 
-    def __init__(self, reads: HttpClient, writes: HttpClient, address: Address) -> None:
+    def __init__(
+        self,
+        reads: HttpClient,
+        writes: HttpClient,
+        address: Address,
+        on_call: Callable[[str, str], None] = lambda call, result: None,
+    ) -> None:
         self._reads = reads
         self._writes = writes
         self._address = address
+        self._on_call = on_call
 
     def read_newest(
         self, topic: str, after: str | None, on_done: Callable[[ReadResult], None]
@@ -150,7 +159,9 @@
             path += f"&after={quote(after, safe='')}"
 
         def on_reply(result: Response | Failed) -> None:
-            on_done(_newest_result(result))
+            answer = _newest_result(result)
+            self._on_call("read_newest", type(answer).__name__)
+            on_done(answer)
 
         self._writes.fetch(self._address, "GET", path, (), b"", ANSWER_S, on_reply)
 
@@ -166,7 +177,9 @@
         path += f"&wait_ms={int(wait_s * 1000)}"
 
         def on_reply(result: Response | Failed) -> None:
-            on_done(_tail_result(offset, result))
+            answer = _tail_result(offset, result)
+            self._on_call("read_tail", type(answer).__name__)
+            on_done(answer)
 
         limit_s = wait_s + ANSWER_S
         self._reads.fetch(self._address, "GET", path, (), b"", limit_s, on_reply)
@@ -185,7 +198,9 @@
             path += f"&at={at}"
 
         def on_reply(result: Response | Failed) -> None:
-            on_done(_append_result(result))
+            answer = _append_result(result)
+            self._on_call("append", type(answer).__name__)
+            on_done(answer)
 
         body = _record(key, value)
         self._writes.fetch(
--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import itertools
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -27,6 +28,7 @@
 )
 from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
 from rhubarbhall.programs.tables import text_table
+from rhubarbhall.programs.trace import explain, find_lines, tell_story
 
 if TYPE_CHECKING:
     from rhubarbhall.core.directory import Directory
@@ -290,6 +292,33 @@
     return 0
 
 
+@command.command()
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+def trace(request_id: str, logs: tuple[Any, ...]) -> int:
+    """Print one request's story from the LOGS of several routers, or standard input."""
+    lines = itertools.chain(*(logs or (sys.stdin,)))
+    story = list(tell_story(find_lines(lines, request_id)))
+    for line in story:
+        click.echo(line)
+    if not story:
+        raise click.ClickException(
+            f"no line names the request {request_id!r}; answers of ordinary requests "
+            "may be left out under load, and ids are case-sensitive"
+        )
+    return 0
+
+
+@command.command("explain")
+@click.argument("word")
+def explain_word(word: str) -> None:
+    """Explain an error kind or the number of an event."""
+    try:
+        click.echo(explain(word))
+    except ValueError as error:
+        raise click.ClickException(str(error)) from error
+
+
 def main() -> None:
     """Run the program."""
     try:
--- a/rhubarbhall/programs/request_journal.py
+++ b/rhubarbhall/programs/request_journal.py
@@ -8,6 +8,7 @@
 from rhubarbhall.core.commands import Note
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import Answered, NotRun
+from rhubarbhall.programs.router_figures import RouterFigures
 
 if TYPE_CHECKING:
     from rhubarbhall.core.traffic.entrance import Journey
@@ -28,6 +29,12 @@
     return {"outcome": "unknown", "kind": str(outcome.kind)}
 
 
+def _outcome_labels(outcome: Outcome) -> tuple[str, str]:
+    """Return the outcome and what is particular to it, for counters."""
+    fields = _outcome_fields(outcome)
+    return str(fields["outcome"]), str(fields.get("kind", fields.get("status")))
+
+
 def _is_ordinary(outcome: Outcome) -> bool:
     """Tell whether an outcome needs no explanation."""
     if isinstance(outcome, Answered):
@@ -49,6 +56,7 @@
     def __init__(self, vm: str, daemon: RoutingDaemon) -> None:
         self._vm = vm
         self._daemon = daemon
+        self.figures = RouterFigures()
 
     def sent(self, now: Seconds, journey: Journey) -> None:
         """Note where a request was sent, and by which facts."""
@@ -77,13 +85,16 @@
         """Note the outcome that a caller gets."""
         daemon = self._daemon
         request = journey.request
+        took_s = now - journey.began_at
+        self.figures.outcomes[(request.service, *_outcome_labels(outcome))] += 1
+        self.figures.note_latency(request.service, "whole", took_s)
         routing = daemon.entrance.routing
         fields = {
             "request": request.id,
             "route": request.route,
             "service": request.service,
             **_outcome_fields(outcome),
-            "took_s": round(now - journey.began_at, 4),
+            "took_s": round(took_s, 4),
             "tries": journey.tries,
             "tried": sorted(journey.tried),
             "configuration": routing.version if routing else None,
@@ -99,6 +110,7 @@
     def gate_ended(self, request: Request, outcome: Outcome) -> None:
         """Note the outcome of another daemon's request at the own target."""
         load = self._daemon.gate.load
+        self.figures.orders[_outcome_labels(outcome)] += 1
         fields = {
             "request": request.id,
             "run": self._daemon.holds.run,
@@ -110,5 +122,10 @@
         }
         self._write(Note(513, fields))
 
+    def gate_worked(self, service: str, queue_s: Seconds, target_s: Seconds) -> None:
+        """Note how long a request waited for the own target and was worked on."""
+        self.figures.note_latency(service, "queue", queue_s)
+        self.figures.note_latency(service, "target", target_s)
+
     def _write(self, note: Note) -> None:
         write_note(self._vm, note)
--- a/rhubarbhall/programs/router.py
+++ b/rhubarbhall/programs/router.py
@@ -26,15 +26,16 @@
 def command(settings_file: Path) -> None:
     """Route requests to the owners of keys and guard the target beside it."""
     settings = read_settings(settings_file)
-    eliot.add_destinations(LogOutput(sys.stdout.fileno(), boot_time))
-    _serve(settings_file, settings)
+    log = LogOutput(sys.stdout.fileno(), boot_time)
+    eliot.add_destinations(log)
+    _serve(settings_file, settings, log)
 
 
-def _serve(path: Path, settings: PlatformSettings) -> None:
+def _serve(path: Path, settings: PlatformSettings, log: LogOutput) -> None:
     loop = Loop(
         on_stop=lambda: daemon.request_stop(), on_reload=lambda: daemon.reload()
     )
-    daemon = RoutingDaemon(path, settings, on_exit=loop.stop)
+    daemon = RoutingDaemon(path, settings, loop.stop, log)
     loop.add(daemon)
     daemon.begin()
     loop.run()
--- /dev/null
+++ b/rhubarbhall/programs/router_dump.py
@@ -0,0 +1,82 @@
+"""The state of one router as operators see it on request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from rhubarbhall.programs.routing_daemon import RoutingDaemon
+    from rhubarbhall.types import Seconds
+
+_FOREVER_S = 9e9
+
+
+class RouterDump(msgspec.Struct, frozen=True):
+    """What a router believes at one moment."""
+
+    vm: str
+    address: str
+    service: str
+    ready: bool
+    configuration: int | None
+    directory_end: int
+    directory_age_s: float
+    lease_left_s: float
+    run: str
+    target_state: str
+    gate_closed: str | None
+    running: int
+    waiting: int
+    limit: int
+    utilization: float
+    in_flight: int
+    members: dict[str, str]
+    spans: list[dict[str, Any]]
+    retry_budget_left: dict[str, float]
+
+
+def _span_fields(span) -> dict[str, Any]:
+    return {
+        "first": span.first,
+        "last": span.last,
+        "owner": span.owner,
+        "fence": span.fence,
+        "previous": span.previous,
+        "previous_lost": span.previous_lost,
+    }
+
+
+def dump_router(daemon: RoutingDaemon, now: Seconds) -> RouterDump:
+    """Return the present state of a router."""
+    table = daemon.own_table()
+    routing = daemon.entrance.routing
+    load = daemon.gate.load
+    return RouterDump(
+        vm=daemon.settings.vm,
+        address=daemon.me,
+        service=daemon.settings.service,
+        ready=daemon.is_ready(),
+        configuration=routing.version if routing else None,
+        directory_end=daemon.directory.end,
+        directory_age_s=round(min(daemon.lease.age_s(now), _FOREVER_S), 3),
+        lease_left_s=round(max(0.0, daemon.lease.left_s(now)), 3),
+        run=daemon.holds.run,
+        target_state=str(daemon.holds.state(now)),
+        gate_closed=daemon.gate.closed,
+        running=load.running,
+        waiting=load.waiting,
+        limit=load.slots,
+        utilization=round(daemon.balancer.own_load(now).utilization, 3),
+        in_flight=daemon.entrance.in_flight,
+        members={
+            address: f"{member.service} {member.state} {member.run}"
+            for address, member in sorted(daemon.directory.member_by_address.items())
+        },
+        spans=[_span_fields(span) for span in table.spans] if table else [],
+        retry_budget_left={
+            service: round(budget.left, 2)
+            for service, budget in daemon.entrance.budget_by_service.items()
+        },
+    )
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 from circuits import BaseComponent
 
 from rhubarbhall.adapters.callers import CallerLimits, CallerServer
@@ -42,9 +43,12 @@
 from rhubarbhall.platform.store import LogStore
 from rhubarbhall.platform.target import TargetPort
 from rhubarbhall.programs.request_journal import RequestJournal
+from rhubarbhall.programs.router_dump import dump_router
+from rhubarbhall.programs.router_figures import render_figures
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
+    from rhubarbhall.adapters.log_output import LogOutput
     from rhubarbhall.core.ownership.target_holds import Grant
     from rhubarbhall.core.traffic.entrance import CallerRequest
     from rhubarbhall.core.traffic.requests import Load, Outcome, Request
@@ -121,6 +125,8 @@
         Its present content.
     on_exit : callable
         Called once the daemon has ended by itself.
+    log : LogOutput
+        Where log lines go.
     """
 
     def __init__(
@@ -128,8 +134,10 @@
         settings_path: Path,
         settings: PlatformSettings,
         on_exit: Callable[[], None],
+        log: LogOutput,
     ) -> None:
         super().__init__()
+        self.log = log
         self.settings = settings
         self.me = settings.peers
         self._settings_path = settings_path
@@ -172,11 +180,11 @@
             self._on_target_outcome,
             self._on_target_unreachable,
         )
-        self.gate = Gate(self.target, _KeyView(self))
+        self.journal = RequestJournal(settings.vm, self)
+        self.gate = Gate(self.target, _KeyView(self), self.journal.gate_worked)
         self.chooser = TargetChooser(
             self.me, settings.domain, settings.region, self.directory, self.liveness
         )
-        self.journal = RequestJournal(settings.vm, self)
         self.entrance = Entrance(
             self.me,
             settings.service,
@@ -194,7 +202,7 @@
         reads = HttpClient(f"store-reads-{self.me}", STORE_READS)
         writes = HttpClient(f"store-writes-{self.me}", STORE_WRITES)
         self._clients = (reads, writes)
-        store = LogStore(reads, writes, settings.store)
+        store = LogStore(reads, writes, settings.store, self._count_store_call)
         self.balancer = HeatBalancer(self.me, KeyHeat())
         self.keeper = Keeper(
             self.me,
@@ -246,7 +254,8 @@
         callers = CallerSink(self)
         control = CallerLimits(connections=CONTROL_CONNECTIONS)
         heartbeats = HeartbeatSink(self)
-        readiness = ReadinessSink(self.is_ready, {"/metrics": self._metrics_page})
+        pages = {"/metrics": self._metrics_page, "/dump": self._dump_page}
+        readiness = ReadinessSink(self.is_ready, pages)
         self.callers = CallerServer(
             split_address(settings.callers),
             f"callers-{self.me}",
@@ -366,10 +375,44 @@
         return known and self._stop_at is None
 
     def _metrics_page(self) -> tuple[str, bytes]:
-        return "text/plain", b""
+        return render_figures(self.journal.figures, self._gauges())
+
+    def _dump_page(self) -> tuple[str, bytes]:
+        state = dump_router(self, self._told_now())
+        return "application/json", msgspec.json.encode(state)
+
+    def _gauges(self) -> dict[str, tuple[str, float]]:
+        now = self._told_now()
+        load = self.gate.load
+        table = self.own_table()
+        held = sum(span.size for span in table.owned_by(self.me)) if table else 0
+        age_s = min(self.lease.age_s(now), 1e9)
+        budgets = self.entrance.budget_by_service.values()
+        return {
+            "ready": ("Whether callers are taken.", float(self.is_ready())),
+            "directory_age_seconds": ("Time since all of it was known.", age_s),
+            "keys_owned": ("Keys that the table gives the own target.", float(held)),
+            "orders_running": ("Requests at the target.", float(load.running)),
+            "orders_waiting": ("Requests that wait for it.", float(load.waiting)),
+            "orders_limit": ("Requests that it gets at a time.", float(load.slots)),
+            "utilization": (
+                "Slots needed by requests by key, over those there are.",
+                self.balancer.own_load(now).utilization,
+            ),
+            "requests_in_flight": ("No outcome yet.", float(self.entrance.in_flight)),
+            "retry_budget_left": (
+                "Repeats left over all services.",
+                float(sum(budget.left for budget in budgets)),
+            ),
+            "peer_frames_rejected": ("Could not be read.", float(self.hub.rejected)),
+            "log_lines_dropped": ("For want of room.", float(self.log.dropped)),
+        }
 
     # The store
 
+    def _count_store_call(self, call: str, result: str) -> None:
+        self.journal.figures.store_calls[call, result] += 1
+
     def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             rejected = self.directory.apply(now, entry)
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,273 @@
+"""The whole path over sockets: routers, targets and the store on one loop."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from rhubarbhall.adapters.client import SWEEP_S, HttpClient
+from rhubarbhall.adapters.clock import Clock
+from rhubarbhall.core.requests import Response
+from rhubarbhall.core.timers import Alarm, TimerService
+from rhubarbhall.platform.settings import read_settings
+from rhubarbhall.programs.loop import Loop
+from rhubarbhall.programs.routing_daemon import RoutingDaemon
+from rhubarbhall.settings import split_address
+from rhubarbhall.standins.platform_store import PlatformStore
+from rhubarbhall.standins.platform_target import PlatformTarget, TargetBehaviour
+
+BASE_PORT = 27600
+HOST = "127.0.0.1"
+STORE = f"{HOST}:{BASE_PORT}"
+SERVICES = {"keyed": True, "pay": False}
+#: Service and region of each VM.
+VMS = (("keyed", "r1"), ("keyed", "r2"), ("pay", "r1"), ("pay", "r2"))
+
+
+class FakeLog:
+    dropped = 0
+
+
+def address(vm: int, port: int) -> str:
+    return f"{HOST}:{BASE_PORT + 10 * (vm + 1) + port}"
+
+
+def configuration(version: int, timeout: str = "2s") -> bytes:
+    routes = [
+        ("look", "/look/", "idempotent", "pay"),
+        ("credit", "/credit/", "non_idempotent", "pay"),
+        ("status", "/status/", "idempotent", "keyed"),
+    ]
+    resources = [
+        {
+            "resource_type": "routes",
+            "metadata": {"name": name},
+            "spec": {
+                "hostname": "h.example",
+                "path_prefix": prefix,
+                "type": kind,
+                "service": service,
+                "timeout": timeout,
+                "target_latency": "300ms",
+                "max_attempts": 2,
+            },
+        }
+        for name, prefix, kind, service in routes
+    ]
+    for name, by_key in SERVICES.items():
+        spec = {"max_connections": 20, "sharded": by_key}
+        resource = {"resource_type": "services", "metadata": {"name": name}}
+        resources.append({**resource, "spec": spec})
+    return msgspec.json.encode({"version": version, "resources": resources})
+
+
+class PathCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.loop = Loop()
+        self.addCleanup(self.close)
+        self.timers = TimerService()
+        self.client = HttpClient("test-client", 50)
+        self.loop.add(self.client)
+        self.loop.add(Clock(self.timers, self.on_due))
+        self.timers.every(SWEEP_S, Alarm(lambda now: self.client.sweep()))
+        self.store = PlatformStore(split_address(STORE))
+        self.loop.add(self.store.port)
+        self.store.put("keyed.op", "config", configuration(2))
+        self.ended: list[int] = []
+        self.targets: list[PlatformTarget] = []
+        self.routers: list[RoutingDaemon] = []
+        self.targets = [self.new_target(vm) for vm in range(len(VMS))]
+        self.routers = [self.new_router(vm) for vm in range(len(VMS))]
+        # Components can open connections once the loop has turned.
+        self.loop.manager._running = True
+        for _ in range(20):
+            self.loop.manager.tick(0.0)
+        for target in self.targets:
+            target.begin()
+        self.tick_until(self.is_settled, 12.0)
+
+    def close(self):
+        for router in self.routers:
+            for port in (router.callers, router.hub.acceptor, router.hub.dialer):
+                port.close()
+            for port in (router._heartbeat_port, router._readiness_port, router.target):
+                port.close()
+            for client in router._clients:
+                client.close()
+        for target in self.targets:
+            target.port.close()
+        self.client.close()
+        self.store.port.close()
+        for _ in range(5):
+            self.loop.manager.tick(0.0)
+
+    def on_due(self):
+        for event in list(self.timers.due(time.monotonic())):
+            event.ring(time.monotonic())
+
+    def new_target(self, vm: int) -> PlatformTarget:
+        service = VMS[vm][0]
+        target = PlatformTarget(
+            address(vm, 5),
+            service,
+            address(vm, 4),
+            SERVICES[service],
+            self.timers,
+            self.client,
+            TargetBehaviour(),
+        )
+        self.loop.add(target.port)
+        return target
+
+    def new_router(self, vm: int) -> RoutingDaemon:
+        service, region = VMS[vm]
+        path = self.folder / f"{vm}.json"
+        path.write_bytes(
+            msgspec.json.encode(
+                {
+                    "node_name": f"vm-{vm}",
+                    "zone": f"{region}-z",
+                    "region": region,
+                    "listen": {
+                        "inbound": address(vm, 1),
+                        "outbound": address(vm, 2),
+                        "ready": address(vm, 3),
+                        "control": address(vm, 4),
+                    },
+                    "app_addr": address(vm, 5),
+                    "service": service,
+                    "platform": {"address": STORE},
+                }
+            )
+        )
+        router = RoutingDaemon(
+            path, read_settings(path), lambda: self.ended.append(vm), FakeLog()
+        )
+        self.loop.add(router)
+        router.begin()
+        return router
+
+    def is_settled(self) -> bool:
+        holders = [target for target in self.targets if target.service == "keyed"]
+        return all(target.held for target in holders) and all(
+            router.is_ready() and len(router.directory.member_by_address) == len(VMS)
+            for router in self.routers
+        )
+
+    def tick_until(self, condition, limit_s: float) -> None:
+        end = time.monotonic() + limit_s
+        while not condition():
+            self.assertLess(time.monotonic(), end, "the time is over")
+            self.loop.manager.tick(0.01)
+
+    def ask(self, vm: int, path: str, method: str = "GET", **headers: str):
+        results = []
+        sent = {"Host": "h.example", "Request-Id": path, "Timeout-Ms": "2000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        sent.pop("Host")
+        self.client.fetch(
+            address(vm, 2), method, path, tuple(sent.items()), b"", 3.0, results.append
+        )
+        self.tick_until(lambda: results, 4.0)
+        return results[0]
+
+    def runs(self, request: str) -> int:
+        return sum(run.request == request for t in self.targets for run in t.runs)
+
+
+class PathTests(PathCase):
+    def setUp(self):
+        super().setUp()
+        # The client sets the address as the host; the routes are for that too.
+        body = configuration(3).replace(b"h.example", HOST.encode())
+        self.store.put("keyed.op", "config", body)
+        self.tick_until(
+            lambda: all(r.entrance.routing.version == 3 for r in self.routers), 4.0
+        )
+
+    def test_every_key_reaches_its_owner_from_every_vm(self):
+        for vm in range(len(VMS)):
+            for key in (0, 32767, 32768, 65535):
+                path = f"/status/{vm}-{key}"
+                answer = self.ask(vm, path, Shard_Key=str(key))
+                self.assertEqual(answer.status, 200, answer)
+                self.assertEqual(answer.body, b"done " + path.encode())
+                self.assertEqual(self.runs(path), 1)
+
+    def test_the_caller_is_the_service_of_the_vm_where_it_began(self):
+        self.ask(0, "/look/caller", Caller_Service="liar")
+        run = next(r for t in self.targets for r in t.runs if r.request.endswith("ler"))
+        self.assertEqual(run.caller, "keyed")
+        self.assertLessEqual(run.timeout_ms, 2000)
+
+    def test_a_foreign_answer_reaches_nobody(self):
+        for target in self.targets:
+            target.behaviour.garbles = "extra"
+        for number in range(4):
+            answer = self.ask(number, f"/look/extra{number}")
+            self.assertEqual(answer.body, b"done /look/extra%d" % number)
+
+    def test_a_cut_answer_is_a_failure_and_credits_run_once(self):
+        for target in self.targets:
+            target.behaviour.garbles = "cut"
+        answer = self.ask(0, "/credit/cut", "POST")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.runs("/credit/cut"), 1)
+
+    def test_what_a_target_did_not_run_goes_to_another(self):
+        self.targets[2].behaviour.sheds = True
+        answer = self.ask(0, "/credit/shed", "POST")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.runs("/credit/shed"), 1)
+
+    def test_no_route_and_no_key(self):
+        self.assertEqual(self.ask(0, "/nowhere/").status, 404)
+        self.assertEqual(self.ask(0, "/status/1").status, 400)
+
+    def test_the_store_may_be_away(self):
+        self.store.faults.refuses = True
+        end = time.monotonic() + 1.5
+        self.tick_until(lambda: time.monotonic() > end, 3.0)
+        answer = self.ask(1, "/status/away", Shard_Key="5")
+        self.assertEqual(answer.status, 200)
+
+    def test_a_lost_targets_keys_come_back_elsewhere(self):
+        lost, other = self.targets[0], self.targets[1]
+        lost.crash()
+        self.tick_until(
+            lambda: sum(row.last - row.first + 1 for row in other.held) == 65536, 8.0
+        )
+        answer = self.ask(2, "/status/moved", Shard_Key="5")
+        self.assertEqual(answer.status, 200)
+
+    def test_a_planned_stop_answers_what_it_has_and_ends(self):
+        results: list = []
+        self.targets[0].behaviour.work_s = 0.5
+        headers = (("Request-Id", "/status/s"), ("Shard-Key", "5"))
+        self.client.fetch(
+            address(0, 2), "GET", "/status/s", headers, b"", 3.0, results.append
+        )
+        self.routers[0].request_stop()
+        self.assertFalse(self.routers[0].is_ready())
+        self.tick_until(lambda: self.ended == [0], 7.0)
+        self.assertIsInstance(results[0], Response)
+        self.assertEqual(results[0].status, 200)
+
+    def test_pages_for_operators(self):
+        self.ask(0, "/look/page")
+        for path, expected in (
+            ("/metrics", b"rhubarb_requests_total"),
+            ("/dump", b"run"),
+        ):
+            results: list = []
+            self.client.fetch(address(0, 3), "GET", path, (), b"", 2.0, results.append)
+            self.tick_until(lambda found=results: found, 3.0)
+            self.assertEqual(results[0].status, 200)
+            self.assertIn(expected, results[0].body)
