Give up the keys of addresses that went to another service; longer lease

And a store that was silent for 8 s outlived a lease of 6.5 s: no key was served for the rest of it.

Ruled out: waiting for the lease of the former daemon (the address belongs to one VM at a time, so its target has ended).

--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -94,6 +94,7 @@
             self._renew_run,
             self._leave,
             self._take_over,
+            self._replace_reused,
             self._replace_silent,
             self._replace_left,
             self._welcome,
@@ -202,14 +203,29 @@
                 table = table.released(span.previous, [(span.first, span.last)], {})
         return table
 
+    def _replace_reused(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Take the keys of VMs whose addresses have gone to another service.
+
+        The daemon that is there now has written so itself. An address belongs to one
+        VM at a time, so the target that held the keys has ended.
+        """
+        members = self._directory.member_by_address
+        reused = [
+            address
+            for address in sorted(_involved(table))
+            if address in members and members[address].service != self._service
+        ]
+        if not self._is_my_turn(now, "replace_reused", bool(reused)):
+            return table
+        for address in reused:
+            table = self._given_away(now, table.lost(address), address)
+            ranges = [(span.first, span.last) for span in table.leaving(address)]
+            table = table.released(address, ranges, {})
+        return table
+
     def _replace_silent(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Note daemons that are silent and give their keys to others."""
-        involved = {span.owner for span in table.spans}
-        involved |= {
-            span.previous
-            for span in table.spans
-            if span.previous and not span.previous_lost
-        }
+        involved = _involved(table)
         others = list(self._directory.member_by_address)
         silent = [
             address
@@ -264,3 +280,14 @@
         """Return the daemons whose targets the own one shares the keys with."""
         members = self._directory.members_of(self._service)
         return [address for address, _ in members if address != self._me]
+
+
+def _involved(table: KeyTable) -> set[Address]:
+    """Return the daemons whose targets hold keys or are to hold some."""
+    owners = {span.owner for span in table.spans}
+    former = {
+        span.previous
+        for span in table.spans
+        if span.previous and not span.previous_lost
+    }
+    return owners | former
--- a/rhubarbhall/core/ownership/read_lease.py
+++ b/rhubarbhall/core/ownership/read_lease.py
@@ -15,7 +15,7 @@
 
 #: Length of the lease, in seconds. Longer than usual outages of the store, so that keys
 #: stay where they are; as long as it takes to replace a VM that fell silent.
-LEASE_S = 6.5
+LEASE_S = 9.0
 #: Share by which two clocks may differ over a lease.
 CLOCK_DRIFT = 0.02
 #: Added to the wait for another daemon's lease, in seconds.
--- /dev/null
+++ b/tests/core/ownership/test_keeper.py
@@ -0,0 +1,159 @@
+"""Duties of the keeper, each with what it answers."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.core.ownership.directory import Directory, Entry
+from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
+from rhubarbhall.core.ownership.keeper import TURN_S, Keeper
+from rhubarbhall.core.ownership.key_heat import KeyHeat
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.liveness import Liveness
+from rhubarbhall.core.ownership.read_lease import takeover_wait_s
+from rhubarbhall.core.ownership.records import (
+    Member,
+    TargetState,
+    encode_member,
+    encode_table,
+    member_key,
+    table_key,
+)
+from rhubarbhall.core.ownership.target_holds import HOLD_S, Heartbeat, TargetHolds
+
+ME, B, C = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
+
+
+class KeeperCase(unittest.TestCase):
+    def setUp(self):
+        self.directory = Directory()
+        self.directory.note_end(0)
+        self.liveness = Liveness(0.0)
+        self.holds = TargetHolds(ME, 0.0)
+        balancer = HeatBalancer(ME, KeyHeat())
+        self.keeper = Keeper(
+            ME, "s", "r", self.directory, self.holds, self.liveness, balancer, 0.0
+        )
+        self.offset = 0
+        for address in (ME, B, C):
+            self.set_member(address)
+        self.now = 5.0
+        self.beat()
+        claims = [Claim(ME, "i@1"), Claim(B, "i@1"), Claim(C, "i@1")]
+        self.set_table(KeyTable.divided(claims))
+
+    def put(self, key: str, value: bytes) -> None:
+        self.offset += 1
+        self.directory.apply(5.0, Entry(self.offset, key, value))
+
+    def set_member(self, address, service="s", state=TargetState.READY) -> None:
+        member = Member(service, "d", "r", "i@1", 9, state)
+        self.put(member_key(address), encode_member(member))
+
+    def set_table(self, table: KeyTable) -> None:
+        self.put(table_key("s"), encode_table(table))
+
+    @property
+    def table(self) -> KeyTable:
+        return self.directory.table_by_service["s"]
+
+    def beat(self, state=TargetState.READY, born=1, **fields) -> None:
+        sequence = int(self.now * 1000)
+        heartbeat = Heartbeat("i", born, sequence, state, 9, **fields)
+        self.holds.note(self.now, heartbeat)
+
+    def pass_time(self, seconds: float, heard=(B, C)) -> None:
+        for _ in range(int(seconds * 10)):
+            self.now += 0.1
+            for address in heard:
+                self.liveness.note_heard(self.now, address)
+            if self.holds.heartbeat.state is TargetState.READY:
+                self.beat()
+
+    def propose(self) -> KeyTable | None:
+        proposal = self.keeper.propose(self.now)
+        return proposal.table if proposal else None
+
+    def test_nothing_to_do(self):
+        self.pass_time(10.0)
+        self.assertIsNone(self.propose())
+
+    def test_an_address_that_went_to_another_service_gives_its_keys_up(self):
+        self.set_member(B, service="other")
+        self.pass_time(1.0)
+        self.propose()
+        self.pass_time(TURN_S)
+        changed = self.propose()
+        self.assertNotIn(B, changed.size_by_owner())
+        self.assertTrue(all(span.is_settled for span in changed.spans))
+
+    def test_a_silent_daemon_is_noted_and_its_lease_is_waited_out(self):
+        self.pass_time(4.0, heard=(C,))
+        noted = self.propose()
+        lost = [span for span in noted.spans if span.previous_lost]
+        self.assertEqual({span.previous for span in lost}, {B})
+        self.set_table(noted)
+        self.assertIsNone(self.propose())
+        self.pass_time(takeover_wait_s() - 1.0, heard=(C,))
+        self.assertIsNone(self.propose())
+        self.pass_time(2.0, heard=(C,))
+        taken = self.propose()
+        mine = [span for span in taken.owned_by(ME) if span.previous_lost]
+        self.assertEqual(mine, [])
+
+    def test_one_that_hears_nobody_judges_nobody(self):
+        self.pass_time(8.0, heard=())
+        self.assertIsNone(self.propose())
+
+    def test_a_leaving_targets_keys_go_to_the_others(self):
+        self.pass_time(1.0)
+        self.holds.grant(self.now, self.table, 5.0)
+        self.beat(TargetState.LEAVING)
+        changed = self.propose()
+        self.assertNotIn(ME, changed.size_by_owner())
+        given = sum(span.size for span in changed.leaving(ME))
+        self.assertEqual(given, self.table.size_by_owner()[ME])
+
+    def test_a_lost_targets_keys_move_once_its_grants_have_ended(self):
+        self.pass_time(1.0)
+        self.holds.grant(self.now, self.table, 5.0)
+        self.now += HOLD_S - 0.1
+        for address in (B, C):
+            self.liveness.note_heard(self.now, address)
+        self.assertIsNone(self.propose())
+        self.now += 0.5
+        changed = self.propose()
+        self.assertNotIn(ME, changed.size_by_owner())
+        self.assertEqual(changed.leaving(ME), [])
+
+    def test_a_new_run_gets_new_fences_at_once(self):
+        self.pass_time(1.0)
+        before = self.table.owned_by(ME)[0].fence
+        self.beat(born=2)
+        changed = self.propose()
+        self.assertEqual(changed.owned_by(ME)[0].run, "i@2")
+        self.assertGreater(changed.owned_by(ME)[0].fence, before)
+
+    def test_a_newcomer_gets_an_even_share(self):
+        self.set_member("10.0.0.4:1")
+        for _ in range(12):
+            self.pass_time(0.1, heard=(B, C, "10.0.0.4:1"))
+            changed = self.propose()
+        self.assertAlmostEqual(
+            changed.size_by_owner()["10.0.0.4:1"], 65536 / 4, delta=65536 / 50
+        )
+
+    def test_a_table_is_founded_only_when_others_had_time_to_show(self):
+        directory = Directory()
+        directory.note_end(0)
+        balancer = HeatBalancer(ME, KeyHeat())
+        keeper = Keeper(
+            ME, "s", "r", directory, self.holds, self.liveness, balancer, 5.0
+        )
+        self.assertIsNone(keeper.propose(5.5))
+        self.pass_time(4.0)
+        for entry in self.directory.entries_from(0):
+            if entry.key.startswith("member/"):
+                directory.apply(self.now, entry)
+        proposal = keeper.propose(self.now)
+        self.assertEqual(len(proposal.table.size_by_owner()), 3)
