--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -192,6 +192,18 @@
     relay: bool
 
 
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Asks the guardian for its word."""
+
+    number: int
+
+
+class Renewed(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Gives the guardian's word."""
+
+    number: int
+
+
 class Bye(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Says that the sender ends soon and takes no more requests."""
 
@@ -208,6 +220,8 @@
     | SyncTell
     | Push
     | Bye
+    | Renew
+    | Renewed
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -23,6 +23,8 @@
     Pong,
     Push,
     Refused,
+    Renew,
+    Renewed,
     Reply,
     SyncAsk,
     SyncEntry,
@@ -104,6 +106,12 @@
     def on_push(self, push: Push) -> None:
         """Take a record that was just written."""
 
+    def on_renew(self, owner: Address) -> bool:
+        """Tell whether an owner gets this daemon's word as its guardian."""
+
+    def on_renewed(self, guardian: Address, asked_at: Seconds) -> None:
+        """Take the word of a guardian."""
+
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping."""
 
@@ -135,6 +143,8 @@
     pinged_at: Seconds | None = None
     ping_number: int = 0
     sync_asked_at: Seconds = float("-inf")
+    renewal: int = 0
+    renewal_asked_at: Seconds = float("-inf")
 
 
 @dataclass(slots=True)
@@ -307,6 +317,14 @@
         link.pinged_at = self._clock()
         self._send(link, Ping(link.ping_number))
 
+    def ask_word(self, address: Address) -> None:
+        """Ask the guardian for its word."""
+        link = self._link_by_address.get(address)
+        if link is not None and link.is_open:
+            link.renewal += 1
+            link.renewal_asked_at = self._clock()
+            self._send(link, Renew(link.renewal))
+
     def near_peers(self) -> list[Address]:
         """Return the daemons of the own region that are connected."""
         return [
@@ -441,6 +459,10 @@
             self._settle(link, frame, _refused_outcome(frame))
         elif isinstance(frame, Pong):
             self._on_pong(link, frame)
+        elif isinstance(frame, Renewed):
+            # The word counts from when the last question was sent, not an earlier one.
+            if frame.number == link.renewal:
+                self._handler.on_renewed(link.address, link.renewal_asked_at)
         elif isinstance(frame, Bye):
             link.is_leaving = True
             self._handler.on_link(link.address, False)
@@ -510,6 +532,9 @@
                 self._handler.on_cancel(ticket)
         elif isinstance(frame, Ping):
             self._answer(sock, self._handler.pong(frame.number))
+        elif isinstance(frame, Renew):
+            if self._handler.on_renew(inbound.address):
+                self._answer(sock, Renewed(frame.number))
         elif isinstance(frame, Push):
             self._handler.on_push(frame)
         elif isinstance(frame, SyncAsk):
--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -12,16 +12,18 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership import spreading
+from rhubarbhall.core.ownership.guardian import CHANGE_S
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.read_lease import takeover_wait_s
 from rhubarbhall.core.ownership.records import TargetState
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Directory
+    from rhubarbhall.core.ownership.guardian import Guard, GuardedLease
     from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
     from rhubarbhall.core.ownership.liveness import Liveness
     from rhubarbhall.core.ownership.target_holds import TargetHolds
-    from rhubarbhall.types import Address, Seconds
+    from rhubarbhall.types import Address, Offset, Seconds
 
 #: Time after a start in which others announce their targets, before keys are divided.
 GATHERING_S = 3.0
@@ -41,10 +43,16 @@
         The table as it shall be.
     reason : str
         Why, for the log.
+    replaced : tuple of str
+        Owners that their guardian, this daemon, replaces.
+    changes_guardian : bool
+        Whether the own target gets another guardian.
     """
 
     table: KeyTable
     reason: str
+    replaced: tuple[Address, ...] = ()
+    changes_guardian: bool = False
 
 
 class Keeper:
@@ -64,6 +72,10 @@
         Who is heard.
     balancer : HeatBalancer
         Decides what a busy target gives away.
+    guard : Guard
+        Whom this daemon is the guardian of.
+    guarded_lease : GuardedLease
+        The word of the own guardian.
     started_at : float
         When this daemon began, own clock.
     """
@@ -77,6 +89,8 @@
         holds: TargetHolds,
         liveness: Liveness,
         balancer: HeatBalancer,
+        guard: Guard,
+        guarded_lease: GuardedLease,
         started_at: Seconds,
     ) -> None:
         self._me = me
@@ -86,7 +100,10 @@
         self._holds = holds
         self._liveness = liveness
         self._balancer = balancer
+        self._guard = guard
+        self._guarded_lease = guarded_lease
         self._started_at = started_at
+        self._replaced: list[Address] = []
         self._needed_since: dict[str, Seconds] = {}
         self._lost_since: dict[tuple[Address, int], Seconds] = {}
         self._duties: tuple[Callable[[Seconds, KeyTable], KeyTable], ...] = (
@@ -95,6 +112,8 @@
             self._leave,
             self._take_over,
             self._replace_reused,
+            self._choose_guardian,
+            self._replace_unguarded,
             self._replace_silent,
             self._replace_left,
             self._welcome,
@@ -114,7 +133,18 @@
             changed = duty(now, changed)
             if changed is not before and changed != before:
                 reasons.append(duty.__name__.strip("_"))
-        return Proposal(changed, "+".join(reasons)) if reasons else None
+        if not reasons:
+            return None
+        guardian, before = changed.guardian_of(self._me), table.guardian_of(self._me)
+        replaced = tuple(self._replaced) if "replace_unguarded" in reasons else ()
+        return Proposal(changed, "+".join(reasons), replaced, guardian != before)
+
+    def note_writing(self, now: Seconds, proposal: Proposal, at: Offset) -> None:
+        """Note that a proposal is being written at an offset."""
+        if proposal.replaced:
+            self._guard.note_replacing(list(proposal.replaced), at)
+        if proposal.changes_guardian:
+            self._guarded_lease.note_change(now, at)
 
     # Who there is
 
@@ -152,7 +182,61 @@
         needed = bool(claims) and gathered
         if not self._is_my_turn(now, "found", needed) or not claims:
             return None
-        return Proposal(KeyTable.divided(claims), "found")
+        table = KeyTable.divided(claims)
+        for claim in claims:
+            guardian = self._guardian_for(now, claim.owner, None)
+            table = table.guarded(claim.owner, guardian)
+        return Proposal(table, "found")
+
+    # Guardians
+
+    def _guardian_for(
+        self, now: Seconds, owner: Address, avoided: Address | None
+    ) -> Address:
+        """Return the guardian that an owner should have; itself if it is alone.
+
+        One of the same region answers soonest and costs no bytes between regions.
+        """
+        members = self._directory.member_by_address
+        region = members[owner].region if owner in members else self._region
+        others = [
+            claim.owner
+            for claim in self._claims(now)
+            if claim.owner not in (owner, avoided)
+        ]
+        near = [other for other in others if members[other].region == region]
+        # The next in order, so that each is the guardian of one.
+        for candidates in (near, others):
+            later = [other for other in candidates if other > owner]
+            if candidates:
+                return min(later) if later else min(candidates)
+        return owner
+
+    def _choose_guardian(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Choose a guardian of the own target if none is there or answers."""
+        if not table.owned_by(self._me) or not self._holds.run:
+            return table
+        present = table.guardian_of(self._me)
+        alone = present == self._me
+        silent = self._guarded_lease.silence_s(now) > CHANGE_S
+        if present is not None and not alone and not silent:
+            return table
+        wanted = self._guardian_for(now, self._me, None if alone else present)
+        if wanted == self._me and present is not None:
+            return table
+        return table.guarded(self._me, wanted)
+
+    def _replace_unguarded(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Replace owners that no longer ask this daemon for its word as guardian."""
+        self._guard.note_table(now, table)
+        self._replaced = [
+            owner for owner in self._guard.lapsed(now) if owner != self._me
+        ]
+        for owner in self._replaced:
+            table = self._given_away(now, table.lost(owner), owner)
+            ranges = [(span.first, span.last) for span in table.leaving(owner)]
+            table = table.released(owner, ranges, {}).guarded(owner, None)
+        return table
 
     def _let_go(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Note what the own target has let go."""
@@ -220,7 +304,7 @@
         for address in reused:
             table = self._given_away(now, table.lost(address), address)
             ranges = [(span.first, span.last) for span in table.leaving(address)]
-            table = table.released(address, ranges, {})
+            table = table.released(address, ranges, {}).guarded(address, None)
         return table
 
     def _replace_silent(self, now: Seconds, table: KeyTable) -> KeyTable:
--- a/rhubarbhall/core/ownership/key_table.py
+++ b/rhubarbhall/core/ownership/key_table.py
@@ -113,10 +113,13 @@
         The ranges.
     next_fence : int
         The fence of the next new owner.
+    guardians : tuple of (str, str)
+        Owners and their guardians, by owner.
     """
 
     spans: tuple[Span, ...]
     next_fence: int
+    guardians: tuple[tuple[Address, Address], ...] = ()
 
     @classmethod
     def divided(cls, claims: list[Claim]) -> KeyTable:
@@ -151,6 +154,18 @@
         """Return the spans that a daemon's target still has to let go."""
         return [span for span in self.spans if span.previous == previous]
 
+    def guardian_of(self, owner: Address) -> Address | None:
+        """Return the guardian of an owner, if it has one."""
+        return dict(self.guardians).get(owner)
+
+    def guarded(self, owner: Address, guardian: Address | None) -> KeyTable:
+        """Return the table with another guardian of an owner, or with none."""
+        by_owner = dict(self.guardians)
+        by_owner.pop(owner, None)
+        if guardian is not None:
+            by_owner[owner] = guardian
+        return replace(self, guardians=tuple(sorted(by_owner.items())))
+
     def size_by_owner(self) -> dict[Address, int]:
         """Return the number of keys of each owner."""
         sizes: dict[Address, int] = {}
@@ -192,7 +207,8 @@
             )
             if last < span.last:
                 spans.append(span.cut(last + 1, span.last))
-        return KeyTable(_merged(spans), self.next_fence + 1)
+        spans_and_fence = {"spans": _merged(spans), "next_fence": self.next_fence + 1}
+        return replace(self, **spans_and_fence)
 
     def released(
         self, previous: Address, ranges: Iterable[Range], tokens: Mapping[Range, str]
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -8,6 +8,7 @@
 
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.records import (
+    boot_key,
     encode_member,
     encode_table,
     member_key,
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Directory
+    from rhubarbhall.core.ownership.guardian import Guard
     from rhubarbhall.core.ownership.keeper import Keeper
     from rhubarbhall.core.ownership.read_lease import ReadLease
     from rhubarbhall.core.ownership.records import Member
@@ -49,6 +51,8 @@
         Decides on the table of a service that is divided by key.
     lease : ReadLease
         Renewed by writes that nobody came before.
+    guard : Guard
+        Told of the record that this daemon writes when it was started.
     timers : TimerService
         Tells the time.
     rng : random.Random
@@ -67,6 +71,7 @@
         directory: Directory,
         keeper: Keeper,
         lease: ReadLease,
+        guard: Guard,
         timers: TimerService,
         rng: random.Random,
         on_written: Callable[[Seconds, Entry, str], None],
@@ -78,6 +83,7 @@
         self._directory = directory
         self._keeper = keeper
         self._lease = lease
+        self._guard = guard
         self._timers = timers
         self._rng = rng
         self._on_written = on_written
@@ -105,9 +111,13 @@
             return
         if not self.by_key:
             return
+        if self._guard.boot_offset is None:
+            self._write(now, boot_key(self._me), b"1", False, "started")
+            return
         proposal = self._keeper.propose(now)
         if proposal is not None:
             value = encode_table(proposal.table)
+            self._keeper.note_writing(now, proposal, self._directory.end)
             self._write(now, table_key(self._service), value, True, proposal.reason)
 
     def _write(
@@ -135,6 +145,8 @@
         self, now: Seconds, sent_at: Seconds, entry: Entry, at: int | None
     ) -> None:
         self._directory.apply(now, entry)
+        if entry.key == boot_key(self._me):
+            self._guard.boot_offset = entry.offset
         if at is not None:
             # Nobody had written before it, so everything up to it is known.
             self._directory.note_end(entry.offset + 1)
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -18,6 +18,8 @@
 
 MEMBER_PREFIX = "member/"
 TABLE_PREFIX = "keys/"
+#: Records that only make the log grow; see `rhubarbhall.core.ownership.guardian`.
+BOOT_PREFIX = "boot/"
 
 
 class TargetState(enum.StrEnum):
@@ -70,6 +72,7 @@
 class _TableRecord(msgspec.Struct, frozen=True, array_like=True):
     next_fence: int
     spans: list[_SpanRecord]
+    guardians: list[tuple[str, str]] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -82,6 +85,11 @@
     return f"{MEMBER_PREFIX}{address}"
 
 
+def boot_key(address: Address) -> str:
+    """Return the key that a daemon writes when it was started."""
+    return f"{BOOT_PREFIX}{address}"
+
+
 def table_key(service: str) -> str:
     """Return the key that a service's table stands under."""
     return f"{TABLE_PREFIX}{service}"
@@ -118,7 +126,8 @@
         )
         for span in table.spans
     ]
-    return _ENCODER.encode(_TableRecord(table.next_fence, spans))
+    record = _TableRecord(table.next_fence, spans, list(table.guardians))
+    return _ENCODER.encode(record)
 
 
 def decode_table(data: bytes) -> KeyTable:
@@ -150,4 +159,4 @@
         expected = span.last + 1
     if expected != KEY_COUNT:
         raise ValueError(f"the spans end at {expected}; allowed: {KEY_COUNT}")
-    return KeyTable(spans, record.next_fence)
+    return KeyTable(spans, record.next_fence, tuple(record.guardians))
--- a/rhubarbhall/programs/router_dump.py
+++ b/rhubarbhall/programs/router_dump.py
@@ -61,7 +61,7 @@
         configuration=routing.version if routing else None,
         directory_end=daemon.directory.end,
         directory_age_s=round(min(daemon.lease.age_s(now), _FOREVER_S), 3),
-        lease_left_s=round(max(0.0, daemon.lease.left_s(now)), 3),
+        lease_left_s=round(max(0.0, daemon.lease_left_s(now)), 3),
         run=daemon.holds.run,
         target_state=str(daemon.holds.state(now)),
         gate_closed=daemon.gate.closed,
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -21,6 +21,7 @@
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
 from rhubarbhall.core.ownership.directory import Directory, Entry
 from rhubarbhall.core.ownership.follower import Follower
+from rhubarbhall.core.ownership.guardian import RENEW_S, Guard, GuardedLease
 from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
 from rhubarbhall.core.ownership.keeper import Keeper
 from rhubarbhall.core.ownership.key_heat import KeyHeat, TargetLoad
@@ -153,6 +154,8 @@
         self.directory = Directory()
         self.liveness = Liveness(started_at)
         self.lease = ReadLease()
+        self.guard = Guard(self.me, started_at)
+        self.guarded_lease = GuardedLease(started_at)
         self.holds = TargetHolds(self.me, started_at)
         self._configuration: Entry | None = None
         self._noted_decision: dict[str, object] | None = None
@@ -212,6 +215,8 @@
             self.holds,
             self.liveness,
             self.balancer,
+            self.guard,
+            self.guarded_lease,
             started_at,
         )
         self.publisher = Publisher(
@@ -221,6 +226,7 @@
             self.directory,
             self.keeper,
             self.lease,
+            self.guard,
             self.timers,
             self._rng,
             self._on_written,
@@ -297,6 +303,7 @@
             (SWEEP_S, self._sweep),
             (SETTINGS_LOOK_S, self._look_at_settings),
             (COMPARE_S, self._compare),
+            (RENEW_S, self._ask_word),
         ):
             self.timers.every(interval_s, Alarm(look), first=now + interval_s)
         # Connections can be opened once the loop runs.
@@ -350,6 +357,35 @@
         if peers:
             self.hub.ping(self._rng.choice(peers))
 
+    def _ask_word(self, now: Seconds) -> None:
+        """Ask the own guardian for its word."""
+        table = self.own_table()
+        guardian = table.guardian_of(self.me) if table else None
+        if guardian == self.me:
+            self.guarded_lease.confirm(now, now, self.directory.end)
+        elif guardian is not None:
+            self.hub.ask_word(guardian)
+
+    def on_renew(self, owner: Address) -> bool:
+        """Tell whether an owner gets this daemon's word as its guardian."""
+        now = self._told_now()
+        table = self.own_table()
+        if table is None:
+            return False
+        self.guard.note_table(now, table)
+        return self.guard.gives_word(now, owner, self.directory.end)
+
+    def on_renewed(self, guardian: Address, asked_at: Seconds) -> None:
+        """Take the word of the own guardian."""
+        table = self.own_table()
+        if table is not None and table.guardian_of(self.me) == guardian:
+            now = self._told_now()
+            self.guarded_lease.confirm(now, asked_at, self.directory.end)
+
+    def lease_left_s(self, now: Seconds) -> Seconds:
+        """Return for how long the own target may be granted its keys."""
+        return min(self.lease.left_s(now), self.guarded_lease.left_s(now))
+
     def own_table(self):
         """Return the table of the own service, if there is one."""
         return self.directory.table_by_service.get(self.settings.service)
@@ -528,7 +564,7 @@
     def _grant(self, now: Seconds) -> Grant | None:
         if not self.publisher.by_key:
             return None
-        grant = self.holds.grant(now, self.own_table(), self.lease.left_s(now))
+        grant = self.holds.grant(now, self.own_table(), self.lease_left_s(now))
         self.gate.keys_changed(now)
         return grant
 
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -10,6 +10,7 @@
 
 from rhubarbhall.core.ownership.directory import Directory, Entry
 from rhubarbhall.core.ownership.follower import Follower
+from rhubarbhall.core.ownership.guardian import Guard, GuardedLease
 from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
 from rhubarbhall.core.ownership.keeper import Keeper
 from rhubarbhall.core.ownership.key_heat import KeyHeat
@@ -245,6 +246,8 @@
         self.liveness = Liveness(now)
         self.holds = TargetHolds(self.me, now)
         self.balancer = HeatBalancer(self.me, KeyHeat())
+        self.guard = Guard(self.me, now)
+        self.guarded_lease = GuardedLease(now)
         self.keeper = Keeper(
             self.me,
             SERVICE,
@@ -253,6 +256,8 @@
             self.holds,
             self.liveness,
             self.balancer,
+            self.guard,
+            self.guarded_lease,
             now,
         )
         store = LogPort(self.mesh.log, self)
@@ -275,6 +280,7 @@
             self.directory,
             self.keeper,
             self.lease,
+            self.guard,
             self.timers,
             rng,
             self._on_written,
@@ -319,8 +325,48 @@
             if not peer.is_frozen:
                 self.liveness.note_heard(now, peer.me)
         self.publisher.look(now, self._member(now))
-        if int(now * 10) % 10 == 0:
+        ticks = round(now * 10)
+        if ticks % 10 == 0:
             self._compare(now)
+        if ticks % 4 == 0:
+            self._ask_word(now)
+
+    def _ask_word(self, now: float) -> None:
+        table = self.directory.table_by_service.get(SERVICE)
+        guardian = table.guardian_of(self.me) if table else None
+        if guardian == self.me:
+            self.guarded_lease.confirm(now, now, self.directory.end)
+        world, life = self.mesh.world, self.life
+        for peer in self.mesh.reachable_peers(self):
+            if peer.me == guardian:
+                delay_s = world.rng.uniform(0.001, 0.05)
+                world.after(delay_s, lambda p=peer: p.on_renew(self, life, now))
+
+    def on_renew(self, owner: FakeDaemon, life: int, asked_at: float) -> None:
+        world = self.mesh.world
+        if not self.is_running:
+            return
+        if self.is_frozen:
+            world.after(0.05, lambda: self.on_renew(owner, life, asked_at))
+            return
+        table = self.directory.table_by_service.get(SERVICE)
+        if table is None:
+            return
+        self.guard.note_table(world.now, table)
+        if self.guard.gives_word(world.now, owner.me, self.directory.end):
+            delay_s = world.rng.uniform(0.001, 0.05)
+            world.after(delay_s, lambda: owner.on_renewed(self.me, life, asked_at))
+
+    def on_renewed(self, guardian: str, life: int, asked_at: float) -> None:
+        world = self.mesh.world
+        if self.is_frozen:
+            world.after(0.05, lambda: self.on_renewed(guardian, life, asked_at))
+            return
+        if self.life != life:
+            return
+        table = self.directory.table_by_service.get(SERVICE)
+        if table is not None and table.guardian_of(self.me) == guardian:
+            self.guarded_lease.confirm(world.now, asked_at, self.directory.end)
 
     def _compare(self, now: float) -> None:
         """Confirm the lease by a peer, as pings do."""
@@ -346,7 +392,8 @@
         self.holds.note(now, heartbeat)
         self.publisher.look(now, self._member(now))
         table = self.directory.table_by_service.get(SERVICE)
-        return self.holds.grant(now, table, self.lease.left_s(now))
+        left_s = min(self.lease.left_s(now), self.guarded_lease.left_s(now))
+        return self.holds.grant(now, table, left_s)
 
 
 @dataclass
--- a/tests/core/ownership/test_keeper.py
+++ b/tests/core/ownership/test_keeper.py
@@ -5,6 +5,7 @@
 import unittest
 
 from rhubarbhall.core.ownership.directory import Directory, Entry
+from rhubarbhall.core.ownership.guardian import GUARD_S, Guard, GuardedLease
 from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
 from rhubarbhall.core.ownership.keeper import TURN_S, Keeper
 from rhubarbhall.core.ownership.key_heat import KeyHeat
@@ -31,8 +32,19 @@
         self.liveness = Liveness(0.0)
         self.holds = TargetHolds(ME, 0.0)
         balancer = HeatBalancer(ME, KeyHeat())
+        self.guard = Guard(ME, 0.0)
+        self.guarded_lease = GuardedLease(0.0)
         self.keeper = Keeper(
-            ME, "s", "r", self.directory, self.holds, self.liveness, balancer, 0.0
+            ME,
+            "s",
+            "r",
+            self.directory,
+            self.holds,
+            self.liveness,
+            balancer,
+            self.guard,
+            self.guarded_lease,
+            0.0,
         )
         self.offset = 0
         for address in (ME, B, C):
@@ -40,7 +52,10 @@
         self.now = 5.0
         self.beat()
         claims = [Claim(ME, "i@1"), Claim(B, "i@1"), Claim(C, "i@1")]
-        self.set_table(KeyTable.divided(claims))
+        table = KeyTable.divided(claims)
+        for owner, guardian in ((ME, B), (B, C), (C, B)):
+            table = table.guarded(owner, guardian)
+        self.set_table(table)
 
     def put(self, key: str, value: bytes) -> None:
         self.offset += 1
@@ -69,6 +84,7 @@
                 self.liveness.note_heard(self.now, address)
             if self.holds.heartbeat.state is TargetState.READY:
                 self.beat()
+            self.guarded_lease.confirm(self.now, self.now, self.offset)
 
     def propose(self) -> KeyTable | None:
         proposal = self.keeper.propose(self.now)
@@ -105,6 +121,54 @@
         self.pass_time(8.0, heard=())
         self.assertIsNone(self.propose())
 
+    def guarded_by_me(self) -> None:
+        self.set_table(self.table.guarded(B, ME))
+        self.guard.boot_offset = 0
+        self.guard.note_table(self.now, self.table)
+
+    def test_a_guardian_replaces_an_owner_without_another_wait(self):
+        self.guarded_by_me()
+        self.assertTrue(self.guard.gives_word(self.now, B, self.offset))
+        self.pass_time(GUARD_S - 0.5, heard=(C,))
+        self.assertEqual(self.guard.lapsed(self.now), [])
+        self.pass_time(1.0, heard=(C,))
+        proposal = self.keeper.propose(self.now)
+        self.assertEqual(proposal.replaced, (B,))
+        self.assertNotIn(B, proposal.table.size_by_owner())
+        self.assertTrue(all(span.is_settled for span in proposal.table.spans))
+
+    def test_no_word_while_a_replacement_may_still_be_written(self):
+        self.guarded_by_me()
+        self.pass_time(GUARD_S + 0.5)
+        proposal = self.keeper.propose(self.now)
+        self.keeper.note_writing(self.now, proposal, self.offset)
+        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
+        self.assertTrue(self.guard.gives_word(self.now, B, self.offset + 1))
+
+    def test_no_word_before_the_log_has_grown_since_the_start(self):
+        self.guarded_by_me()
+        self.guard.boot_offset = None
+        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
+        self.guard.boot_offset = self.offset
+        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
+        self.assertTrue(self.guard.gives_word(self.now, B, self.offset + 1))
+
+    def test_a_silent_guardian_is_changed_and_not_believed_meanwhile(self):
+        self.pass_time(1.0)
+        self.now += 1.1
+        for address in (B, C):
+            self.liveness.note_heard(self.now, address)
+        self.beat()
+        proposal = self.keeper.propose(self.now)
+        self.assertTrue(proposal.changes_guardian)
+        self.assertEqual(proposal.table.guardian_of(ME), C)
+        self.keeper.note_writing(self.now, proposal, self.offset)
+        before = self.guarded_lease.left_s(self.now)
+        self.guarded_lease.confirm(self.now, self.now, self.offset)
+        self.assertEqual(self.guarded_lease.left_s(self.now), before)
+        self.guarded_lease.confirm(self.now, self.now, self.offset + 1)
+        self.assertEqual(self.guarded_lease.left_s(self.now), GUARD_S)
+
     def test_a_leaving_targets_keys_go_to_the_others(self):
         self.pass_time(1.0)
         self.holds.grant(self.now, self.table, 5.0)
@@ -118,6 +182,7 @@
         self.pass_time(1.0)
         self.holds.grant(self.now, self.table, 5.0)
         self.now += HOLD_S - 0.1
+        self.guarded_lease.confirm(self.now, self.now, self.offset)
         for address in (B, C):
             self.liveness.note_heard(self.now, address)
         self.assertIsNone(self.propose())
@@ -148,7 +213,16 @@
         directory.note_end(0)
         balancer = HeatBalancer(ME, KeyHeat())
         keeper = Keeper(
-            ME, "s", "r", directory, self.holds, self.liveness, balancer, 5.0
+            ME,
+            "s",
+            "r",
+            directory,
+            self.holds,
+            self.liveness,
+            balancer,
+            self.guard,
+            self.guarded_lease,
+            5.0,
         )
         self.assertIsNone(keeper.propose(5.5))
         self.pass_time(4.0)
--- a/tests/core/ownership/test_sole_owner.py
+++ b/tests/core/ownership/test_sole_owner.py
@@ -5,7 +5,8 @@
 import unittest
 from unittest import mock
 
-from rhubarbhall.core.ownership import keeper, target_holds
+from rhubarbhall.core.ownership import guardian, keeper, target_holds
+from rhubarbhall.core.ownership.guardian import GuardedLease
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.ownership.target_holds import TargetHolds
 from tests.core.ownership.mesh import FaultPlan, OwnershipMesh
@@ -26,17 +27,19 @@
 
 
 class SoleOwnerTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.played = {seed: play(seed) for seed in SEEDS}
+
     def test_no_key_has_two_holders_and_fences_rise(self):
-        for seed in SEEDS:
+        for seed, (mesh, plan) in self.played.items():
             with self.subTest(seed=seed):
-                mesh, plan = play(seed)
                 told = "\n".join(plan.done + [str(each) for each in mesh.overlaps[:5]])
                 self.assertEqual(mesh.overlaps, [], told)
 
     def test_every_key_has_a_holder_again_after_the_faults(self):
-        for seed in SEEDS:
+        for seed, (mesh, plan) in self.played.items():
             with self.subTest(seed=seed):
-                mesh, plan = play(seed)
                 held = sum(mesh.owners().values())
                 self.assertEqual(held, KEY_COUNT, "\n".join(plan.done))
 
@@ -63,6 +66,14 @@
         with mock.patch.object(TargetHolds, "grant", grant):
             self.assert_breaks()
 
+    def test_a_guardian_waiting_for_the_end_of_its_word(self):
+        with mock.patch.object(guardian, "GUARD_MARGIN_S", -2.9):
+            self.assert_breaks()
+
+    def test_granting_only_within_the_guardians_word(self):
+        with mock.patch.object(GuardedLease, "left_s", lambda self, now: 100.0):
+            self.assert_breaks()
+
     def test_letting_go_only_when_the_target_has(self):
         with mock.patch.object(TargetHolds, "_holds_none_of", lambda *args: True):
             self.assert_breaks()
