Keep slots for short work only where there is some

Cause (found by tracing a refused request: running=11 waiting=21 limit=18): the gate took the main route of a service for long work, because a handful of probes were quicker, and kept a third of the slots free for them.

Ruled out: too low a limit on concurrency (it was at the number of slots).

Conclusion: kept; a route counts as short work that needs slots from a tenth of the requests.

--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -28,6 +28,10 @@
 SMOOTHING = 0.1
 #: A route counts as long work when it takes this many times as long as the shortest.
 LONG_FACTOR = 3.0
+#: Part of the requests from which on a short route has slots kept for it.
+SHORT_PART = 0.1
+#: Requests that are counted to tell these parts.
+MAX_COUNTED = 400
 #: Share of the slots that long work may take.
 LONG_SHARE = 0.65
 #: Longest wait for keys that the target is about to get: the time between heartbeats.
@@ -107,14 +111,25 @@
 
     def __init__(self) -> None:
         self._mean_by_route: dict[str, Seconds] = {}
+        self._count_by_route: dict[str, int] = {}
 
     def note(self, route: str, took_s: Seconds) -> None:
+        self._count(route)
         mean = self._mean_by_route.get(route)
         if mean is None:
             self._mean_by_route[route] = took_s
         else:
             self._mean_by_route[route] = mean + SMOOTHING * (took_s - mean)
 
+    def _count(self, route: str) -> None:
+        """Count a request; old ones lose weight."""
+        counts = self._count_by_route
+        counts[route] = counts.get(route, 0) + 1
+        if sum(counts.values()) > MAX_COUNTED:
+            self._count_by_route = {
+                name: count // 2 for name, count in counts.items() if count > 1
+            }
+
     def mean_s(self, route: str) -> Seconds:
         """Return the mean of a route; that of all while it is not known."""
         mean = self._mean_by_route.get(route)
@@ -124,10 +139,15 @@
         return sum(means) / len(means) if means else 0.05
 
     def is_long(self, route: str) -> bool:
-        """Tell whether a route is long work beside the others."""
-        if len(self._mean_by_route) < 2 or route not in self._mean_by_route:
+        """Tell whether a route is long work beside others that matter."""
+        if route not in self._mean_by_route:
             return False
-        shortest = min(self._mean_by_route.values())
+        counted = sum(self._count_by_route.values())
+        shortest = min(
+            self._mean_by_route[other]
+            for other, count in (self._count_by_route | {route: counted}).items()
+            if count >= SHORT_PART * counted
+        )
         return self._mean_by_route[route] >= LONG_FACTOR * shortest
 
 
--- a/tests/core/traffic/test_gate.py
+++ b/tests/core/traffic/test_gate.py
@@ -257,3 +257,11 @@
         self.assertLess(len(self.sent_ids()), self.SLOTS)
         self.submit(0.0, "s", route="short")
         self.assertIn("s", self.sent_ids())
+
+    def test_a_rare_quick_route_takes_no_slots_from_the_main_one(self):
+        """Pattern: nearly all requests are of one route, a few probes are quick."""
+        self.learn("main", 0.1)
+        self.gate.durations.note("probe", 0.001)
+        for index in range(30):
+            self.submit(0.0, f"m{index}", route="main", deadline=9.0)
+        self.assertEqual(len(self.sent_ids()), self.SLOTS)
