--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,16 @@
 import sys
 from pathlib import Path
 
-NAMES = ("caller_port", "path", "slopes", "control", "crest", "imbalance", "takeover")
+NAMES = (
+    "caller_port",
+    "path",
+    "slopes",
+    "control",
+    "crest",
+    "imbalance",
+    "takeover",
+    "key_table",
+)
 RESULTS = Path(__file__).with_name("results")
 
 
--- /dev/null
+++ b/benchmarks/key_table.py
@@ -0,0 +1,76 @@
+"""How tables of keys grow: bytes of a record, time to find, move and read one."""
+
+from __future__ import annotations
+
+import time
+
+from benchmarks.report import Table
+from rhubarbhall.adapters.peer_frames import Forward, encode_frame
+from rhubarbhall.core.ownership.key_table import KEY_COUNT, Claim, KeyTable
+from rhubarbhall.core.ownership.records import decode_table, encode_table
+
+SPANS = (6, 60, 600, 6_000)
+ROUNDS = 200
+_US_PER_S = 1e6
+
+
+def _table(count: int) -> KeyTable:
+    claims = [Claim(f"10.1.{i // 250}.{i % 250}:8300", "i-1@1") for i in range(count)]
+    return KeyTable.divided(claims)
+
+
+def _us(action, rounds: int) -> float:
+    began = time.perf_counter()
+    for index in range(rounds):
+        action(index)
+    return (time.perf_counter() - began) / rounds * _US_PER_S
+
+
+def run() -> list[Table]:
+    """Return the tables."""
+    header = ("spans", "bytes", "find us", "move us", "encode us", "decode us")
+    sizes = Table("Table of keys by spans", header)
+    for count in SPANS:
+        table = _table(count)
+        data = encode_table(table)
+        rounds = max(3, ROUNDS * 6 // count)
+        claim = Claim("10.9.9.9:8300", "i-2@1")
+        sizes.add(
+            count,
+            len(data),
+            _us(lambda i, t=table: t.find(i * 37 % KEY_COUNT), 1000),
+            _us(lambda i, t=table, c=claim: t.moved([((5, 9), c)]), rounds),
+            _us(lambda i, t=table: encode_table(t), rounds),
+            _us(lambda i, d=data: decode_table(d), rounds),
+        )
+    return [sizes, _frames()]
+
+
+def _frames() -> Table:
+    """Return what a request costs between daemons beside its body and headers."""
+    frame = Forward(
+        ticket=70_000,
+        service="huvo11a",
+        route="r-zs989an",
+        key=40_000,
+        left_ms=950,
+        worth_most_ms=350,
+        came_back=False,
+        idempotent=True,
+        priority=2,
+        method="GET",
+        path="/lepu270/2f",
+        host="jepu9.example",
+        id="9c41d07be2a35f68",
+        headers=[],
+        body=b"",
+    )
+    as_http = (
+        "GET /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\n"
+        "Request-Id: 9c41d07be2a35f68\r\nTimeout-Ms: 950\r\nShard-Key: 40000\r\n"
+        "Caller-Service: huvo11a\r\nRoute: r-zs989an\r\nPriority: 2\r\n\r\n"
+    )
+    table = Table("Bytes of one request in one hop", ("form", "bytes"))
+    table.add("frame", len(encode_frame(frame)))
+    table.add("HTTP/1.1 with the same fields", len(as_http))
+    return table
