--- a/rhubarbhall/programs/router_figures.py
+++ b/rhubarbhall/programs/router_figures.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhall.programs.routing_daemon import RoutingDaemon
     from rhubarbhall.types import Seconds
 
 #: Upper bounds of the buckets of a latency, in seconds.
@@ -110,3 +111,31 @@
             reached += count
             buckets.set({**labels, "le": str(bound)}, reached)
         sums.set(labels, latency.total_s)
+
+
+def gauges_of(daemon: RoutingDaemon, now: Seconds) -> dict[str, tuple[str, float]]:
+    """Return the present values of a router, each with what it means."""
+    load = daemon.gate.load
+    table = daemon.own_table()
+    held = sum(span.size for span in table.owned_by(daemon.me)) if table else 0
+    age_s = min(daemon.lease.age_s(now), 1e9)
+    budgets = daemon.entrance.budget_by_service.values()
+    return {
+        "ready": ("Whether callers are taken.", float(daemon.is_ready())),
+        "directory_age_seconds": ("Time since all of it was known.", age_s),
+        "keys_owned": ("Keys that the table gives the own target.", float(held)),
+        "orders_running": ("Requests at the target.", float(load.running)),
+        "orders_waiting": ("Requests that wait for it.", float(load.waiting)),
+        "orders_limit": ("Requests that it gets at a time.", float(load.slots)),
+        "utilization": (
+            "Slots needed by requests by key, over those there are.",
+            daemon.balancer.own_load(now).utilization,
+        ),
+        "requests_in_flight": ("No outcome yet.", float(daemon.entrance.in_flight)),
+        "retry_budget_left": (
+            "Repeats left over all services.",
+            float(sum(budget.left for budget in budgets)),
+        ),
+        "peer_frames_rejected": ("Could not be read.", float(daemon.hub.rejected)),
+        "log_lines_dropped": ("For want of room.", float(daemon.log.dropped)),
+    }
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -15,8 +15,7 @@
 from rhubarbhall.adapters.client import SWEEP_S, HttpClient
 from rhubarbhall.adapters.clock import Clock, boot_time
 from rhubarbhall.adapters.journal import write_note
-from rhubarbhall.adapters.peer_frames import Pong, Push, SyncAsk, SyncEntry, SyncTell
-from rhubarbhall.adapters.peer_links import LOOK_S, Origin, PeerHub
+from rhubarbhall.adapters.peer_links import LOOK_S, PeerHub
 from rhubarbhall.core.commands import Note
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
 from rhubarbhall.core.ownership.directory import Directory, Entry
@@ -24,37 +23,36 @@
 from rhubarbhall.core.ownership.guardian import RENEW_S, Guard, GuardedLease
 from rhubarbhall.core.ownership.heat_balancer import HeatBalancer
 from rhubarbhall.core.ownership.keeper import Keeper
-from rhubarbhall.core.ownership.key_heat import KeyHeat, TargetLoad
+from rhubarbhall.core.ownership.key_heat import KeyHeat
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.publisher import TOPIC, Publisher
 from rhubarbhall.core.ownership.read_lease import ReadLease
-from rhubarbhall.core.ownership.records import Member, TargetState
+from rhubarbhall.core.ownership.records import Member
 from rhubarbhall.core.ownership.target_holds import TargetHolds
 from rhubarbhall.core.timers import Alarm, TimerService
 from rhubarbhall.core.traffic.choosing import TargetChooser
 from rhubarbhall.core.traffic.entrance import Entrance
 from rhubarbhall.core.traffic.gate import Gate
-from rhubarbhall.core.traffic.requests import NotRun
 from rhubarbhall.core.traffic.retry_budget import RetryBudget
 from rhubarbhall.platform.heartbeats import HeartbeatSink
 from rhubarbhall.platform.ingress import CallerSink, ReadinessSink
-from rhubarbhall.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC
-from rhubarbhall.platform.operator import parse_configuration
+from rhubarbhall.platform.names import OPERATOR_TOPIC
 from rhubarbhall.platform.settings import PlatformSettings, read_settings
 from rhubarbhall.platform.store import LogStore
 from rhubarbhall.platform.target import TargetPort
 from rhubarbhall.programs.request_journal import RequestJournal
 from rhubarbhall.programs.router_dump import dump_router
-from rhubarbhall.programs.router_figures import render_figures
+from rhubarbhall.programs.router_figures import gauges_of, render_figures
+from rhubarbhall.programs.router_peers import PeerSide
+from rhubarbhall.programs.router_store import CALLER_CONNECTIONS, StoreSide
+from rhubarbhall.programs.router_target import KeyView, TargetSide
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.log_output import LogOutput
-    from rhubarbhall.core.ownership.target_holds import Grant
     from rhubarbhall.core.traffic.entrance import CallerRequest
-    from rhubarbhall.core.traffic.requests import Load, Outcome, Request
-    from rhubarbhall.platform.heartbeats import Announcement
-    from rhubarbhall.types import Address, Offset, Seconds
+    from rhubarbhall.core.traffic.requests import Outcome
+    from rhubarbhall.types import Seconds
 
 #: Time between two reads of the directory. Peers pass news on, so these reads only
 #: confirm the lease and find what was not passed on.
@@ -68,8 +66,7 @@
 #: Connections to the store for reads that wait, and for other calls.
 STORE_READS = 4
 STORE_WRITES = 4
-#: Connections of callers, and of the target and the platform.
-CALLER_CONNECTIONS = 2000
+#: Connections of the target and of the platform.
 CONTROL_CONNECTIONS = 32
 #: Time after a signal to stop for which requests are taken: until the platform has
 #: asked twice whether the daemon is ready and sends no more.
@@ -78,44 +75,11 @@
 GOODBYE_S = 0.5
 #: Time before the process is killed at which it ends in any case.
 STOP_MARGIN_S = 0.6
-#: Time before the end of a leaving target's work at which it gets no more.
-LEAVING_MARGIN_S = 1.0
 #: Time between looks at the settings file.
 SETTINGS_LOOK_S = 1.0
 
 
-class _KeyView:
-    """What the gate asks and tells about keys."""
-
-    def __init__(self, daemon: RoutingDaemon) -> None:
-        self._daemon = daemon
-
-    def note_request(self, now: Seconds, key: int) -> None:
-        """Count a request for a key."""
-        self._daemon.balancer.heat.note_request(now, key)
-
-    def note_duration(self, took_s: Seconds) -> None:
-        """Learn how long a request for a key took."""
-        self._daemon.balancer.heat.note_duration(took_s)
-
-    def note_refused(self) -> None:
-        """Learn that the target did not take a request for a key."""
-        self._daemon.balancer.heat.note_refused()
-
-    def may_work_on(self, now: Seconds, key: int) -> bool:
-        """Tell whether the target holds a key."""
-        return self._daemon.holds.may_work_on(now, key)
-
-    def awaits(self, key: int) -> bool:
-        """Tell whether the table says that the target is to hold a key."""
-        table = self._daemon.own_table()
-        if table is None:
-            return False
-        span = table.find(key)
-        return span.owner == self._daemon.me and not span.previous_lost
-
-
-class RoutingDaemon(BaseComponent):
+class RoutingDaemon(StoreSide, TargetSide, PeerSide, BaseComponent):
     """One daemon with all its ports.
 
     Parameters
@@ -184,7 +148,7 @@
             self._on_target_unreachable,
         )
         self.journal = RequestJournal(settings.vm, self)
-        self.gate = Gate(self.target, _KeyView(self), self.journal.gate_worked)
+        self.gate = Gate(self.target, KeyView(self), self.journal.gate_worked)
         self.chooser = TargetChooser(
             self.me, settings.domain, settings.region, self.directory, self.liveness
         )
@@ -366,22 +330,6 @@
         elif guardian is not None:
             self.hub.ask_word(guardian)
 
-    def on_renew(self, owner: Address) -> bool:
-        """Tell whether an owner gets this daemon's word as its guardian."""
-        now = self._told_now()
-        table = self.own_table()
-        if table is None:
-            return False
-        self.guard.note_table(now, table)
-        return self.guard.gives_word(now, owner, self.directory.end)
-
-    def on_renewed(self, guardian: Address, asked_at: Seconds) -> None:
-        """Take the word of the own guardian."""
-        table = self.own_table()
-        if table is not None and table.guardian_of(self.me) == guardian:
-            now = self._told_now()
-            self.guarded_lease.confirm(now, asked_at, self.directory.end)
-
     def lease_left_s(self, now: Seconds) -> Seconds:
         """Return for how long the own target may be granted its keys."""
         return min(self.lease.left_s(now), self.guarded_lease.left_s(now))
@@ -411,197 +359,12 @@
         return known and self._stop_at is None
 
     def _metrics_page(self) -> tuple[str, bytes]:
-        return render_figures(self.journal.figures, self._gauges())
+        return render_figures(self.journal.figures, gauges_of(self, self._told_now()))
 
     def _dump_page(self) -> tuple[str, bytes]:
         state = dump_router(self, self._told_now())
         return "application/json", msgspec.json.encode(state)
 
-    def _gauges(self) -> dict[str, tuple[str, float]]:
-        now = self._told_now()
-        load = self.gate.load
-        table = self.own_table()
-        held = sum(span.size for span in table.owned_by(self.me)) if table else 0
-        age_s = min(self.lease.age_s(now), 1e9)
-        budgets = self.entrance.budget_by_service.values()
-        return {
-            "ready": ("Whether callers are taken.", float(self.is_ready())),
-            "directory_age_seconds": ("Time since all of it was known.", age_s),
-            "keys_owned": ("Keys that the table gives the own target.", float(held)),
-            "orders_running": ("Requests at the target.", float(load.running)),
-            "orders_waiting": ("Requests that wait for it.", float(load.waiting)),
-            "orders_limit": ("Requests that it gets at a time.", float(load.slots)),
-            "utilization": (
-                "Slots needed by requests by key, over those there are.",
-                self.balancer.own_load(now).utilization,
-            ),
-            "requests_in_flight": ("No outcome yet.", float(self.entrance.in_flight)),
-            "retry_budget_left": (
-                "Repeats left over all services.",
-                float(sum(budget.left for budget in budgets)),
-            ),
-            "peer_frames_rejected": ("Could not be read.", float(self.hub.rejected)),
-            "log_lines_dropped": ("For want of room.", float(self.log.dropped)),
-        }
-
-    # The store
-
-    def _count_store_call(self, call: str, result: str) -> None:
-        self.journal.figures.store_calls[call, result] += 1
-
-    def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
-        for entry in entries:
-            rejected = self.directory.apply(now, entry)
-            if rejected is not None:
-                fields = {"key": entry.key, "reason": rejected.reason}
-                self.note(Note(112, fields))
-        if entries:
-            self._on_directory_changed(now)
-
-    def _on_directory_changed(self, now: Seconds) -> None:
-        region = self.settings.region
-        region_by_address = {
-            address: member.region
-            for address, member in self.directory.member_by_address.items()
-            if address != self.me
-        }
-        self.hub.set_members(region, region_by_address)
-        self.gate.keys_changed(now)
-        self.publisher.look(now, self._member(now))
-
-    def _on_complete(self, now: Seconds, sent_at: Seconds, end: Offset) -> None:
-        self.directory.note_end(end)
-        self.lease.confirm(sent_at)
-
-    def _on_store_contact(self, reachable: bool, reason: str) -> None:
-        if reachable:
-            self.note(Note(114, {}))
-        else:
-            self.note(Note(113, {"reason": reason}))
-
-    def _note_moves(self, now: Seconds) -> None:
-        """Write down what the last moves away from the own target rested on."""
-        decision = self.balancer.last_decision
-        if decision is not None and decision is not self._noted_decision:
-            self._noted_decision = decision
-            self.note(Note(215, decision))
-
-    def _on_written(self, now: Seconds, entry: Entry, reason: str) -> None:
-        self._note_moves(now)
-        self.note(Note(211, {"key": entry.key, "reason": str(reason)}))
-        self._on_directory_changed(now)
-        passed_on = SyncEntry(entry.offset, entry.key, entry.value)
-        self.hub.push(passed_on, everywhere=True)
-
-    def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
-        for entry in entries:
-            if entry.key == CONFIGURATION_KEY and entry.value:
-                self._take_configuration(entry)
-
-    def _take_configuration(self, entry: Entry) -> None:
-        known = self._configuration
-        if known is not None and known.offset >= entry.offset:
-            return
-        try:
-            routing = parse_configuration(entry.value)
-        except ValueError as error:
-            self.note(Note(412, {"offset": entry.offset, "reason": str(error)}))
-            return
-        self._configuration = entry
-        if self.entrance.routing and routing.version < self.entrance.routing.version:
-            return
-        self.entrance.routing = routing
-        rules = routing.services_by_name.get(self.settings.service)
-        self.publisher.by_key = rules is not None and rules.by_key
-        callers = routing.callers
-        self.callers.limit(
-            CallerLimits(
-                CALLER_CONNECTIONS,
-                callers.max_head,
-                callers.max_body,
-                callers.head_timeout_s,
-                callers.idle_timeout_s,
-            )
-        )
-        fields = {"version": routing.version, "routes": len(routing.routes)}
-        self.note(Note(411, fields))
-
-    # The own target
-
-    def on_heartbeat(self, announcement: Announcement) -> Grant | None:
-        """Take a heartbeat and return the grant to answer with."""
-        now = self._told_now()
-        settings = self.settings
-        known = (settings.target, settings.service)
-        if (announcement.address, announcement.service) != known:
-            fields = {"reason": f"{announcement.service} at {announcement.address}"}
-            self.note(Note(213, fields))
-            return None
-        heartbeat = announcement.heartbeat
-        if not self.holds.accepts(heartbeat):
-            return None
-        before = self.holds.heartbeat
-        self.holds.note(now, heartbeat)
-        self.target.instance = heartbeat.instance
-        if before is None or (before.run, before.state) != (
-            heartbeat.run,
-            heartbeat.state,
-        ):
-            fields = {"run": heartbeat.run, "state": str(heartbeat.state)}
-            self.note(Note(212, fields))
-        self._follow_state(now, before is not None and before.state)
-        return self._grant(now)
-
-    def _follow_state(self, now: Seconds, before: TargetState | bool) -> None:
-        state = self.holds.state(now)
-        if state is TargetState.READY:
-            self.gate.open(self.holds.heartbeat.slots)
-            self.balancer.slots = self.holds.heartbeat.slots
-        elif before is not TargetState.LEAVING:
-            self._close_gate_soon(now)
-        self.publisher.look(now, self._member(now))
-
-    def _grant(self, now: Seconds) -> Grant | None:
-        if not self.publisher.by_key:
-            return None
-        grant = self.holds.grant(now, self.own_table(), self.lease_left_s(now))
-        self.gate.keys_changed(now)
-        return grant
-
-    def _close_gate_soon(self, now: Seconds) -> None:
-        """Give a leaving target no more work well before it may no longer get any."""
-        run = self.holds.run
-        due = now + max(0.0, self.settings.drain_s - LEAVING_MARGIN_S)
-
-        def close(later: Seconds) -> None:
-            if self.holds.run == run and not self._takes_work(later):
-                self.gate.close(ErrorKind.SHUTTING_DOWN)
-
-        self.timers.at(due, Alarm(close))
-
-    def _takes_work(self, now: Seconds) -> bool:
-        return self.holds.state(now) is TargetState.READY
-
-    def on_target_left(self, instance: str) -> None:
-        """Learn that a target says it is gone."""
-        now = self._told_now()
-        if instance != self.holds.instance:
-            return
-        self.holds.note_left()
-        self.note(Note(212, {"run": self.holds.run, "state": "left"}))
-        self._close_gate_soon(now)
-        self.publisher.look(now, self._member(now))
-
-    def on_bad_heartbeat(self, reason: str) -> None:
-        """Learn of a heartbeat that cannot be read."""
-        self.note(Note(213, {"reason": reason}))
-
-    def _on_target_outcome(self, ticket: int, outcome: Outcome) -> None:
-        self.gate.finish(self._told_now(), ticket, outcome)
-
-    def _on_target_unreachable(self, refused: bool) -> None:
-        self.gate.note_unreachable(self._told_now())
-
     # Callers
 
     def submit(
@@ -614,114 +377,6 @@
         """Give a request up."""
         self.entrance.caller_gone(self._told_now(), ticket)
 
-    # Other daemons
-
-    def on_outcome(
-        self, address: Address, ticket: int, outcome: Outcome, load: Load | None
-    ) -> None:
-        """Take the outcome of a request that was sent to another daemon."""
-        self.entrance.on_outcome(self._told_now(), ticket, address, outcome, load)
-
-    def on_forward(self, origin: Origin, request: Request) -> int:
-        """Take a request for the own target."""
-        now = self._told_now()
-
-        def on_outcome(outcome: Outcome) -> None:
-            self.journal.gate_ended(request, outcome)
-            self.hub.answer(origin, outcome, self.gate.load)
-
-        if request.service != self.settings.service:
-            on_outcome(NotRun(ErrorKind.NO_TARGET))
-            return 0
-        if self._said_goodbye:
-            on_outcome(NotRun(ErrorKind.SHUTTING_DOWN))
-            return 0
-        return self.gate.submit(now, request, on_outcome)
-
-    def on_cancel(self, ticket: int) -> None:
-        """Give up a request for the own target."""
-        self.gate.cancel(self._told_now(), ticket)
-
-    def on_heard(self, address: Address) -> None:
-        """Learn that a daemon is alive."""
-        self.liveness.note_heard(self._told_now(), address)
-
-    def on_refused(self, address: Address) -> None:
-        """Learn that no process listens at an address."""
-        self.liveness.note_refused(self._told_now(), address)
-
-    def on_link(self, address: Address, is_up: bool) -> None:
-        """Learn that a connection stands, or no longer does."""
-        self.note(Note(311 if is_up else 312, {"peer": address}))
-
-    def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
-        """Learn what a daemon knows of the store, and how busy its target is."""
-        now = self._told_now()
-        load = TargetLoad(pong.utilization / 1000, pong.cost / 1_000_000)
-        self.balancer.note_load(now, address, load)
-        if not self.directory.is_loaded:
-            return
-        own = self._configuration.offset if self._configuration else -1
-        if pong.end > self.directory.end or pong.configuration > own:
-            self.hub.ask_sync(address, self.directory.end, own)
-        else:
-            self.lease.confirm(asked_at - pong.age_ms / 1000)
-
-    def on_push(self, push: Push) -> None:
-        """Take a record that was just written."""
-        now = self._told_now()
-        entry = Entry(push.entry.offset, push.entry.key, push.entry.value)
-        rejected = self.directory.apply_next(now, entry)
-        if rejected is not None:
-            self.note(Note(112, {"key": entry.key, "reason": rejected.reason}))
-        if push.relay:
-            self.hub.push(push.entry, everywhere=False)
-        self._on_directory_changed(now)
-
-    def on_sync_ask(self, ask: SyncAsk) -> SyncTell:
-        """Return records for a daemon that lacks them."""
-        now = self._told_now()
-        entries = [
-            SyncEntry(entry.offset, entry.key, entry.value)
-            for entry in self.directory.entries_from(ask.offset)
-        ]
-        age_ms = int(min(self.lease.age_s(now), 3600.0) * 1000)
-        known = self._configuration
-        newer = None
-        if known is not None and known.offset > ask.configuration:
-            newer = SyncEntry(known.offset, known.key, known.value)
-        return SyncTell(entries, self.directory.end, age_ms, newer)
-
-    def on_sync_tell(self, address: Address, asked_at: Seconds, tell: SyncTell) -> None:
-        """Take records that a daemon passes on."""
-        now = self._told_now()
-        if tell.configuration is not None:
-            told = tell.configuration
-            self._take_configuration(Entry(told.offset, told.key, told.value))
-        entries = tuple(
-            Entry(each.offset, each.key, each.value) for each in tell.entries
-        )
-        if not self.directory.is_loaded:
-            return
-        self._on_entries(now, entries)
-        self.directory.note_end(tell.end)
-        if tell.end >= self.directory.end:
-            self.lease.confirm(asked_at - tell.age_ms / 1000)
-
-    def pong(self, number: int) -> Pong:
-        """Return the answer to a ping."""
-        age_s = min(self.lease.age_s(self._told_now()), 3600.0)
-        offset = self._configuration.offset if self._configuration else -1
-        load = self.balancer.own_load(self.timers.now())
-        return Pong(
-            number,
-            self.directory.end,
-            int(age_s * 1000),
-            offset,
-            int(load.utilization * 1000),
-            int(load.cost * 1_000_000),
-        )
-
     # Settings and the end
 
     def _look_at_settings(self, now: Seconds) -> None:
