--- /dev/null
+++ b/tests/adapters/test_answer_stream.py
@@ -0,0 +1,51 @@
+"""Answers of targets as they come: with others', without a length, cut."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.adapters.http_wire import AnswerStream, WireError
+
+WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok"
+
+
+class AnswerStreamTests(unittest.TestCase):
+    def setUp(self):
+        self.stream = AnswerStream(4096, 4096)
+
+    def bodies(self):
+        return [response.body for response in self.stream.finished]
+
+    def test_several_answers_on_one_connection(self):
+        self.stream.feed(WHOLE + WHOLE.replace(b"ok", b"no"))
+        self.assertEqual(self.bodies(), [b"ok", b"no"])
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        self.stream.feed(b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart")
+        self.assertEqual(self.bodies(), [])
+        self.stream.end()
+        self.assertEqual(self.bodies(), [b"part"])
+        self.assertFalse(self.stream.keep_alive)
+
+    def test_an_answer_that_is_cut_is_none(self):
+        self.stream.feed(WHOLE[:-1])
+        self.stream.end()
+        self.assertEqual(self.bodies(), [])
+
+    def test_a_cut_answer_in_chunks_is_none(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.stream.feed(head + b"5\r\nhello\r\n")
+        self.stream.end()
+        self.assertEqual(self.bodies(), [])
+
+    def test_bytes_that_are_no_answer(self):
+        with self.assertRaises(WireError):
+            self.stream.feed(b"nonsense\r\n\r\n")
+
+    def test_an_answer_without_a_body_has_an_end(self):
+        self.stream.feed(b"HTTP/1.1 204 No Content\r\nRequest-Id: a\r\n\r\n" + WHOLE)
+        self.assertEqual(self.bodies(), [b"", b"ok"])
+
+    def test_a_body_beyond_the_limit(self):
+        with self.assertRaises(WireError):
+            self.stream.feed(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 5000)
--- /dev/null
+++ b/tests/core/ownership/test_follower.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from rhubarbhall.core.ownership.directory import Directory, Entry
+from rhubarbhall.core.ownership.follower import MAX_PAUSE_S, Follower
+from rhubarbhall.core.ownership.store_port import NewestPage, Tail, Trimmed, Unavailable
+from rhubarbhall.core.timers import TimerService
+
+
+class FakeStore:
+    def __init__(self):
+        self.calls: list[tuple] = []
+
+    def read_newest(self, topic, after, on_done):
+        self.calls.append(("newest", after, on_done))
+
+    def read_tail(self, topic, offset, wait_s, on_done):
+        self.calls.append(("tail", offset, on_done))
+
+    def answer(self, result) -> None:
+        self.calls[-1][2](result)
+
+
+class FollowerTests(unittest.TestCase):
+    def setUp(self):
+        self.store = FakeStore()
+        self.timers = TimerService()
+        self.entries: list[Entry] = []
+        self.complete: list[tuple] = []
+        self.contact: list[bool] = []
+        self.follower = Follower(
+            self.store,
+            "t",
+            self.timers,
+            0.0,
+            2.0,
+            lambda now, entries: self.entries.extend(entries),
+            lambda now, sent_at, end: self.complete.append((sent_at, end)),
+            lambda reachable, reason: self.contact.append(reachable),
+            random.Random(1),
+        )
+        self.follower.start(0.0)
+
+    def ring(self, now: float) -> None:
+        for event in list(self.timers.due(now)):
+            event.ring(now)
+
+    def load(self) -> None:
+        self.store.answer(NewestPage((Entry(3, "k", b"v"),), None, 5))
+        self.store.answer(Tail((), 5, 5))
+
+    def test_pages_then_the_tail_from_the_end_of_the_first_page(self):
+        self.store.answer(NewestPage((Entry(3, "a", b""),), "a", 5))
+        self.assertEqual(self.store.calls[-1][:2], ("newest", "a"))
+        self.store.answer(NewestPage((Entry(7, "b", b""),), None, 8))
+        self.assertEqual(self.store.calls[-1][:2], ("tail", 5))
+
+    def test_it_is_complete_only_at_the_end_of_the_log(self):
+        self.store.answer(NewestPage((), None, 5))
+        self.store.answer(Tail((Entry(5, "a", b""),), 6, 7))
+        self.assertEqual(self.complete, [])
+        self.store.answer(Tail((Entry(6, "b", b""),), 7, 7))
+        self.assertEqual([end for _, end in self.complete], [7])
+
+    def test_a_lease_counts_from_when_the_read_was_sent(self):
+        self.load()
+        self.ring(2.0)
+        self.timers.tell(2.9)
+        self.store.answer(Tail((), 5, 5))
+        self.assertEqual(self.complete[-1], (2.0, 5))
+
+    def test_dropped_history_is_read_anew_from_the_newest(self):
+        self.load()
+        self.ring(2.0)
+        self.store.answer(Trimmed())
+        self.assertEqual(self.store.calls[-1][0], "newest")
+
+    def test_failures_are_tried_again_with_growing_pauses(self):
+        self.load()
+        now = 2.0
+        self.ring(now)
+        for _ in range(8):
+            calls = len(self.store.calls)
+            self.store.answer(Unavailable("down"))
+            now += 1.3 * MAX_PAUSE_S
+            self.ring(now)
+            self.assertEqual(len(self.store.calls), calls + 1)
+        self.assertEqual(self.contact, [True, False])
+
+    def test_the_answer_to_a_read_that_was_given_up_changes_nothing(self):
+        self.load()
+        self.ring(2.0)
+        old = self.store.calls[-1]
+        self.follower.start(2.1)
+        old[2](Tail((Entry(9, "x", b""),), 10, 10))
+        self.assertEqual([entry.offset for entry in self.entries], [3])
+
+
+class DirectoryTests(unittest.TestCase):
+    def test_an_older_record_changes_nothing(self):
+        directory = Directory()
+        self.assertIsNone(directory.apply(0.0, Entry(5, "boot/x", b"new")))
+        directory.apply(0.0, Entry(4, "boot/x", b"old"))
+        self.assertEqual(directory.entries_from(0)[0].value, b"new")
+
+    def test_what_cannot_be_read_is_told_and_what_was_before_stays(self):
+        directory = Directory()
+        for key in ("member/10.0.0.1:1", "keys/s"):
+            rejected = directory.apply(0.0, Entry(1, key, b"\xc1nonsense"))
+            self.assertIsNotNone(rejected)
+        self.assertEqual(directory.table_by_service, {})
+        self.assertEqual(directory.member_by_address, {})
+
+    def test_a_record_that_peers_passed_on_counts_only_without_a_gap(self):
+        directory = Directory()
+        directory.note_end(5)
+        directory.apply_next(0.0, Entry(7, "boot/x", b"1"))
+        self.assertEqual(directory.end, 5)
+        directory.apply_next(0.0, Entry(5, "boot/y", b"1"))
+        self.assertEqual(directory.end, 6)
