Make three tests of the crest bite

Cause: of fourteen lines taken out one at a time, three made no test fail: refusing on arrival, the later turn of a request that has become late, and waiting for a range that is on its way.

Ruled out: nothing.

--- a/tests/core/ownership/test_heat_balancer.py
+++ b/tests/core/ownership/test_heat_balancer.py
@@ -64,9 +64,13 @@
         self.assertEqual(self.moves(), [])
 
     def test_nothing_more_moves_while_a_range_is_on_its_way(self):
-        self.table = self.table.moved(self.moves())
-        self.now += 2.0
+        self.table = self.table.moved([((5000, 5040), B)])
+        for claim in (B, C):
+            self.balancer.note_load(self.now, claim.owner, TargetLoad(0.1, 0.006))
         self.assertEqual(self.moves(), [])
+        settled = self.table.released(ME.owner, [(5000, 5040)], {})
+        self.table = settled
+        self.assertNotEqual(self.moves(), [])
 
     def test_a_calm_target_keeps_its_keys(self):
         self.balancer = balancer_with([7] * 20, rate=20, took_s=0.06)
--- a/tests/core/traffic/test_gate.py
+++ b/tests/core/traffic/test_gate.py
@@ -188,6 +188,10 @@
     SLOTS = 4
     TOOK_S = 0.1
 
+    def setUp(self):
+        super().setUp()
+        self.ended_at: dict[str, float] = {}
+
     def play(self, rate: float, length_s: float = 4.0) -> dict[str, float]:
         """Return when each answered request was answered, after its arrival."""
         self.learn("r", self.TOOK_S)
@@ -216,6 +220,8 @@
                 (now + self.TOOK_S, id) for id in self.sent_ids() if id not in known
             ]
             self.gate.expire(now)
+            for id in self.outcomes:
+                self.ended_at.setdefault(id, now)
         self.began = began
         return done
 
@@ -232,6 +238,24 @@
         refused = [o for o in self.outcomes.values() if isinstance(o, NotRun)]
         self.assertTrue(refused)
         self.assertTrue(all(o.retry_after_s > 0 for o in refused))
+        waits = sorted(
+            self.ended_at[id] - self.began[id]
+            for id, outcome in self.outcomes.items()
+            if isinstance(outcome, NotRun)
+        )
+        # Half are refused on arrival; a caller's one retry needs the rest of its time.
+        self.assertLess(waits[len(waits) // 2], 0.01)
+        self.assertLess(waits[int(0.95 * len(waits))], 0.5)
+
+    def test_a_request_that_has_become_late_lets_one_in_time_pass(self):
+        self.learn("r", self.TOOK_S)
+        for id in "abcd":
+            self.submit(0.0, id, deadline=5.0, worth_most_until=5.0)
+        self.submit(0.0, "old", deadline=2.0, worth_most_until=0.3)
+        self.submit(0.29, "new", deadline=2.3, worth_most_until=0.6)
+        self.finish(0.3, "a")
+        self.assertIn("new", self.sent_ids())
+        self.assertNotIn("old", self.sent_ids())
 
     def test_urgent_requests_pass_others(self):
         self.learn("r", self.TOOK_S)
