Offer ranges of keys and routes in the public interface

Cause: the flat interface of the package lacked the types of the platform's path.

Ruled out: exporting its Directory, whose name the older path has.

Conclusion: names only.

--- a/rhubarbhall/__init__.py
+++ b/rhubarbhall/__init__.py
@@ -21,21 +21,26 @@
 from rhubarbhall.core.intent import Intent, Route, Service, intent_from_toml
 from rhubarbhall.core.kernel import Kernel, Part
 from rhubarbhall.core.node import Node
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable, Span
 from rhubarbhall.core.policies import balancing, queueing
 from rhubarbhall.core.requests import Request, Response
 from rhubarbhall.core.selectors import Selector, parse_selector
 from rhubarbhall.core.slices import SliceRef
+from rhubarbhall.core.traffic.routes import HostRoute, RoutePart, RoutingTable
 
 __all__ = [
     "ANSWER_BY_KIND",
     "AnswerSpec",
     "Applied",
+    "Claim",
     "ConfigurationError",
     "Context",
     "Directory",
     "ErrorKind",
+    "HostRoute",
     "Intent",
     "Kernel",
+    "KeyTable",
     "Node",
     "Part",
     "Ran",
@@ -43,10 +48,13 @@
     "Response",
     "RhubarbhallError",
     "Route",
+    "RoutePart",
+    "RoutingTable",
     "Selector",
     "SelectorError",
     "Service",
     "SliceRef",
+    "Span",
     "Timing",
     "balancing",
     "intent_from_toml",
