Say renewal and lease where the code said word

Cause: a last reading found a term of our own where the field has one.

Ruled out: renaming the guardian too; the glossary tells what it is.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -193,13 +193,13 @@
 
 
 class Renew(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Asks the guardian for its word."""
+    """Asks the guardian to renew the lease."""
 
     number: int
 
 
 class Renewed(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Gives the guardian's word."""
+    """Renews the lease."""
 
     number: int
 
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from errno import ECONNREFUSED
 from typing import TYPE_CHECKING, Protocol
@@ -107,10 +107,10 @@
         """Take a record that was just written."""
 
     def on_renew(self, owner: Address) -> bool:
-        """Tell whether an owner gets this daemon's word as its guardian."""
+        """Tell whether this daemon, as its guardian, renews an owner's lease."""
 
     def on_renewed(self, guardian: Address, asked_at: Seconds) -> None:
-        """Take the word of a guardian."""
+        """Take a renewal by a guardian."""
 
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping."""
@@ -246,7 +246,13 @@
         Returns the time.
     """
 
-    def __init__(self, me: Address, service: str, handler: PeerEvents, clock) -> None:
+    def __init__(
+        self,
+        me: Address,
+        service: str,
+        handler: PeerEvents,
+        clock: Callable[[], Seconds],
+    ) -> None:
         self._me = me
         self.service = service
         self._handler = handler
@@ -317,8 +323,8 @@
         link.pinged_at = self._clock()
         self._send(link, Ping(link.ping_number))
 
-    def ask_word(self, address: Address) -> None:
-        """Ask the guardian for its word."""
+    def ask_renewal(self, address: Address) -> None:
+        """Ask the guardian to renew the lease."""
         link = self._link_by_address.get(address)
         if link is not None and link.is_open:
             link.renewal += 1
@@ -460,7 +466,7 @@
         elif isinstance(frame, Pong):
             self._on_pong(link, frame)
         elif isinstance(frame, Renewed):
-            # The word counts from when the last question was sent, not an earlier one.
+            # It counts from when the last question was sent, not an earlier one.
             if frame.number == link.renewal:
                 self._handler.on_renewed(link.address, link.renewal_asked_at)
         elif isinstance(frame, Bye):
--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -75,7 +75,7 @@
     guard : Guard
         Whom this daemon is the guardian of.
     guarded_lease : GuardedLease
-        The word of the own guardian.
+        Renewed by the own guardian.
     started_at : float
         When this daemon began, own clock.
     """
@@ -227,7 +227,7 @@
         return table.guarded(self._me, wanted)
 
     def _replace_unguarded(self, now: Seconds, table: KeyTable) -> KeyTable:
-        """Replace owners that no longer ask this daemon for its word as guardian."""
+        """Replace owners whose leases this daemon, their guardian, has let lapse."""
         self._guard.note_table(now, table)
         self._replaced = [
             owner for owner in self._guard.lapsed(now) if owner != self._me
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -173,16 +173,17 @@
 
     def _encode(self, request: Request, now: Seconds) -> bytes:
         left_ms = max(1, int((request.deadline - now) * 1000))
-        headers = (
+        headers = [
             (names.REQUEST_ID, request.id),
             (names.TIMEOUT, str(left_ms)),
             (names.EXPECTED_INSTANCE, self.instance),
             (names.CALLER_SERVICE, request.caller),
-            *((names.KEY, str(key)) for key in [request.key] if key is not None),
-            *request.headers,
-        )
+        ]
+        if request.key is not None:
+            headers.append((names.KEY, str(request.key)))
+        headers += request.headers
         return encode_request(
-            request.method, request.path, request.host, headers, request.body
+            request.method, request.path, request.host, tuple(headers), request.body
         )
 
     def cancel(self, ticket: int) -> None:
--- a/rhubarbhall/programs/router_dump.py
+++ b/rhubarbhall/programs/router_dump.py
@@ -7,6 +7,7 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.key_table import Span
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
     from rhubarbhall.types import Seconds
 
@@ -37,7 +38,7 @@
     retry_budget_left: dict[str, float]
 
 
-def _span_fields(span) -> dict[str, Any]:
+def _span_fields(span: Span) -> dict[str, Any]:
     return {
         "first": span.first,
         "last": span.last,
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -1,4 +1,4 @@
-"""The router's side towards other routers: requests, words, records."""
+"""The router's side towards other routers: requests, leases, records."""
 
 from __future__ import annotations
 
@@ -127,16 +127,16 @@
         )
 
     def on_renew(self, owner: Address) -> bool:
-        """Tell whether an owner gets this daemon's word as its guardian."""
+        """Tell whether this daemon, as its guardian, renews an owner's lease."""
         now = self._told_now()
         table = self.own_table()
         if table is None:
             return False
         self.guard.note_table(now, table)
-        return self.guard.gives_word(now, owner, self.directory.end)
+        return self.guard.renews(now, owner, self.directory.end)
 
     def on_renewed(self, guardian: Address, asked_at: Seconds) -> None:
-        """Take the word of the own guardian."""
+        """Take a renewal by the own guardian."""
         table = self.own_table()
         if table is not None and table.guardian_of(self.me) == guardian:
             now = self._told_now()
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -50,6 +50,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.log_output import LogOutput
+    from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.traffic.entrance import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
     from rhubarbhall.types import Seconds
@@ -267,7 +268,7 @@
             (SWEEP_S, self._sweep),
             (SETTINGS_LOOK_S, self._look_at_settings),
             (COMPARE_S, self._compare),
-            (RENEW_S, self._ask_word),
+            (RENEW_S, self._ask_renewal),
         ):
             self.timers.every(interval_s, Alarm(look), first=now + interval_s)
         # Connections can be opened once the loop runs.
@@ -321,20 +322,20 @@
         if peers:
             self.hub.ping(self._rng.choice(peers))
 
-    def _ask_word(self, now: Seconds) -> None:
-        """Ask the own guardian for its word."""
+    def _ask_renewal(self, now: Seconds) -> None:
+        """Ask the own guardian to renew the lease."""
         table = self.own_table()
         guardian = table.guardian_of(self.me) if table else None
         if guardian == self.me:
             self.guarded_lease.confirm(now, now, self.directory.end)
         elif guardian is not None:
-            self.hub.ask_word(guardian)
+            self.hub.ask_renewal(guardian)
 
     def lease_left_s(self, now: Seconds) -> Seconds:
         """Return for how long the own target may be granted its keys."""
         return min(self.lease.left_s(now), self.guarded_lease.left_s(now))
 
-    def own_table(self):
+    def own_table(self) -> KeyTable | None:
         """Return the table of the own service, if there is one."""
         return self.directory.table_by_service.get(self.settings.service)
 
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -329,9 +329,9 @@
         if ticks % 10 == 0:
             self._compare(now)
         if ticks % 4 == 0:
-            self._ask_word(now)
+            self._ask_renewal(now)
 
-    def _ask_word(self, now: float) -> None:
+    def _ask_renewal(self, now: float) -> None:
         table = self.directory.table_by_service.get(SERVICE)
         guardian = table.guardian_of(self.me) if table else None
         if guardian == self.me:
@@ -353,7 +353,7 @@
         if table is None:
             return
         self.guard.note_table(world.now, table)
-        if self.guard.gives_word(world.now, owner.me, self.directory.end):
+        if self.guard.renews(world.now, owner.me, self.directory.end):
             delay_s = world.rng.uniform(0.001, 0.05)
             world.after(delay_s, lambda: owner.on_renewed(self.me, life, asked_at))
 
--- a/tests/core/ownership/test_keeper.py
+++ b/tests/core/ownership/test_keeper.py
@@ -128,7 +128,7 @@
 
     def test_a_guardian_replaces_an_owner_without_another_wait(self):
         self.guarded_by_me()
-        self.assertTrue(self.guard.gives_word(self.now, B, self.offset))
+        self.assertTrue(self.guard.renews(self.now, B, self.offset))
         self.pass_time(GUARD_S - 0.5, heard=(C,))
         self.assertEqual(self.guard.lapsed(self.now), [])
         self.pass_time(1.0, heard=(C,))
@@ -142,16 +142,16 @@
         self.pass_time(GUARD_S + 0.5)
         proposal = self.keeper.propose(self.now)
         self.keeper.note_writing(self.now, proposal, self.offset)
-        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
-        self.assertTrue(self.guard.gives_word(self.now, B, self.offset + 1))
+        self.assertFalse(self.guard.renews(self.now, B, self.offset))
+        self.assertTrue(self.guard.renews(self.now, B, self.offset + 1))
 
     def test_no_word_before_the_log_has_grown_since_the_start(self):
         self.guarded_by_me()
         self.guard.boot_offset = None
-        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
+        self.assertFalse(self.guard.renews(self.now, B, self.offset))
         self.guard.boot_offset = self.offset
-        self.assertFalse(self.guard.gives_word(self.now, B, self.offset))
-        self.assertTrue(self.guard.gives_word(self.now, B, self.offset + 1))
+        self.assertFalse(self.guard.renews(self.now, B, self.offset))
+        self.assertTrue(self.guard.renews(self.now, B, self.offset + 1))
 
     def test_a_silent_guardian_is_changed_and_not_believed_meanwhile(self):
         self.pass_time(1.0)
