Look for the next target in one place; drop what nobody calls

Cause: the entrance chose the next target in two methods that differed in the refusal told when none is left; a few attributes, a method of the follower, one of the hub and a class of the stand-ins had no caller.

Ruled out: dropping what tests or stand-ins need.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -139,7 +139,6 @@
     tickets: set[int] = field(default_factory=set)
     dialed_at: Seconds = float("-inf")
     heard_at: Seconds = float("-inf")
-    sent_at: Seconds = float("-inf")
     pinged_at: Seconds | None = None
     ping_number: int = 0
     sync_asked_at: Seconds = float("-inf")
@@ -339,11 +338,6 @@
             if link.near and link.is_open
         ]
 
-    def is_open(self, address: Address) -> bool:
-        """Tell whether a connection to a daemon stands."""
-        link = self._link_by_address.get(address)
-        return link is not None and link.is_open and not link.is_leaving
-
     def push(self, entry: SyncEntry, everywhere: bool) -> None:
         """Pass a record on that has just been written.
 
@@ -393,7 +387,6 @@
         self._handler.on_link(link.address, True)
 
     def _send(self, link: _Link, frame: Frame) -> None:
-        link.sent_at = self._clock()
         self.dialer.send(link.sock, encode_frame(frame))
 
     # Requests for others
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -85,11 +85,6 @@
         else:
             self._read_tail(now, wait_s=0.0)
 
-    def skip_to(self, offset: Offset) -> None:
-        """Note that a peer has passed on every record before `offset`."""
-        if self._position is not None:
-            self._position = max(self._position, offset)
-
     def _read_newest(
         self, now: Seconds, after: str | None, first_end: Offset | None
     ) -> None:
--- a/rhubarbhall/core/traffic/entrance.py
+++ b/rhubarbhall/core/traffic/entrance.py
@@ -46,6 +46,7 @@
 #: Rest of the time below which nothing is tried once more.
 MIN_RETRY_S = 0.03
 _SERVER_ERRORS = 500
+_NO_TARGET = NotRun(ErrorKind.NO_TARGET, NO_OWNER_RETRY_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,8 +271,10 @@
 
     # Where they go
 
-    def _advance(self, now: Seconds, journey: Journey) -> None:
-        """Bring a request to the next daemon, or end it."""
+    def _advance(
+        self, now: Seconds, journey: Journey, refusal: NotRun = _NO_TARGET
+    ) -> None:
+        """Bring a request to the next daemon; with none left, end it by a refusal."""
         if journey.request.key is not None:
             self._advance_by_key(now, journey)
             return
@@ -280,7 +283,7 @@
             now, request.service, request.route, journey.tried
         )
         if address is None or journey.tries >= MAX_TRIES:
-            self._end(now, journey, NotRun(ErrorKind.NO_TARGET, NO_OWNER_RETRY_S))
+            self._end(now, journey, refusal)
         else:
             self._bring(now, journey, address)
 
@@ -439,21 +442,8 @@
             self._end(now, journey, outcome)
         elif seen_by_target and not self._budget(request.service).take(now):
             self._end(now, journey, outcome)
-        elif request.key is not None:
-            self._advance(now, journey)
-        else:
-            self._advance_or_end(now, journey, outcome)
-
-    def _advance_or_end(self, now: Seconds, journey: Journey, outcome: NotRun) -> None:
-        """Try another target; with none left, tell the last one's reason."""
-        request = journey.request
-        address = self._chooser.choose(
-            now, request.service, request.route, journey.tried
-        )
-        if address is None:
-            self._end(now, journey, outcome)
         else:
-            self._bring(now, journey, address)
+            self._advance(now, journey, outcome)
 
     def _on_overdue(self, now: Seconds, journey: Journey) -> None:
         if journey.ticket not in self._journey_by_ticket:
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -130,8 +130,6 @@
         self._order_by_ticket: dict[int, _Order] = {}
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
         self._idle: list[socket.socket] = []
-        #: Connections opened so far.
-        self.opened = 0
 
     def send(  # type: ignore[override]
         self, ticket: int, request: Request, now: Seconds
@@ -154,7 +152,6 @@
         except OSError:
             self._finish(order, NotRun(ErrorKind.TARGET_UNREACHABLE))
             return
-        self.opened += 1
         order.sock = sock
         reader = AnswerStream(MAX_HEAD_BYTES, MAX_ANSWER_BYTES)
         self._connection_by_sock[sock] = _Connection(reader, opened_at, order)
--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -4,7 +4,7 @@
 
 import itertools
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -259,25 +259,3 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: x\r\n"
     b"Content-Length: 500\r\n\r\npart"
 )
-
-
-@dataclass(slots=True)
-class Audit:
-    """What targets ran, put together.
-
-    Parameters
-    ----------
-    targets : list of PlatformTarget
-        All runs of all targets.
-    """
-
-    targets: list[PlatformTarget] = field(default_factory=list)
-
-    def runs_of(self, request: str) -> list[PlatformRun]:
-        """Return the runs of one request."""
-        return [
-            run
-            for target in self.targets
-            for run in target.runs
-            if run.request == request
-        ]
