Read records without the time; tell of unreadable ones in one place

Cause: the directory kept when each table was read, which nobody asked for, and so took the time in every call; records that cannot be read were noted by two copies of one step.

Ruled out: dropping the time of the lease, which is kept by ReadLease.

--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.key_table import KeyTable
-    from rhubarbhall.types import Address, Offset, Seconds
+    from rhubarbhall.types import Address, Offset
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,26 +64,24 @@
     def __init__(self) -> None:
         self.member_by_address: dict[Address, Member] = {}
         self.table_by_service: dict[str, KeyTable] = {}
-        #: When the table of a service was read, on the own clock, in seconds.
-        self.table_read_at: dict[str, Seconds] = {}
         self._entry_by_key: dict[str, Entry] = {}
         #: Offset after the last record that was read; every one before it is known.
         self.end: Offset = 0
         self.is_loaded = False
 
-    def apply(self, now: Seconds, entry: Entry) -> Rejected | None:
+    def apply(self, entry: Entry) -> Rejected | None:
         """Take one record in; return it if it cannot be read."""
         known = self._entry_by_key.get(entry.key)
         if known is not None and known.offset >= entry.offset:
             return None
         self._entry_by_key[entry.key] = entry
         try:
-            self._decode(now, entry)
+            self._decode(entry)
         except ValueError as error:
             return Rejected(entry, str(error))
         return None
 
-    def _decode(self, now: Seconds, entry: Entry) -> None:
+    def _decode(self, entry: Entry) -> None:
         if entry.key.startswith(MEMBER_PREFIX):
             address = entry.key.removeprefix(MEMBER_PREFIX)
             if entry.value:
@@ -93,16 +91,15 @@
         elif entry.key.startswith(TABLE_PREFIX) and entry.value:
             service = entry.key.removeprefix(TABLE_PREFIX)
             self.table_by_service[service] = decode_table(entry.value)
-            self.table_read_at[service] = now
 
     def note_end(self, end: Offset) -> None:
         """Note that every record before `end` has been read."""
         self.is_loaded = True
         self.end = max(self.end, end)
 
-    def apply_next(self, now: Seconds, entry: Entry) -> Rejected | None:
+    def apply_next(self, entry: Entry) -> Rejected | None:
         """Take in a record that a peer passed on right after it was written."""
-        rejected = self.apply(now, entry)
+        rejected = self.apply(entry)
         if self.is_loaded and entry.offset == self.end:
             self.end += 1
         return rejected
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -144,7 +144,7 @@
     def _on_appended(
         self, now: Seconds, sent_at: Seconds, entry: Entry, at: int | None
     ) -> None:
-        self._directory.apply(now, entry)
+        self._directory.apply(entry)
         if entry.key == boot_key(self._me):
             self._guard.boot_offset = entry.offset
         if at is not None:
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -75,9 +75,8 @@
         """Take a record that was just written."""
         now = self._told_now()
         entry = Entry(push.entry.offset, push.entry.key, push.entry.value)
-        rejected = self.directory.apply_next(now, entry)
-        if rejected is not None:
-            self.note(Note(112, {"key": entry.key, "reason": rejected.reason}))
+        rejected = self.directory.apply_next(entry)
+        self._note_rejected(rejected)
         if push.relay:
             self.hub.push(push.entry, everywhere=False)
         self._on_directory_changed(now)
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -12,6 +12,7 @@
 from rhubarbhall.platform.operator import parse_configuration
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.directory import Rejected
     from rhubarbhall.types import Offset, Seconds
 
 #: Connections of callers.
@@ -26,13 +27,16 @@
 
     def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
-            rejected = self.directory.apply(now, entry)
-            if rejected is not None:
-                fields = {"key": entry.key, "reason": rejected.reason}
-                self.note(Note(112, fields))
+            self._note_rejected(self.directory.apply(entry))
         if entries:
             self._on_directory_changed(now)
 
+    def _note_rejected(self, rejected: Rejected | None) -> None:
+        """Write down a record that cannot be read, if it is one."""
+        if rejected is not None:
+            fields = {"key": rejected.entry.key, "reason": rejected.reason}
+            self.note(Note(112, fields))
+
     def _on_directory_changed(self, now: Seconds) -> None:
         region = self.settings.region
         region_by_address = {
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -297,7 +297,7 @@
 
     def _on_entries(self, now, entries) -> None:
         for entry in entries:
-            self.directory.apply(now, entry)
+            self.directory.apply(entry)
 
     def _on_complete(self, now, sent_at, end) -> None:
         self.directory.note_end(end)
@@ -310,7 +310,7 @@
 
     def on_push(self, entry: Entry) -> None:
         if self.is_running and not self.is_frozen:
-            self.directory.apply_next(self.mesh.world.now, entry)
+            self.directory.apply_next(entry)
 
     def _tick(self, life: int) -> None:
         if self.life != life:
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -101,14 +101,14 @@
 class DirectoryTests(unittest.TestCase):
     def test_an_older_record_changes_nothing(self):
         directory = Directory()
-        self.assertIsNone(directory.apply(0.0, Entry(5, "boot/x", b"new")))
-        directory.apply(0.0, Entry(4, "boot/x", b"old"))
+        self.assertIsNone(directory.apply(Entry(5, "boot/x", b"new")))
+        directory.apply(Entry(4, "boot/x", b"old"))
         self.assertEqual(directory.entries_from(0)[0].value, b"new")
 
     def test_what_cannot_be_read_is_told_and_what_was_before_stays(self):
         directory = Directory()
         for key in ("member/10.0.0.1:1", "keys/s"):
-            rejected = directory.apply(0.0, Entry(1, key, b"\xc1nonsense"))
+            rejected = directory.apply(Entry(1, key, b"\xc1nonsense"))
             self.assertIsNotNone(rejected)
         self.assertEqual(directory.table_by_service, {})
         self.assertEqual(directory.member_by_address, {})
@@ -116,7 +116,7 @@
     def test_a_record_that_peers_passed_on_counts_only_without_a_gap(self):
         directory = Directory()
         directory.note_end(5)
-        directory.apply_next(0.0, Entry(7, "boot/x", b"1"))
+        directory.apply_next(Entry(7, "boot/x", b"1"))
         self.assertEqual(directory.end, 5)
-        directory.apply_next(0.0, Entry(5, "boot/y", b"1"))
+        directory.apply_next(Entry(5, "boot/y", b"1"))
         self.assertEqual(directory.end, 6)
--- a/tests/core/ownership/test_keeper.py
+++ b/tests/core/ownership/test_keeper.py
@@ -59,7 +59,7 @@
 
     def put(self, key: str, value: bytes) -> None:
         self.offset += 1
-        self.directory.apply(5.0, Entry(self.offset, key, value))
+        self.directory.apply(Entry(self.offset, key, value))
 
     def set_member(self, address, service="s", state=TargetState.READY) -> None:
         member = Member(service, "d", "r", "i@1", 9, state)
@@ -228,6 +228,6 @@
         self.pass_time(4.0)
         for entry in self.directory.entries_from(0):
             if entry.key.startswith("member/"):
-                directory.apply(self.now, entry)
+                directory.apply(entry)
         proposal = keeper.propose(self.now)
         self.assertEqual(len(proposal.table.size_by_owner()), 3)
--- a/tests/core/traffic/test_entrance.py
+++ b/tests/core/traffic/test_entrance.py
@@ -111,11 +111,11 @@
         member = Member(service, "d1", region, "r", 9, TargetState.READY)
         offset = len(self.directory.member_by_address)
         entry = Entry(offset, member_key(address), encode_member(member))
-        self.directory.apply(0.0, entry)
+        self.directory.apply(entry)
 
     def set_table(self, table: KeyTable, offset: int) -> None:
         entry = Entry(offset, table_key("keyed"), encode_table(table))
-        self.directory.apply(0.0, entry)
+        self.directory.apply(entry)
 
     def ask(self, path: str, now: float = 0.0, **changes) -> int | None:
         fields = {"timeout_s": 1.0, **changes}
