Compress frames between daemons as a stream

A request's frame was 91 bytes and its answer carried all its headers again.

Ruled out: interning of strings by hand (deflate does the same and takes the hex of ids too); frames compressed one by one (nothing to refer to); a larger window (43 KiB a connection already, and a daemon has 34 of them).

--- a/benchmarks/key_table.py
+++ b/benchmarks/key_table.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import time
 
+import msgspec
+
 from benchmarks.report import Table
-from rhubarbhall.adapters.peer_frames import Forward, encode_frame
+from rhubarbhall.adapters.peer_frames import Forward
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
 from rhubarbhall.core.ownership.key_table import KEY_COUNT, Claim, KeyTable
 from rhubarbhall.core.ownership.records import decode_table, encode_table
 
@@ -43,34 +47,54 @@
             _us(lambda i, t=table: encode_table(t), rounds),
             _us(lambda i, d=data: decode_table(d), rounds),
         )
-    return [sizes, _frames()]
+    return [sizes, _frames(), _stream_us()]
 
 
-def _frames() -> Table:
-    """Return what a request costs between daemons beside its body and headers."""
-    frame = Forward(
-        ticket=70_000,
+def _forward(ticket: int, key: int) -> Forward:
+    rng = random.Random(ticket)
+    return Forward(
+        ticket=ticket,
         service="huvo11a",
         route="r-zs989an",
-        key=40_000,
+        key=key,
         left_ms=950,
         worth_most_ms=350,
         came_back=False,
         idempotent=True,
         priority=2,
         method="GET",
-        path="/lepu270/2f",
+        path=f"/lepu270/{rng.getrandbits(16):x}",
         host="jepu9.example",
-        id="9c41d07be2a35f68",
+        id=f"{rng.getrandbits(64):016x}",
         headers=[],
         body=b"",
     )
+
+
+def _stream_us() -> Table:
+    """Return what writing and reading one frame costs."""
+    writer, reader = FrameWriter(), FrameReader()
+    frames = [_forward(ticket, ticket % KEY_COUNT) for ticket in range(1000)]
+    data: list[bytes] = []
+    table = Table("Time of one frame", ("step", "us"))
+    write_us = _us(lambda i: data.append(writer.encode(frames[i])), len(frames))
+    table.add("write", write_us)
+    table.add("read", _us(lambda i: list(reader.feed(data[i])), len(frames)))
+    return table
+
+
+def _frames() -> Table:
+    """Return what a request costs between daemons beside its body and headers."""
+    first, second = _forward(70_000, 40_000), _forward(70_001, 51_234)
     as_http = (
         "GET /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\n"
         "Request-Id: 9c41d07be2a35f68\r\nTimeout-Ms: 950\r\nShard-Key: 40000\r\n"
         "Caller-Service: huvo11a\r\nRoute: r-zs989an\r\nPriority: 2\r\n\r\n"
     )
     table = Table("Bytes of one request in one hop", ("form", "bytes"))
-    table.add("frame", len(encode_frame(frame)))
+    writer = FrameWriter()
+    table.add("MessagePack, not compressed", len(msgspec.msgpack.encode(second)))
+    table.add("first frame of a connection", len(writer.encode(first)))
+    table.add("a frame after another", len(writer.encode(second)))
     table.add("HTTP/1.1 with the same fields", len(as_http))
     return table
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -1,21 +1,14 @@
-"""What daemons say to each other: short arrays in MessagePack, each after its length.
+"""What daemons say to each other, as messages.
 
-Requests between regions are many and bytes there are dear, which rules out HTTP with
-JSON here: its headers alone are several times as long as these frames.
+How they become bytes of a connection is in `rhubarbhall.adapters.peer_stream`.
 """
 
 from __future__ import annotations
 
-import struct
-from collections.abc import Iterator
 from typing import TypeAlias
 
 import msgspec
 
-#: Longest frame; a body and its headers fit.
-MAX_FRAME_BYTES = 72 << 20
-_LENGTH = struct.Struct(">I")
-
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """Says who has opened the connection.
@@ -223,39 +216,3 @@
     | Renew
     | Renewed
 )
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Frame)
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """Return the bytes of a frame with its length before it."""
-    data = _ENCODER.encode(frame)
-    return _LENGTH.pack(len(data)) + data
-
-
-class FrameReader:
-    """Cuts the bytes of one connection into frames."""
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[Frame]:
-        """Yield the frames that are whole.
-
-        Raises
-        ------
-        ValueError
-            If the bytes are no frames; the connection is of no more use.
-        """
-        self._buffer += data
-        while len(self._buffer) >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(self._buffer)
-            if size > MAX_FRAME_BYTES:
-                raise ValueError(f"frame of {size} bytes; allowed: {MAX_FRAME_BYTES}")
-            end = _LENGTH.size + size
-            if len(self._buffer) < end:
-                return
-            frame = _DECODER.decode(bytes(self._buffer[_LENGTH.size : end]))
-            del self._buffer[:end]
-            yield frame
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -17,7 +17,6 @@
     Cancel,
     Forward,
     Frame,
-    FrameReader,
     Hello,
     Ping,
     Pong,
@@ -29,8 +28,8 @@
     SyncAsk,
     SyncEntry,
     SyncTell,
-    encode_frame,
 )
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
 from rhubarbhall.adapters.sockets import Listener, Outgoing
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -136,6 +135,7 @@
     is_open: bool = False
     is_leaving: bool = False
     reader: FrameReader = field(default_factory=FrameReader)
+    writer: FrameWriter = field(default_factory=FrameWriter)
     tickets: set[int] = field(default_factory=set)
     dialed_at: Seconds = float("-inf")
     heard_at: Seconds = float("-inf")
@@ -151,6 +151,7 @@
     """A connection opened by another daemon."""
 
     reader: FrameReader = field(default_factory=FrameReader)
+    writer: FrameWriter = field(default_factory=FrameWriter)
     address: Address = ""
     service: str = ""
     ticket_by_theirs: dict[int, int] = field(default_factory=dict)
@@ -367,7 +368,7 @@
     def _dial(self, now: Seconds, link: _Link) -> None:
         link.dialed_at = now
         link.is_leaving = False
-        link.reader = FrameReader()
+        link.reader, link.writer = FrameReader(), FrameWriter()
         link.pinged_at = None
         try:
             link.sock = self.dialer.open(
@@ -387,7 +388,7 @@
         self._handler.on_link(link.address, True)
 
     def _send(self, link: _Link, frame: Frame) -> None:
-        self.dialer.send(link.sock, encode_frame(frame))
+        self.dialer.send(link.sock, link.writer.encode(frame))
 
     # Requests for others
 
@@ -540,7 +541,9 @@
             self._answer(sock, self._handler.on_sync_ask(frame))
 
     def _answer(self, sock: socket.socket, frame: Frame) -> None:
-        self.acceptor.send(sock, encode_frame(frame))
+        inbound = self._inbound_by_sock.get(sock)
+        if inbound is not None:
+            self.acceptor.send(sock, inbound.writer.encode(frame))
 
     def _on_forward(
         self, sock: socket.socket, inbound: _Inbound, frame: Forward
