--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -15,9 +15,8 @@
     encode_response,
 )
 from rhubarbhall.adapters.sockets import Listener
-from rhubarbhall.core.entrance import RawRequest
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.requests import refusal
+from rhubarbhall.core.requests import RawRequest, refusal
 
 if TYPE_CHECKING:
     import socket
--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -26,11 +26,11 @@
 from rhubarbhall.adapters.target_port import HttpTarget
 from rhubarbhall.core import commands, events
 from rhubarbhall.core.context import Context
-from rhubarbhall.core.entrance import RawRequest, read_request
+from rhubarbhall.core.entrance import read_request
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.records import Join
-from rhubarbhall.core.requests import DEADLINE_HEADER, HOP_HEADER, refusal
+from rhubarbhall.core.requests import DEADLINE_HEADER, HOP_HEADER, RawRequest, refusal
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
--- a/rhubarbhall/core/entrance.py
+++ b/rhubarbhall/core/entrance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import unquote
 
@@ -21,6 +21,7 @@
     KEY_HEADER,
     OWN_PREFIX,
     SERVICE_HEADER,
+    RawRequest,
     Request,
     Response,
     refusal,
@@ -51,43 +52,6 @@
 )
 
 
-@dataclass(slots=True)
-class RawRequest:
-    """A request as it was parsed from the wire.
-
-    Parameters
-    ----------
-    method, path : str
-        Request line; the path with its query.
-    headers : tuple of (str, str)
-        All headers.
-    body : bytes
-        The whole body.
-    peer : str
-        Address of the other end.
-    from_daemon : bool
-        Whether a daemon of the mesh vouched for the request.
-    """
-
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    peer: str
-    from_daemon: bool = False
-    _value_by_name: dict[str, str] = field(init=False, repr=False)
-
-    def __post_init__(self) -> None:
-        # Names are looked up several times for each request; the first one counts.
-        self._value_by_name = {
-            name.lower(): value for name, value in reversed(self.headers)
-        }
-
-    def header(self, name: str) -> str | None:
-        """Return the first header of that name, or none."""
-        return self._value_by_name.get(name.lower())
-
-
 @dataclass(frozen=True, slots=True)
 class _Address:
     """Service, key and path that a request names."""
--- a/rhubarbhall/core/requests.py
+++ b/rhubarbhall/core/requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -31,6 +31,43 @@
 KEY_HEADER = "Rhubarb-Key"
 
 
+@dataclass(slots=True)
+class RawRequest:
+    """A request as it was parsed from the wire.
+
+    Parameters
+    ----------
+    method, path : str
+        Request line; the path with its query.
+    headers : tuple of (str, str)
+        All headers.
+    body : bytes
+        The whole body.
+    peer : str
+        Address of the other end.
+    from_daemon : bool
+        Whether a daemon of the mesh vouched for the request.
+    """
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    peer: str
+    from_daemon: bool = False
+    _value_by_name: dict[str, str] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        # Names are looked up several times for each request; the first one counts.
+        self._value_by_name = {
+            name.lower(): value for name, value in reversed(self.headers)
+        }
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of that name, or none."""
+        return self._value_by_name.get(name.lower())
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """A whole answer.
--- a/rhubarbhall/platform/heartbeats.py
+++ b/rhubarbhall/platform/heartbeats.py
@@ -16,8 +16,8 @@
 from rhubarbhall.platform.names import INSTANCES_PATH, format_time, parse_time
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.entrance import RawRequest
     from rhubarbhall.core.ownership.target_holds import Grant
+    from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import Address, RequestId
 
 _STATE_BY_WORD = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
--- a/rhubarbhall/platform/ingress.py
+++ b/rhubarbhall/platform/ingress.py
@@ -14,7 +14,7 @@
 from rhubarbhall.platform import names
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.entrance import RawRequest
+    from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import RequestId
 
 #: Headers of a caller that end here: those of its connection, and those that are
--- a/rhubarbhall/programs/daemon.py
+++ b/rhubarbhall/programs/daemon.py
@@ -10,7 +10,7 @@
 
 from rhubarbhall.adapters.callers import CallerLimits
 from rhubarbhall.adapters.driver import Daemon
-from rhubarbhall.core.context import Timing
+from rhubarbhall.core.timing import Timing
 from rhubarbhall.programs.loop import Loop
 from rhubarbhall.programs.options import (
     ADDRESS,
--- a/rhubarbhall/settings.py
+++ b/rhubarbhall/settings.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.adapters.callers import CallerLimits
-from rhubarbhall.core.context import Timing
+from rhubarbhall.core.timing import Timing
 
 if TYPE_CHECKING:
     from rhubarbhall.types import Address
--- a/rhubarbhall/standins/deployment.py
+++ b/rhubarbhall/standins/deployment.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from rhubarbhall.adapters.driver import Daemon
-from rhubarbhall.core.context import Timing
 from rhubarbhall.core.records import IntentRecord, seal
+from rhubarbhall.core.timing import Timing
 from rhubarbhall.programs.loop import Loop
 from rhubarbhall.settings import DaemonSettings, split_address
 from rhubarbhall.standins.log import LogService
--- a/rhubarbhall/standins/platform_store.py
+++ b/rhubarbhall/standins/platform_store.py
@@ -16,7 +16,7 @@
 from rhubarbhall.core.requests import Response
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.entrance import RawRequest
+    from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import RequestId
 
 PARTS = 8
--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -17,7 +17,7 @@
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.entrance import RawRequest
+    from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.core.timers import TimerService
     from rhubarbhall.types import Address, RequestId, Seconds
 
--- a/tests/core/test_entrance.py
+++ b/tests/core/test_entrance.py
@@ -6,9 +6,10 @@
 from returns.result import Success
 
 from rhubarbhall.core.directory import Directory
-from rhubarbhall.core.entrance import RawRequest, read_request
+from rhubarbhall.core.entrance import read_request
 from rhubarbhall.core.idempotency import MAX_AHEAD_MS, mint_key
 from rhubarbhall.core.records import IntentRecord, StoredRecord, seal
+from rhubarbhall.core.requests import RawRequest
 
 WALL_MS = 1_800_000_000_000
 NOW = 50.0
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from rhubarbhall.core.entrance import RawRequest
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
 from rhubarbhall.core.ownership.key_table import Span
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.ownership.target_holds import Grant
+from rhubarbhall.core.requests import RawRequest
 from rhubarbhall.core.traffic.requests import Answered, NotRun, Unknown
 from rhubarbhall.platform.heartbeats import (
     MAX_ANSWER_BYTES,
--- a/tests/properties/machine.py
+++ b/tests/properties/machine.py
@@ -8,11 +8,11 @@
 
 from rhubarbhall import audit
 from rhubarbhall.core import events
-from rhubarbhall.core.context import Timing
 from rhubarbhall.core.idempotency import mint_key
 from rhubarbhall.core.node import Node
 from rhubarbhall.core.records import Merge, Move, Split
 from rhubarbhall.core.slices import SliceRef
+from rhubarbhall.core.timing import Timing
 from rhubarbhall.standins.target import Execution
 from tests.fakes import INTENT, SERVICE, WALL_MS_AT_ZERO, Host, Mesh
 
--- a/tests/properties/mutations.py
+++ b/tests/properties/mutations.py
@@ -7,7 +7,6 @@
 from unittest.mock import PropertyMock, patch
 
 from rhubarbhall.core import events
-from rhubarbhall.core.context import Timing
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.failover import Collector
 from rhubarbhall.core.gate import Gate
@@ -15,6 +14,7 @@
 from rhubarbhall.core.lease import LeaseKeeper
 from rhubarbhall.core.members import Member
 from rhubarbhall.core.peer_messages import HeartbeatAnswer
+from rhubarbhall.core.timing import Timing
 from rhubarbhall.core.witness import Witness
 from rhubarbhall.core.witness_set import WitnessSet
 
--- a/tests/properties/test_rules_matter.py
+++ b/tests/properties/test_rules_matter.py
@@ -11,7 +11,6 @@
 
 from rhubarbhall import audit
 from rhubarbhall.core import events
-from rhubarbhall.core.context import Timing
 from rhubarbhall.core.records import (
     Failover,
     Move,
@@ -21,6 +20,7 @@
     Witnesses,
 )
 from rhubarbhall.core.slices import slice_of_key
+from rhubarbhall.core.timing import Timing
 from tests.fakes import INTENT, SERVICE, SIX_PLACES, Host, Mesh
 from tests.properties import mutations
 from tests.properties.machine import TIMING, OwnershipMachine, as_execution
