Refuse at once what no owner or no time is left for

Cause: requests for keys whose owner was lost waited 0.4 s for the table although a takeover takes seconds; requests with too little time left for the way were sent, ended at the caller's deadline and were told unknown (504) though no target had seen them; the gate's own refusals of what waited came up to 0.1 s after the deadline, with the same end.

Ruled out: asking the other router for the outcome at the deadline (its word comes after it).

--- a/rhubarbhall/core/traffic/choosing.py
+++ b/rhubarbhall/core/traffic/choosing.py
@@ -18,6 +18,10 @@
 #: What a hop is taken to cost, there and back.
 DOMAIN_HOP_S = 0.003
 REGION_HOP_S = 0.075
+#: Part of a hop's usual time that it takes at least.
+HOP_PART = 0.8
+#: Part of a route's mean duration that nearly all of its requests take.
+LEAST_PART = 0.4
 #: Weight of a new sample in a target's mean duration.
 SMOOTHING = 0.1
 #: Weight of a new sample in the share of refusals.
@@ -127,6 +131,13 @@
             return 0.0
         return DOMAIN_HOP_S if member.region == self._region else REGION_HOP_S
 
+    def least_s(self, address: Address, route: str) -> Seconds:
+        """Return the time below which no answer of a target is to be expected."""
+        member = self._directory.member_by_address.get(address)
+        hop_s = self._hop_s(address, member) if member else 0.0
+        work_s = self._mean_by_route.get(route, 0.0) * self.view(address).relative
+        return HOP_PART * hop_s + LEAST_PART * work_s
+
     def choose(
         self, now: Seconds, service: str, route: str, tried: Collection[Address]
     ) -> Address | None:
--- a/rhubarbhall/core/traffic/entrance.py
+++ b/rhubarbhall/core/traffic/entrance.py
@@ -37,6 +37,9 @@
 TABLE_LOOK_S = 0.05
 #: When to come back if no owner or target is known.
 NO_OWNER_RETRY_S = 0.3
+#: The same if the owner is lost: a takeover lasts seconds, and callers come back before
+#: their time ends anyway.
+LOST_OWNER_RETRY_S = 1.0
 #: Waiting time when the caller names none.
 DEFAULT_TIMEOUT_S = 30.0
 #: Time before a caller's own deadline at which it gets its final answer.
@@ -293,6 +296,10 @@
             self._end(now, journey, NotRun(ErrorKind.NO_OWNER, NO_OWNER_RETRY_S))
             return
         address = self._holder(table, journey)
+        if address is None and journey.span.previous_lost:
+            # Nobody can be granted the key while a caller waits.
+            self._end(now, journey, NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_S))
+            return
         if address is not None and journey.tries < MAX_TRIES:
             self._bring(now, journey, address)
         else:
@@ -305,7 +312,7 @@
         that it does not.
         """
         span = journey.span = table.find(journey.request.key)
-        candidates = [span.owner]
+        candidates = [] if span.previous_lost else [span.owner]
         if span.previous and not span.previous_lost:
             candidates.insert(0, span.previous)
         for address in candidates:
@@ -332,6 +339,11 @@
             self._advance(now, journey)
 
     def _bring(self, now: Seconds, journey: Journey, address: Address) -> None:
+        request = journey.request
+        if now + self._chooser.least_s(address, request.route) > request.deadline:
+            # It would end at the caller's deadline on its way, its outcome unknown.
+            self._end(now, journey, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            return
         journey.tries += 1
         journey.at = address
         journey.sent_at = now
--- a/rhubarbhall/core/traffic/gate.py
+++ b/rhubarbhall/core/traffic/gate.py
@@ -40,6 +40,8 @@
 DOWN_S = 0.4
 #: How much longer than the present queue says late requests wait.
 LATE_FACTOR = 1.5
+#: Time between two calls of `Gate.expire`, so that what waits is answered in time.
+EXPIRE_S = 0.1
 #: Time after a deadline for the target's own answer to come.
 ANSWER_GRACE_S = 0.2
 #: Part of a route's mean duration that has to be left for a request to be sent.
@@ -435,7 +437,7 @@
             parked = entry.ticket in self._parked
             if parked and now - entry.arrived_at > PARK_S:
                 self._drop(entry, NotRun(ErrorKind.NOT_OWNER))
-            elif now + self._least_work_s(entry.request) > entry.request.deadline:
+            elif self._is_hopeless(now, entry.request):
                 self._drop(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             elif not parked and self._has_waited_enough(now, entry):
                 left_s = entry.request.deadline - now
@@ -443,6 +445,10 @@
                 self._drop(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
         self.pump(now)
 
+    def _is_hopeless(self, now: Seconds, request: Request) -> bool:
+        """Tell whether a request that waits has to be refused now, to be in time."""
+        return now + max(EXPIRE_S, self._least_work_s(request)) >= request.deadline
+
     def _give_up(self, entry: _Entry) -> None:
         """Free the slot of a request that the target does not answer."""
         self._target.cancel(entry.ticket)
--- a/tests/core/traffic/test_entrance.py
+++ b/tests/core/traffic/test_entrance.py
@@ -223,6 +223,22 @@
         self.ring(0.51)
         self.assertEqual(len(self.replies), 1)
 
+    def test_what_cannot_be_back_in_time_is_refused_and_not_sent(self):
+        # Load pattern: callers come back with little of their time left.
+        self.set_table(KeyTable.divided([Claim(FAR, "r")]), 10)
+        self.ask("/status/1", key=5, timeout_s=0.05)
+        self.assertEqual(self.peers.sent, [])
+        self.assertEqual(self.replies, [NotRun(ErrorKind.DEADLINE_UNREACHABLE)])
+
+    def test_what_was_seen_to_take_longer_is_not_tried(self):
+        for _ in range(5):
+            self.ask("/look/1")
+            self.outcome(0.5, ANSWER)
+        sent = len(self.peers.sent)
+        self.ask("/look/1", timeout_s=0.15)
+        self.ask("/look/1", timeout_s=0.6)
+        self.assertEqual(len(self.peers.sent), sent + 1)
+
     def test_a_caller_that_leaves_is_called_off(self):
         ticket = self.ask("/look/1")
         self.entrance.caller_gone(0.1, ticket)
@@ -260,6 +276,15 @@
         self.assertGreater(self.replies[0].retry_after_s, 0)
         self.assertLess(now, 0.5)
 
+    def test_a_key_whose_owner_is_lost_is_refused_at_once(self):
+        # Load pattern: an owner is lost, and its keys are asked for until the takeover.
+        table = self.table.lost(NEAR).moved([((0, 99), Claim(FAR, "r"))])
+        self.set_table(table, 11)
+        self.ask("/status/1", key=5)
+        self.assertEqual(self.peers.sent, [])
+        self.assertEqual(self.replies[0].kind, ErrorKind.NO_OWNER)
+        self.assertGreater(self.replies[0].retry_after_s, 0.3)
+
     def test_a_request_without_a_key_is_refused(self):
         self.ask("/status/1")
         self.assertEqual(self.replies[0].kind, ErrorKind.KEY_MISSING)
--- a/tests/core/traffic/test_gate.py
+++ b/tests/core/traffic/test_gate.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.traffic.gate import Gate
+from rhubarbhall.core.traffic.gate import EXPIRE_S, Gate
 from rhubarbhall.core.traffic.requests import Answered, NotRun, Request, Unknown
 
 ANSWER = Answered(200, (), b"ok")
@@ -145,6 +145,14 @@
         self.submit(0.6, "e", deadline=2.0)
         self.assertNotIn("e", self.outcomes)
 
+    def test_what_waits_is_refused_before_its_deadline_has_passed(self):
+        for id in "ab":
+            self.submit(0.0, id, deadline=9.0)
+        self.submit(0.0, "late", deadline=0.49)
+        for tenth in range(1, 5):
+            self.gate.expire(tenth * EXPIRE_S)
+        self.assertIsInstance(self.outcomes["late"], NotRun)
+
     def test_a_silent_target_does_not_keep_its_slots_for_good(self):
         self.submit(0.0, "a")
         self.submit(0.0, "b")
