Read the directory only when nobody else's reading is fresh; a lease of 12 s

Ruled out: one reader for a region (its loss would show late); longer pauses for all (older news after a lost push).

An owner lost with most of its guardians now takes 14 s instead of 11; with several guardians that is rare.

--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -24,6 +24,8 @@
 #: Pause after a failed read, at first and at most.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.0
+#: Time until the next look after a read that was not needed.
+SKIP_S = 0.5
 
 
 class Follower:
@@ -49,6 +51,9 @@
         Takes whether the store answers, when that changes, and the reason.
     rng : random.Random
         Spreads the pauses of several daemons.
+    needs_read : callable
+        Takes the time; tells whether a read after a pause would bring anything that
+        is not known from elsewhere.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         on_complete: Callable[[Seconds, Seconds, Offset], None],
         on_contact: Callable[[bool, str], None],
         rng: random.Random,
+        needs_read: Callable[[Seconds], bool] = lambda now: True,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -72,6 +78,7 @@
         self._on_complete = on_complete
         self._on_contact = on_contact
         self._rng = rng
+        self._needs_read = needs_read
         self._position: Offset | None = None
         self._turn = 0
         self._failures = 0
@@ -142,8 +149,12 @@
         turn = self._turn
 
         def read(later: Seconds) -> None:
-            if turn == self._turn:
+            if turn != self._turn:
+                return
+            if self._needs_read(later):
                 self._read_tail(later, wait_s)
+            else:
+                self._again(later, SKIP_S, wait_s)
 
         self._timers.at(now + pause_s, Alarm(read))
 
--- a/rhubarbhall/core/ownership/read_lease.py
+++ b/rhubarbhall/core/ownership/read_lease.py
@@ -13,9 +13,10 @@
 if TYPE_CHECKING:
     from rhubarbhall.types import Seconds
 
-#: Length of the lease, in seconds. Longer than usual outages of the store, so that keys
-#: stay where they are; as long as it takes to replace a VM that fell silent.
-LEASE_S = 9.0
+#: Length of the lease, in seconds. Longer than most outages of the store, so that keys
+#: stay where they are. It is waited for only if an owner is lost with most of its
+#: guardians.
+LEASE_S = 12.0
 #: Share by which two clocks may differ over a lease.
 CLOCK_DRIFT = 0.02
 #: Added to the wait for another daemon's lease, in seconds.
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -60,9 +60,11 @@
     from rhubarbhall.core.traffic.requests import Outcome
     from rhubarbhall.types import Seconds
 
-#: Time between two reads of the directory. Peers pass news on, so these reads only
-#: confirm the lease and find what was not passed on.
+#: Least time between two reads of the directory, and the age of what is known from
+#: which on one is due, at least and at most. Peers pass news on and tell each other how
+#: old their knowledge is, so a few of them read for all.
 DIRECTORY_PAUSE_S = 2.0
+DIRECTORY_AGE_S = (2.0, 3.5)
 #: Time that the store holds a read of the operators' configuration, and the pause after
 #: one, so that several changes come with the next.
 CONFIGURATION_WAIT_S = 8.0
@@ -214,6 +216,7 @@
             self._on_complete,
             self._on_store_contact,
             self._rng,
+            self._needs_directory_read,
         )
         self._configuration_follower = Follower(
             store,
@@ -318,6 +321,9 @@
             silence_s = round(now - self.holds.heard_at, 3)
             self.note(Note(214, {"run": self.holds.run, "silence_s": silence_s}))
 
+    def _needs_directory_read(self, now: Seconds) -> bool:
+        return self.lease.age_s(now) > self._rng.uniform(*DIRECTORY_AGE_S)
+
     def _ask_for_loads(self, now: Seconds) -> None:
         """Ask those who could take keys how busy they are, if the own target is."""
         if self.publisher.by_key and self.balancer.is_busy(now):
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -97,6 +97,30 @@
         old[2](Tail((Entry(9, "x", b""),), 10, 10))
         self.assertEqual([entry.offset for entry in self.entries], [3])
 
+    def test_what_is_known_from_elsewhere_is_not_read_again(self):
+        fresh = True
+        follower = Follower(
+            self.store,
+            "t",
+            self.timers,
+            0.0,
+            2.0,
+            lambda now, entries: None,
+            lambda now, sent_at, end: None,
+            lambda reachable, reason: None,
+            random.Random(1),
+            lambda now: not fresh,
+        )
+        follower.start(0.0)
+        self.load()
+        calls = len(self.store.calls)
+        for half in range(4, 20):
+            self.ring(half / 2)
+        self.assertEqual(len(self.store.calls), calls)
+        fresh = False
+        self.ring(10.5)
+        self.assertEqual(self.store.calls[-1][:2], ("tail", 5))
+
 
 class DirectoryTests(unittest.TestCase):
     def test_an_older_record_changes_nothing(self):
