Listen and connect without circuits.net

Nearly all of its methods were overridden here.

Ruled out: hiding ssl from the import (the module does not load without it).

--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -1,7 +1,8 @@
 """TCP on circuits: listening and outgoing connections, read and written directly.
 
-The components of ``circuits.net`` fire an event for each chunk read and each
-chunk to write. Here the poller's events stay, and the chunks go straight to
+The components of ``circuits.net`` fire an event for each chunk read and each chunk to
+write, and importing them brings the libraries for encryption, which no connection here
+uses: 4 MB in each daemon. Here the poller's events stay, and the chunks go straight to
 methods, which halves the events of a request.
 """
 
@@ -9,30 +10,71 @@
 
 import contextlib
 import socket
+from collections import defaultdict, deque
 from collections.abc import Callable
 from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
 
-from circuits import handler
+from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
-from circuits.net.sockets import Server, TCPServer
 
 READ_BYTES = 64 * 1024
+#: Connections that wait to be accepted.
+BACKLOG = 5000
 _TRY_AGAIN = (EAGAIN, EWOULDBLOCK, EINTR)
 
 
-class _SocketSet(set):
-    """A set with the methods of a list that `Server` uses on its clients."""
+class _DirectIo(BaseComponent):
+    """Reads and writes of sockets without an event for each chunk.
 
-    append = set.add
-    remove = set.discard
+    Parameters
+    ----------
+    channel : str
+        Channel of the component; one for each in a process.
+    """
+
+    def __init__(self, channel: str) -> None:
+        super().__init__(channel=channel)
+        #: The listening socket, if there is one.
+        self._sock: socket.socket | None = None
+        self._clients: set[socket.socket] = set()
+        self._closing: set[socket.socket] = set()
+        self._buffers: dict[socket.socket, deque[bytes]] = defaultdict(deque)
+        self._poller: BasePoller | None = None
+
+    @handler("registered", "started", channel="*")
+    def _on_registered_or_started(self, component, manager=None) -> None:
+        if self._poller is not None:
+            return
+        self._poller = findcmp(self.root, BasePoller)
+        if self._poller is not None and self._sock is not None:
+            self._poller.addReader(self, self._sock)
 
-    def __getitem__(self, key: slice) -> list[socket.socket]:
-        return list(self)[key]
+    @handler("stopped", channel="*")
+    def _on_stopped(self, component) -> None:
+        self.close()
 
+    @handler("_disconnect", priority=1)
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        self.drop(sock)
 
-class _DirectIo:
-    """Reads and writes of a `Server` without an event for each chunk."""
+    @handler("_read", priority=1)
+    def _on_read(self, sock: socket.socket) -> None:
+        self._read(sock)
+
+    @handler("_write", priority=1)
+    def _on_write(self, sock: socket.socket) -> None:
+        buffer = self._buffers.get(sock)
+        if buffer:
+            left = self._send_now(sock, buffer.popleft())
+            if left:
+                buffer.appendleft(left)
+        if self._buffers.get(sock) or sock not in self._clients:
+            return
+        if sock in self._closing:
+            self.drop(sock)
+        else:
+            self._poller.removeWriter(sock)
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """Take what was read from a connection."""
@@ -96,18 +138,10 @@
             self.drop(sock)
             return b""
 
-    def _write(self, sock: socket.socket, data: bytes) -> None:
-        if sock not in self._clients:
-            return
-        left = self._send_now(sock, data)
-        if left:
-            self._buffers[sock].appendleft(left)
-
     def finish(self, sock: socket.socket) -> None:
         """Close a connection once everything was written."""
         if self._buffers.get(sock):
-            if sock not in self._closeq:
-                self._closeq.append(sock)
+            self._closing.add(sock)
         else:
             self.drop(sock)
 
@@ -116,24 +150,22 @@
         if sock in self._clients:
             self._close(sock)
 
-    def _close(self, sock: socket.socket | None) -> None:
-        if sock is None or (sock is not self._sock and sock not in self._clients):
-            return
+    def _close(self, sock: socket.socket) -> None:
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
-        known = sock in self._clients
-        self._clients.remove(sock)
-        if sock in self._closeq:
-            self._closeq.remove(sock)
-        if not known:
-            self._sock = None
+        self._clients.discard(sock)
+        self._closing.discard(sock)
         with contextlib.suppress(OSError):
             sock.close()
-        if known:
-            self.on_closed(sock)
+        self.on_closed(sock)
 
+    def close(self, sock: socket.socket | None = None) -> None:
+        """Close one connection, or all."""
+        for each in [sock] if sock is not None else list(self._clients):
+            self.drop(each)
 
-class Listener(_DirectIo, TCPServer):
+
+class Listener(_DirectIo):
     """Accepts connections.
 
     Parameters
@@ -145,24 +177,48 @@
     """
 
     def __init__(self, bind: tuple[str, int], channel: str) -> None:
-        super().__init__(bind, channel=channel)
-        self._clients = _SocketSet()
+        super().__init__(channel)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(bind)
+        self._sock.listen(BACKLOG)
+
+    @property
+    def host(self) -> str | None:
+        """IP address that the port is bound to; none once it is closed."""
+        return self._sock.getsockname()[0] if self._sock else None
+
+    @property
+    def port(self) -> int | None:
+        """Port that is listened on; none once it is closed."""
+        return self._sock.getsockname()[1] if self._sock else None
+
+    @handler("_read", priority=1, override=True)
+    def _on_read(self, sock: socket.socket) -> None:
+        if sock is self._sock:
+            self._accept()
+        else:
+            self._read(sock)
 
     def on_accepted(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Learn of a new connection."""
         raise NotImplementedError
 
-    def _on_accept_done(self, sock: socket.socket, fire_connect_event: bool = True):
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def _accept(self) -> bool:
+        """Take a connection that waits; return False if there is none."""
         try:
-            peer = sock.getpeername()
+            sock, peer = self._sock.accept()
         except OSError:
-            sock.close()
-            return
+            # Nobody waits, the other side has left, or descriptors have run out; the
+            # poller tells of what still waits.
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._poller.addReader(self, sock)
-        self._clients.append(sock)
+        self._clients.add(sock)
         self.on_accepted(sock, peer)
+        return True
 
     def stop_listening(self) -> None:
         """Accept no more connections; those open go on.
@@ -171,31 +227,20 @@
         socket would cut them.
         """
         if self._sock is not None:
-            self._accept_waiting()
+            while self._accept():
+                pass
             self._poller.discard(self._sock)
             self._sock.close()
             self._sock = None
 
-    def _accept_waiting(self) -> None:
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                return
-            self._on_accept_done(sock)
-
-    @handler("close", override=True)
     def close(self, sock: socket.socket | None = None) -> None:
         """Close one connection, or everything."""
-        if sock is not None:
-            self.drop(sock)
-            return
-        self.stop_listening()
-        for each in self._clients[:]:
-            self.drop(each)
+        if sock is None:
+            self.stop_listening()
+        super().close(sock)
 
 
-class Outgoing(_DirectIo, Server):
+class Outgoing(_DirectIo):
     """Opens connections without ever blocking.
 
     Parameters
@@ -204,34 +249,12 @@
         Channel of the component.
     """
 
-    socket_family = socket.AF_INET
-    socket_type = socket.SOCK_STREAM
-    socket_options: list = []
-
     def __init__(self, channel: str) -> None:
-        super().__init__(None, channel=channel)
-        self._sock.close()
-        self._sock = None
-        self._clients = _SocketSet()
+        super().__init__(channel)
         self._connecting: dict[socket.socket, Callable[[], None]] = {}
         #: Error number of the last connection that could not be made.
         self.connect_error = 0
 
-    def parse_bind_parameter(self, bind_parameter: None) -> None:
-        """Return none: nothing is bound."""
-        return None
-
-    @handler("registered", "started", channel="*", override=True)
-    def _on_registered_or_started(self, component, manager=None) -> None:
-        if self._poller is None:
-            self._poller = findcmp(self.root, BasePoller)
-
-    @handler("close", override=True)
-    def close(self, sock: socket.socket | None = None) -> None:
-        """Close one connection, or all."""
-        for each in [sock] if sock is not None else self._clients[:]:
-            self.drop(each)
-
     def open(
         self, address: tuple[str, int], on_open: Callable[[], None]
     ) -> socket.socket:
@@ -239,10 +262,10 @@
 
         A connection that cannot be made is told by `on_closed`.
         """
-        sock = socket.socket(self.socket_family, self.socket_type)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._clients.append(sock)
+        self._clients.add(sock)
         self._connecting[sock] = on_open
         code = sock.connect_ex(address)
         if code not in (0, EINPROGRESS):
@@ -271,7 +294,7 @@
         self._poller.addReader(self, sock)
         on_open()
 
-    def _close(self, sock: socket.socket | None) -> None:
+    def _close(self, sock: socket.socket) -> None:
         if self._connecting.pop(sock, None) is not None and not self.connect_error:
             with contextlib.suppress(OSError):
                 error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/tests/programs/test_router_imports.py
+++ b/tests/programs/test_router_imports.py
@@ -10,6 +10,8 @@
 UNUSED = (
     "aioprometheus",
     "hdrh",
+    "ssl",
+    "hashlib",
     "rhubarbhall.core.directory",
     "rhubarbhall.core.idempotency",
     "rhubarbhall.core.node",
