Show members, owners and routes from the platform's store

Cause: rhubarb-ctl worked against the product's own log only; an operator on the platform had no way to see who owns a key but each router's dump.

Ruled out: a second client for the store (the commands use the routers' port on a loop).

After: rhubarb-ctl store members | owners [--key N] | routes; clear errors for a store that refuses, is away or holds something else. 5 tests against the stand-in.

--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -5,6 +5,7 @@
 import difflib
 import itertools
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,7 @@
 from rhubarbhall.adapters.signing import SIGNATURE_HEADER, sign
 from rhubarbhall.core.errors import SelectorError
 from rhubarbhall.core.intent import document_from_toml, intent_from_document
+from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.records import DeclareLost, IntentRecord
 from rhubarbhall.core.selectors import parse_selector
 from rhubarbhall.programs.mesh import (
@@ -27,6 +29,7 @@
     wait_in_force,
 )
 from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
+from rhubarbhall.programs.store_view import StoreView, member_rows, owner_rows
 from rhubarbhall.programs.tables import text_table
 from rhubarbhall.programs.trace import explain, find_lines, tell_story
 
@@ -292,6 +295,62 @@
     return 0
 
 
+@command.group("store")
+def store_group() -> None:
+    """Look into the platform's store, as routers see it."""
+
+
+_store_option = option(
+    "--store", type=ADDRESS, required=True, help="Address of the platform's store."
+)
+
+
+@store_group.command("members")
+@_store_option
+def store_members(store: str) -> None:
+    """Show the routers and the targets beside them."""
+    header = ("router", "service", "region", "domain", "run", "state")
+    click.echo(text_table(header, member_rows(StoreView(store).directory())))
+
+
+@store_group.command("owners")
+@_store_option
+@click.option("--key", type=click.IntRange(0, KEY_COUNT - 1), help="Only this key.")
+def store_owners(store: str, key: int | None) -> None:
+    """Show who owns which keys."""
+    rows = []
+    for service, table in sorted(StoreView(store).directory().table_by_service.items()):
+        spans = table.spans if key is None else (table.find(key),)
+        rows += owner_rows(service, replace(table, spans=spans))
+    header = ("service", "keys", "owner", "fence", "has to let go", "state")
+    click.echo(text_table(header, rows))
+
+
+@store_group.command("routes")
+@_store_option
+def store_routes(store: str) -> int:
+    """Show the operators' configuration in force."""
+    routing = StoreView(store).routing()
+    if routing is None:
+        click.echo("no configuration yet")
+        return EXIT_VOID
+    click.echo(f"version {routing.version}")
+    header = ("route", "host", "prefix", "services", "idempotent", "timeout s")
+    rows = [
+        (
+            route.name,
+            route.host,
+            route.prefix,
+            " ".join(f"{part.service}:{part.weight}" for part in route.parts),
+            route.idempotent,
+            "-" if route.timeout_s is None else route.timeout_s,
+        )
+        for route in routing.routes
+    ]
+    click.echo(text_table(header, rows))
+    return 0
+
+
 @command.command()
 @click.argument("request_id")
 @click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
--- /dev/null
+++ b/tests/adapters/test_peer_resume.py
@@ -0,0 +1,327 @@
+"""Connections between two daemons that break while requests are on them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+from rhubarbhall.adapters import peer_links, peer_sessions
+from rhubarbhall.adapters.peer_links import LOOK_S, RESUME_S, PeerLinks
+from rhubarbhall.adapters.peer_sessions import ORPHAN_S, PeerSessions
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.requests import (
+    Answered,
+    Load,
+    NotRun,
+    Request,
+    Unknown,
+)
+
+SENDER, RECEIVER = "10.0.0.1:1", "10.0.0.2:1"
+
+
+def request(id: str) -> Request:
+    return Request(
+        id=id,
+        service="pay",
+        route="credit",
+        key=None,
+        method="POST",
+        path="/credit/1",
+        host="h.example",
+        headers=(),
+        body=b"",
+        caller="",
+        idempotent=False,
+        priority=0,
+        deadline=9.0,
+        worth_most_until=9.0,
+    )
+
+
+class Wire:
+    """One connection: bytes of each direction that are still on their way."""
+
+    def __init__(self):
+        self.to_receiver: list[bytes] = []
+        self.to_sender: list[bytes] = []
+        self.is_open = False
+
+
+class FakeDialer:
+    """In place of the sender's sockets."""
+
+    def __init__(self, channel, links):
+        self.links = links
+        self.pending: list[tuple[Wire, object]] = []
+
+    def open(self, address, on_open):
+        wire = Wire()
+        self.pending.append((wire, on_open))
+        return wire
+
+    def send(self, wire, data):
+        if wire.is_open:
+            wire.to_receiver.append(data)
+
+    def drop(self, wire):
+        wire.is_open = False
+        self.links.closed(wire, False)
+
+
+class FakeAcceptor:
+    """In place of the receiver's sockets."""
+
+    def __init__(self, bind, channel, sessions):
+        self.sessions = sessions
+
+    def send(self, wire, data):
+        if wire.is_open:
+            wire.to_sender.append(data)
+
+    def drop(self, wire):
+        wire.to_receiver.clear()
+        self.sessions.closed(wire)
+
+
+class SenderEvents:
+    def __init__(self):
+        self.outcomes: dict[int, list] = {}
+
+    def on_outcome(self, address, ticket, outcome, load):
+        self.outcomes.setdefault(ticket, []).append(outcome)
+
+    def on_heard(self, address):
+        pass
+
+    def on_refused(self, address):
+        pass
+
+    def on_link(self, address, is_up):
+        pass
+
+
+class ReceiverEvents:
+    def __init__(self):
+        self.origin_by_id: dict[str, object] = {}
+        self.cancelled: list[int] = []
+
+    def on_forward(self, origin, request):
+        assert request.id not in self.origin_by_id, "came twice"
+        self.origin_by_id[request.id] = origin
+        return len(self.origin_by_id)
+
+    def on_cancel(self, ticket):
+        self.cancelled.append(ticket)
+
+    def on_heard(self, address):
+        pass
+
+
+class ResumeCase(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        for module, name, fake in (
+            (peer_links, "_Dialer", FakeDialer),
+            (peer_sessions, "_Acceptor", FakeAcceptor),
+        ):
+            patch = mock.patch.object(module, name, fake)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.sender, self.receiver = SenderEvents(), ReceiverEvents()
+        self.links = PeerLinks(SENDER, "own", self.sender, lambda: self.now, 77)
+        self.restart_receiver()
+        self.links.set_members("r", {RECEIVER: "r"})
+        self.links.look()
+        self.connect()
+
+    def restart_receiver(self):
+        self.sessions = PeerSessions(RECEIVER, self.receiver, lambda: self.now)
+
+    def connect(self):
+        self.wire, on_open = self.links.dialer.pending.pop()
+        self.wire.is_open = True
+        self.sessions.accepted(self.wire)
+        on_open()
+
+    def deliver(self):
+        """Let all bytes arrive, until none are on their way."""
+        while self.wire.to_receiver or self.wire.to_sender:
+            for data in self.taken(self.wire.to_receiver):
+                self.sessions.take(self.wire, data)
+            for data in self.taken(self.wire.to_sender):
+                self.links.take(self.wire, data)
+
+    @staticmethod
+    def taken(waiting: list[bytes]) -> list[bytes]:
+        taken = list(waiting)
+        waiting.clear()
+        return taken
+
+    def cut(self, seen_by_receiver: bool = True):
+        """Reset the connection; bytes on their way are lost."""
+        wire = self.wire
+        wire.is_open = False
+        if seen_by_receiver:
+            self.sessions.closed(wire)
+        self.links.closed(wire, False)
+
+    def forward(self, ticket: int):
+        return self.links.forward(self.now, RECEIVER, ticket, request(f"q{ticket}"))
+
+    def answer(self, ticket: int):
+        origin = self.receiver.origin_by_id[f"q{ticket}"]
+        body = f"a{ticket}".encode()
+        self.sessions.answer(origin, Answered(200, (), body), Load())
+
+    def pass_time(self, seconds: float):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += LOOK_S
+            self.links.look()
+            self.sessions.look()
+
+    def outcomes(self, ticket: int) -> list:
+        return self.sender.outcomes.get(ticket, [])
+
+
+class ResumeTests(ResumeCase):
+    def test_a_request_goes_on_over_the_next_connection(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+        self.assertEqual(self.receiver.cancelled, [])
+
+    def test_an_outcome_that_came_in_between_is_kept(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.answer(1)
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+
+    def test_what_never_arrived_is_told_not_to_have_run(self):
+        self.forward(1)
+        self.deliver()
+        self.forward(2)
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(2), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+        self.assertEqual(self.outcomes(1), [])
+
+    def test_an_answer_that_was_lost_on_its_way_is_unknown(self):
+        self.forward(1)
+        self.deliver()
+        self.answer(1)
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+
+    def test_another_run_of_the_receiver_knows_nothing(self):
+        self.forward(1)
+        self.cut()
+        self.restart_receiver()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+
+    def test_a_connection_that_only_the_sender_gave_up_is_read_no_more(self):
+        self.forward(1)
+        self.deliver()
+        self.forward(2)
+        held_up = list(self.wire.to_receiver)
+        former = self.wire
+        self.cut(seen_by_receiver=False)
+        self.connect()
+        self.deliver()
+        for data in held_up:
+            self.sessions.take(former, data)
+        self.assertEqual(self.outcomes(2), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+        self.assertNotIn("q2", self.receiver.origin_by_id)
+
+    def test_without_a_new_connection_both_sides_give_up(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.pass_time(RESUME_S + LOOK_S)
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+        self.pass_time(ORPHAN_S)
+        self.assertEqual(self.receiver.cancelled, [1])
+
+    def test_what_was_called_off_meanwhile_is_cancelled(self):
+        for ticket in (1, 2):
+            self.forward(ticket)
+        self.deliver()
+        self.cut()
+        self.links.cancel(RECEIVER, 1)
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.receiver.cancelled, [1])
+        self.answer(2)
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [])
+        self.assertEqual(self.outcomes(2), [Answered(200, (), b"a2")])
+
+    def test_a_late_answer_meets_no_request_of_a_member_that_came_back(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.links.set_members("r", {})
+        self.links.set_members("r", {RECEIVER: "r"})
+        self.links.look()
+        self.connect()
+        self.forward(2)
+        self.deliver()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.outcomes(2), [])
+
+
+class RandomCutsTests(ResumeCase):
+    """Whatever breaks when, each request gets one outcome, and a true one."""
+
+    def test_outcomes_are_true(self):
+        for seed in range(150):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.play(random.Random(seed))
+
+    def play(self, rng: random.Random) -> None:
+        answered: set[int] = set()
+        ticket = 0
+        for _ in range(60):
+            step = rng.random()
+            if step < 0.4 and self.wire.is_open:
+                ticket += 1
+                self.forward(ticket)
+            elif step < 0.6:
+                self.deliver()
+            elif step < 0.8:
+                arrived = {int(id[1:]) for id in self.receiver.origin_by_id}
+                for each in sorted(arrived - answered):
+                    answered.add(each)
+                    self.answer(each)
+            elif self.wire.is_open:
+                self.cut(seen_by_receiver=rng.random() < 0.7)
+                self.connect()
+        self.deliver()
+        for each in range(1, ticket + 1):
+            if f"q{each}" in self.receiver.origin_by_id and each not in answered:
+                self.answer(each)
+        self.deliver()
+        for each in range(1, ticket + 1):
+            self.assertEqual(len(self.outcomes(each)), 1)
+            outcome = self.outcomes(each)[0]
+            if isinstance(outcome, Answered):
+                self.assertEqual(outcome.body, f"a{each}".encode())
+            elif isinstance(outcome, NotRun):
+                self.assertNotIn(f"q{each}", self.receiver.origin_by_id)
--- /dev/null
+++ b/tests/programs/test_store_view.py
@@ -0,0 +1,83 @@
+"""The operators' look into the platform's store, against the stand-in in a thread."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+
+from click.testing import CliRunner, Result
+
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.publisher import TOPIC
+from rhubarbhall.core.ownership.records import (
+    Member,
+    TargetState,
+    encode_member,
+    encode_table,
+    member_key,
+    table_key,
+)
+from rhubarbhall.programs import ctl
+from rhubarbhall.programs.loop import Loop
+from rhubarbhall.standins.platform_store import PlatformStore
+from tests.adapters.test_daemon import free_base_port
+from tests.platform.test_path import configuration
+
+A, B = "10.0.0.1:1", "10.0.0.2:1"
+
+
+class StoreViewTests(unittest.TestCase):
+    def setUp(self):
+        port = free_base_port()
+        self.address = f"127.0.0.1:{port}"
+        self.store = PlatformStore(("127.0.0.1", port))
+        loop = Loop()
+        loop.add(self.store.port)
+        thread = threading.Thread(target=loop.manager.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 5.0)
+        self.addCleanup(loop.stop)
+        while not loop.manager.running:
+            time.sleep(0.01)
+
+    def ctl(self, *words: str) -> Result:
+        command = ["store", *words, "--store", self.address]
+        return CliRunner().invoke(ctl.command, command, standalone_mode=False)
+
+    def fill(self) -> None:
+        for address in (A, B):
+            member = Member("keyed", "d", "r", "i@1", 9, TargetState.READY)
+            self.store.put(TOPIC, member_key(address), encode_member(member))
+        table = KeyTable.divided([Claim(A, "i@1"), Claim(B, "i@1")])
+        self.store.put(TOPIC, table_key("keyed"), encode_table(table))
+        self.store.put("keyed.op", "config", configuration(4))
+
+    def test_members_and_owners_are_shown(self):
+        self.fill()
+        members = self.ctl("members").output.splitlines()
+        self.assertEqual([line.split()[0] for line in members], ["router", A, B])
+        owners = self.ctl("owners").output
+        self.assertIn("0-32767", owners)
+        one = self.ctl("owners", "--key", "40000").output.splitlines()
+        self.assertEqual(len(one), 2)
+        self.assertIn(B, one[1])
+
+    def test_the_configuration_in_force_is_shown(self):
+        self.assertEqual(self.ctl("routes").return_value, ctl.EXIT_VOID)
+        self.fill()
+        shown = self.ctl("routes").output
+        self.assertIn("version 4", shown)
+        self.assertIn("/credit/", shown)
+
+    def test_a_store_that_refuses_is_told(self):
+        self.store.faults.refuses = True
+        self.assertIn("503", str(self.ctl("members").exception))
+
+    def test_an_address_where_nothing_listens_is_told(self):
+        self.address = f"127.0.0.1:{free_base_port()}"
+        self.assertIn(self.address, str(self.ctl("members").exception))
+
+    def test_a_configuration_that_cannot_be_read_is_told(self):
+        self.store.put("keyed.op", "config", b"{")
+        self.assertIn("keyed.op", str(self.ctl("routes").exception))
