Resume requests between routers when their connection breaks

Cause: a broken connection made every request on it unknown, and its target's work was broken off, although both routers lived.

The sender connects again at once and names the requests that it waits for; they go on, or their kept outcome comes, or the receiver says that one never arrived, which only it can know. Numbers are never used twice in a session, so a late answer meets no other request.

Ruled out: keeping sent answers for a while (memory in each router for each other one; without them the outcome is told as unknown, which is true).

--- a/benchmarks/key_table.py
+++ b/benchmarks/key_table.py
@@ -53,7 +53,7 @@
 def _forward(ticket: int, key: int) -> Forward:
     rng = random.Random(ticket)
     return Forward(
-        ticket=ticket,
+        number=ticket,
         service="huvo11a",
         route="r-zs989an",
         key=key,
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -19,10 +19,25 @@
         Address that the daemon listens on.
     service : str
         Service of its VM, told to targets as the caller's.
+    session : int
+        Chosen anew by each process; connections of one session follow each other.
     """
 
     address: str
     service: str
+    session: int
+
+
+class Resume(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Asks, on a new connection, for the outcomes of requests on the one before.
+
+    Parameters
+    ----------
+    numbers : list of int
+        Requests without an outcome. All others are of no more use.
+    """
+
+    numbers: list[int]
 
 
 class Forward(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -30,8 +45,8 @@
 
     Parameters
     ----------
-    ticket : int
-        The sender's number for it.
+    number : int
+        The sender's number for it; numbers to one receiver only grow.
     left_ms : int
         Time until its answer is of no more use.
     worth_most_ms : int
@@ -44,7 +59,7 @@
         Names and values in turn.
     """
 
-    ticket: int
+    number: int
     service: str
     route: str
     key: int
@@ -64,7 +79,7 @@
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """The target's whole answer, and how busy it is."""
 
-    ticket: int
+    number: int
     status: int
     headers: list[str]
     body: bytes
@@ -84,7 +99,7 @@
         Whether the request has not run and never will.
     """
 
-    ticket: int
+    number: int
     kind: str
     not_run: bool
     retry_after_ms: int
@@ -96,7 +111,7 @@
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Nobody waits for a request any more."""
 
-    ticket: int
+    number: int
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -225,6 +240,7 @@
 
 Frame: TypeAlias = (
     Hello
+    | Resume
     | Forward
     | Reply
     | Refused
--- a/rhubarbhall/programs/router_figures.py
+++ b/rhubarbhall/programs/router_figures.py
@@ -136,6 +136,9 @@
             "Repeats left over all services.",
             float(sum(budget.left for budget in budgets)),
         ),
-        "peer_frames_rejected": ("Could not be read.", float(daemon.hub.rejected)),
+        "peer_frames_rejected": (
+            "Could not be read.",
+            float(daemon.links.rejected + daemon.sessions.rejected),
+        ),
         "log_lines_dropped": ("For want of room.", float(daemon.log.dropped)),
     }
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -12,7 +12,7 @@
 from rhubarbhall.core.traffic.requests import NotRun
 
 if TYPE_CHECKING:
-    from rhubarbhall.adapters.peer_links import Origin
+    from rhubarbhall.adapters.peer_events import Origin
     from rhubarbhall.core.traffic.requests import Load, Outcome, Request
     from rhubarbhall.types import Address, Offset, Seconds
 
@@ -32,7 +32,7 @@
 
         def on_outcome(outcome: Outcome) -> None:
             self.journal.gate_ended(request, outcome)
-            self.hub.answer(origin, outcome, self.gate.load)
+            self.sessions.answer(origin, outcome, self.gate.load)
 
         if request.service != self.settings.service:
             on_outcome(NotRun(ErrorKind.NO_TARGET))
@@ -67,7 +67,7 @@
             return
         own = self._configuration.offset if self._configuration else -1
         if pong.end > self.directory.end or pong.configuration > own:
-            self.hub.ask_sync(address, self.directory.end, own)
+            self.links.ask_sync(address, self.directory.end, own)
         else:
             self.lease.confirm(asked_at - pong.age_ms / 1000)
 
@@ -78,7 +78,7 @@
         rejected = self.directory.apply_next(entry)
         self._note_rejected(rejected)
         if push.relay:
-            self.hub.push(push.entry, everywhere=False)
+            self.links.push(push.entry, everywhere=False)
         self._on_directory_changed(now)
 
     def on_sync_ask(self, ask: SyncAsk) -> SyncTell:
@@ -166,7 +166,7 @@
             if guardian == self.me:
                 self.guarded_lease.confirm(now, guardian, now, self.directory.end)
             else:
-                self.hub.ask_renewal(guardian)
+                self.links.ask_renewal(guardian)
 
     def _ask_about_lapsed(self, now: Seconds) -> None:
         """Ask the other guardians of silent owners whether they may be replaced."""
@@ -175,4 +175,4 @@
             return
         end = self.directory.end
         for guardian, owner in self.votes.questions(now, table, end):
-            self.hub.ask_lapse(guardian, owner, end)
+            self.links.ask_lapse(guardian, owner, end)
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -44,7 +44,7 @@
             for address, member in self.directory.member_by_address.items()
             if address != self.me
         }
-        self.hub.set_members(region, region_by_address)
+        self.links.set_members(region, region_by_address)
         self.gate.keys_changed(now)
         self.publisher.look(now, self._member(now))
 
@@ -70,7 +70,7 @@
         self.note(Note(211, {"key": entry.key, "reason": str(reason)}))
         self._on_directory_changed(now)
         passed_on = SyncEntry(entry.offset, entry.key, entry.value)
-        self.hub.push(passed_on, everywhere=True)
+        self.links.push(passed_on, everywhere=True)
 
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -15,7 +15,8 @@
 from rhubarbhall.adapters.client import SWEEP_S, HttpClient
 from rhubarbhall.adapters.clock import Clock, boot_time
 from rhubarbhall.adapters.journal import write_note
-from rhubarbhall.adapters.peer_links import LOOK_S, PeerHub
+from rhubarbhall.adapters.peer_links import LOOK_S, PeerLinks
+from rhubarbhall.adapters.peer_sessions import PeerSessions
 from rhubarbhall.core.commands import Note
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
 from rhubarbhall.core.ownership.directory import Directory, Entry
@@ -83,6 +84,8 @@
 GOODBYE_S = 0.5
 #: Time before the process is killed at which it ends in any case.
 STOP_MARGIN_S = 0.6
+#: Size of the number that tells one run of a process from the next.
+SESSION_BITS = 63
 #: Time between looks at the settings file.
 SETTINGS_LOOK_S = 1.0
 
@@ -149,7 +152,9 @@
 
     def _build_traffic(self) -> None:
         settings = self.settings
-        self.hub = PeerHub(self.me, settings.service, self, self.now)
+        session = self._rng.getrandbits(SESSION_BITS)
+        self.links = PeerLinks(self.me, settings.service, self, self.now, session)
+        self.sessions = PeerSessions(self.me, self, self.now)
         self.target = TargetPort(
             f"target-{self.me}",
             settings.target,
@@ -167,7 +172,7 @@
             self.directory,
             self.chooser,
             self.gate,
-            self.hub,
+            self.links,
             self.timers,
             lambda: RetryBudget(settings.retry_ratio, settings.retry_window_s),
             self.journal,
@@ -261,8 +266,8 @@
         for component in (
             *self._clients,
             self.target,
-            self.hub.acceptor,
-            self.hub.dialer,
+            self.sessions.acceptor,
+            self.links.dialer,
             self.callers,
             self._heartbeat_port,
             self._readiness_port,
@@ -299,11 +304,14 @@
     # Looking around
 
     def _look(self, now: Seconds) -> None:
-        self.hub.look()
+        self.links.look()
+        self.sessions.look()
         self._look_at_target(now)
         self.gate.expire(now)
         self._ask_for_loads(now)
         self._ask_about_lapsed(now)
+        if self.guarded_lease.left_s(now) <= 0:
+            self._ask_renewal(now)
         self.publisher.look(now, self._member(now))
         if self._stop_at is not None:
             self._look_whether_to_end(now)
@@ -328,13 +336,13 @@
         """Ask those who could take keys how busy they are, if the own target is."""
         if self.publisher.by_key and self.balancer.is_busy(now):
             for address in self.keeper.other_owners():
-                self.hub.ping(address)
+                self.links.ping(address)
 
     def _compare(self, now: Seconds) -> None:
         """Ask a peer nearby what it knows of the store."""
-        peers = self.hub.near_peers()
+        peers = self.links.near_peers()
         if peers:
-            self.hub.ping(self._rng.choice(peers))
+            self.links.ping(self._rng.choice(peers))
 
     def lease_left_s(self, now: Seconds) -> Seconds:
         """Return for how long the own target may be granted its keys."""
@@ -414,7 +422,7 @@
         stopping_s = now - self._stop_at
         if stopping_s >= STOP_TAKING_S - GOODBYE_S and not self._said_goodbye:
             self._said_goodbye = True
-            self.hub.say_goodbye()
+            self.sessions.say_goodbye()
         if stopping_s < STOP_TAKING_S:
             return
         if not self.callers.draining:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -95,7 +95,7 @@
 
     def close(self):
         for router in self.routers:
-            for port in (router.callers, router.hub.acceptor, router.hub.dialer):
+            for port in (router.callers, router.sessions.acceptor, router.links.dialer):
                 port.close()
             for port in (router._heartbeat_port, router._readiness_port, router.target):
                 port.close()
