Stay in the own region while that answers in time

Cause: a hop to another region cost 75 ms in the choice of a target and nothing for its bytes.

Ruled out: the same for the own zone (the targets of a region differ threefold in speed; a slow one would fill up).

--- a/rhubarbhall/core/traffic/choosing.py
+++ b/rhubarbhall/core/traffic/choosing.py
@@ -22,6 +22,9 @@
 HOP_PART = 0.8
 #: Part of a route's mean duration that nearly all of its requests take.
 LEAST_PART = 0.4
+#: Part of the time in which an answer is worth most that a target of the own region may
+#: be expected to take; the rest is for what the estimate misses.
+IN_TIME_PART = 0.6
 #: Weight of a new sample in a target's mean duration.
 SMOOTHING = 0.1
 #: Weight of a new sample in the share of refusals.
@@ -139,21 +142,34 @@
         return HOP_PART * hop_s + LEAST_PART * work_s
 
     def choose(
-        self, now: Seconds, service: str, route: str, tried: Collection[Address]
+        self,
+        now: Seconds,
+        service: str,
+        route: str,
+        tried: Collection[Address],
+        in_time_s: Seconds,
     ) -> Address | None:
-        """Return the target that would answer first, or none.
+        """Return the target to take, or none.
+
+        The links between regions are slow and metered. So a target of the own region
+        is taken if it would answer in time, and else whichever would answer first. A
+        target that was passed over is still taken when there is no other.
 
-        A target that was passed over is still taken when there is no other.
+        Parameters
+        ----------
+        in_time_s : float
+            Time within which an answer is worth most.
         """
-        best: Address | None = None
-        best_cost: tuple[bool, Seconds] | None = None
-        for address, member in self._directory.members_of(service):
-            if address in tried or not self._is_usable(now, address, member):
-                continue
-            cost = self._cost(now, address, member, route)
-            if best_cost is None or cost < best_cost:
-                best, best_cost = address, cost
-        return best
+        ranked = sorted(
+            (*self._cost(now, address, member, route), address, member)
+            for address, member in self._directory.members_of(service)
+            if address not in tried and self._is_usable(now, address, member)
+        )
+        for passed_over, cost_s, address, member in ranked:
+            in_time = cost_s <= IN_TIME_PART * in_time_s
+            if member.region == self._region and in_time and not passed_over:
+                return address
+        return ranked[0][2] if ranked else None
 
     def _is_usable(self, now: Seconds, address: Address, member: Member) -> bool:
         if member.state is not TargetState.READY:
--- a/rhubarbhall/core/traffic/entrance.py
+++ b/rhubarbhall/core/traffic/entrance.py
@@ -283,7 +283,11 @@
             return
         request = journey.request
         address = self._chooser.choose(
-            now, request.service, request.route, journey.tried
+            now,
+            request.service,
+            request.route,
+            journey.tried,
+            request.worth_most_until - now,
         )
         if address is None or journey.tries >= MAX_TRIES:
             self._end(now, journey, refusal)
