--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -68,6 +68,8 @@
         #: Offset after the last record that was read; every one before it is known.
         self.end: Offset = 0
         self.is_loaded = False
+        #: Offsets of records that are known although some before them are not.
+        self._ahead: set[Offset] = set()
 
     def apply(self, entry: Entry) -> Rejected | None:
         """Take one record in; return it if it cannot be read."""
@@ -96,14 +98,25 @@
         """Note that every record before `end` has been read."""
         self.is_loaded = True
         self.end = max(self.end, end)
+        self._catch_up()
 
     def apply_next(self, entry: Entry) -> Rejected | None:
-        """Take in a record that a peer passed on right after it was written."""
+        """Take in a record that was just written, by a peer or by this daemon.
+
+        Records of several writers may come in another order than they stand in.
+        """
         rejected = self.apply(entry)
-        if self.is_loaded and entry.offset == self.end:
-            self.end += 1
+        if self.is_loaded:
+            self._ahead.add(entry.offset)
+            self._catch_up()
         return rejected
 
+    def _catch_up(self) -> None:
+        """Move the end over the records that are known already."""
+        while self.end in self._ahead:
+            self.end += 1
+        self._ahead = {offset for offset in self._ahead if offset >= self.end}
+
     def entries_from(self, offset: Offset) -> list[Entry]:
         """Return the newest records at `offset` or later, for another daemon."""
         entries = [
--- a/rhubarbhall/core/ownership/keeper.py
+++ b/rhubarbhall/core/ownership/keeper.py
@@ -228,6 +228,8 @@
 
     def _is_doubted(self, now: Seconds, address: Address) -> bool:
         silence_s = self._liveness.silence_s(now, address)
+        if not self._liveness.was_heard(address):
+            return True
         if silence_s > RECENT_S or self._guard.silence_s(now, address) > DOUBT_S:
             return True
         is_asked = address in self._guarded_lease.silent(now, DOUBT_S)
@@ -399,6 +401,10 @@
             return table
         for address in silent:
             table = self._given_away(now, table.lost(address), address)
+            if not table.guardians_of(address):
+                # Without guardians it never had a lease, so it was granted nothing.
+                ranges = [(span.first, span.last) for span in table.leaving(address)]
+                table = table.released(address, ranges, {})
         return table
 
     def _replace_left(self, now: Seconds, table: KeyTable) -> KeyTable:
--- a/rhubarbhall/core/ownership/liveness.py
+++ b/rhubarbhall/core/ownership/liveness.py
@@ -41,6 +41,10 @@
         """Note that the VM answers but no process listens there."""
         self._refused_at[address] = now
 
+    def was_heard(self, address: Address) -> bool:
+        """Tell whether a daemon was heard since this one was started."""
+        return address in self._heard_at
+
     def silence_s(self, now: Seconds, address: Address) -> Seconds:
         """Return for how long a daemon has not been heard."""
         return now - self._heard_at.get(address, self._started_at)
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -147,7 +147,7 @@
     def _on_appended(
         self, now: Seconds, sent_at: Seconds, entry: Entry, at: int | None
     ) -> None:
-        self._directory.apply(entry)
+        self._directory.apply_next(entry)
         if entry.key == boot_key(self._me) and self._guard.boot_offset is None:
             self._guard.boot_offset = entry.offset
         if at is not None:
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -144,3 +144,5 @@
         self.assertEqual(directory.end, 5)
         directory.apply_next(Entry(5, "boot/y", b"1"))
         self.assertEqual(directory.end, 6)
+        directory.apply_next(Entry(6, "boot/z", b"1"))
+        self.assertEqual(directory.end, 8)
--- a/tests/core/ownership/test_keeper.py
+++ b/tests/core/ownership/test_keeper.py
@@ -126,6 +126,21 @@
         mine = [span for span in taken.owned_by(ME) if span.previous_lost]
         self.assertEqual(mine, [])
 
+    def test_an_owner_without_guardians_was_granted_nothing(self):
+        # It was given a share and lost before it took it.
+        self.set_table(self.table.guarded(B, ()))
+        self.pass_time(4.0, heard=(C,))
+        replaced = self.propose()
+        self.assertNotIn(B, replaced.size_by_owner())
+        self.assertTrue(all(span.is_settled for span in replaced.spans))
+
+    def test_a_daemon_that_was_never_heard_gets_no_share(self):
+        # Its record is from before this daemon was started; it is gone.
+        self.set_member("10.0.0.4:1")
+        for _ in range(25):
+            self.pass_time(0.1)
+            self.assertIsNone(self.propose())
+
     def test_one_that_hears_nobody_judges_nobody(self):
         self.pass_time(8.0, heard=())
         self.assertIsNone(self.propose())
@@ -227,6 +242,20 @@
         grant = self.holds.grant(self.now, self.table, 5.0, self.offset + 1)
         self.assertEqual(list(grant.spans), self.table.owned_by(ME))
 
+    def test_a_daemon_that_was_started_again_goes_on_with_what_its_target_holds(self):
+        # Load pattern: all daemons end at once and come back while their targets go on.
+        again = TargetHolds(ME, self.now)
+        self.assertFalse(again.may_work_on(self.now, 5))
+        again.note(
+            self.now, Heartbeat("i", 1, 9, TargetState.READY, 9, holds=((0, 99, 1),))
+        )
+        self.assertTrue(again.may_work_on(self.now, 5))
+        self.assertFalse(again.may_work_on(self.now, 100))
+        self.assertFalse(again.may_work_on(self.now + HOLD_S, 5))
+        again.grant(self.now, self.table.moved([((0, 50), Claim(B, "i@1"))]), 5.0, 0)
+        self.assertFalse(again.may_work_on(self.now, 5))
+        self.assertTrue(again.may_work_on(self.now, 60))
+
     def test_a_new_run_gets_new_fences_at_once(self):
         self.pass_time(1.0)
         before = self.table.owned_by(ME)[0].fence
