--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,7 +18,7 @@
 )
 from rhubarbhall.adapters.log_port import RecordsPage
 from rhubarbhall.core import commands, events
-from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.context import Context
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
 from rhubarbhall.core.node import Node
@@ -35,6 +35,7 @@
 from rhubarbhall.core.requests import Request, Response
 from rhubarbhall.core.slices import SliceRef, slice_of_key
 from rhubarbhall.core.snapshots import encode_directory, restore_directory
+from rhubarbhall.core.timing import Timing
 
 REGIONS = 11
 DOMAINS = 32
--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -5,9 +5,10 @@
 from collections import Counter
 
 from rhubarbhall.core.balancing import EJECT_AFTER, Balancer
-from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.context import Context
 from rhubarbhall.core.records import IntentRecord, Join, StoredRecord, seal
 from rhubarbhall.core.requests import Response
+from rhubarbhall.core.timing import Timing
 
 DOCUMENT = {
     "services": {"s": {"targets": "app=s", "keyed": False, "slots": 10}},
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from rhubarbhall.core import commands, events
-from rhubarbhall.core.context import Context, Timing
+from rhubarbhall.core.context import Context
 from rhubarbhall.core.directory import Directory
 from rhubarbhall.core.intent import DEFAULT_ROUTE
 from rhubarbhall.core.node import SNAPSHOT_EVERY, Node
@@ -24,6 +24,7 @@
 from rhubarbhall.core.requests import Request, Response
 from rhubarbhall.core.slices import SliceRef, slice_of_key
 from rhubarbhall.core.snapshots import encode_directory
+from rhubarbhall.core.timing import Timing
 from tests.fake_ports import TICK_S, Execution, FakeLog, FakeTarget
 
 WALL_MS_AT_ZERO = 1_800_000_000_000
