Wait a moment for first connections

Ruled out: saying not ready until all connections stand (one lost VM would keep it so).

After: such requests look again each 50 ms while a first connection is being made, for 0.25 s at most; tests for both ends of it.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -60,6 +60,9 @@
 MAX_WAY_S = 0.2
 #: Time for a connection to be made.
 CONNECT_S = 1.0
+#: Time for the first connection to a daemon that is there: a look at the links, and the
+#: way to another region and back.
+FIRST_OPEN_S = 0.25
 #: Pause between two attempts to connect.
 REDIAL_S = 0.3
 #: Time between looks at all links.
@@ -75,6 +78,8 @@
 
     address: Address
     near: bool
+    known_since: Seconds
+    was_open: bool = False
     region: str = ""
     way_s: Seconds = 0.0
     sock: socket.socket | None = None
@@ -181,7 +186,10 @@
             self._give_up(link)
         for address, place in region_by_address.items():
             near = place == region
-            link = self._link_by_address.setdefault(address, _Link(address, near))
+            link = self._link_by_address.get(address)
+            if link is None:
+                link = _Link(address, near, known_since=self._clock())
+                self._link_by_address[address] = link
             link.near, link.region = near, place
             link.way_s = link.way_s or (NEAR_WAY_S if near else FAR_WAY_S)
 
@@ -279,7 +287,7 @@
         self._link_by_sock[link.sock] = link
 
     def _opened(self, link: _Link) -> None:
-        link.is_open = True
+        link.is_open = link.was_open = True
         now = self._clock()
         link.heard_at = now
         self._send(link, Hello(self._me, self.service, self._session))
@@ -324,6 +332,13 @@
         self._send(link, frame)
         return True
 
+    def opens_soon(self, now: Seconds, address: Address) -> bool:
+        """Tell whether a first connection to a daemon is just being made."""
+        link = self._link_by_address.get(address)
+        if link is None or link.was_open:
+            return False
+        return now - link.known_since < FIRST_OPEN_S
+
     def cancel(self, address: Address, ticket: int) -> None:
         """Tell a daemon that a request's outcome is of no more use."""
         link = self._link_by_address.get(address)
--- a/rhubarbhall/core/traffic/entrance.py
+++ b/rhubarbhall/core/traffic/entrance.py
@@ -30,10 +30,10 @@
 
 #: Daemons that one request is brought to while no target has seen it.
 MAX_TRIES = 4
-#: Longest wait for news of a key that is on its way to another owner.
-MAX_TABLE_WAIT_S = 0.4
-#: Time between looks at the table while a request waits for it.
-TABLE_LOOK_S = 0.05
+#: Longest wait for a key on its way to another owner, or for a first connection.
+MAX_WAIT_S = 0.4
+#: Time between looks while a request waits.
+LOOK_AGAIN_S = 0.05
 #: When to come back if no owner or target is known.
 NO_OWNER_RETRY_S = 0.3
 #: The same if the owner is lost: a takeover lasts seconds, and callers come back before
@@ -219,7 +219,7 @@
         if address is not None and journey.tries < MAX_TRIES:
             self._bring(now, journey, address)
         else:
-            self._wait_for_table(now, journey)
+            self._wait(now, journey)
 
     def _holder(self, table: KeyTable, journey: Journey) -> Address | None:
         """Return the daemon that should have the key by now.
@@ -236,19 +236,19 @@
                 return address
         return None
 
-    def _wait_for_table(self, now: Seconds, journey: Journey) -> None:
-        """Look at the table again soon; a key on its way arrives within moments."""
+    def _wait(self, now: Seconds, journey: Journey) -> None:
+        """Look again soon; a key, or a connection, on its way arrives in moments."""
         if journey.waits_since is None:
             journey.waits_since = now
         waited_s = now - journey.waits_since
         left_s = journey.request.deadline - now
-        if waited_s >= MAX_TABLE_WAIT_S or left_s < 2 * TABLE_LOOK_S:
+        if waited_s >= MAX_WAIT_S or left_s < 2 * LOOK_AGAIN_S:
             self._end(now, journey, NotRun(ErrorKind.NO_OWNER, NO_OWNER_RETRY_S))
             return
         journey.not_holding.clear()
         journey.tries = 0
         again = Alarm(lambda later: self._look_again(later, journey))
-        journey.look = self._timers.at(now + TABLE_LOOK_S, again)
+        journey.look = self._timers.at(now + LOOK_AGAIN_S, again)
 
     def _look_again(self, now: Seconds, journey: Journey) -> None:
         if journey.ticket in self._journey_by_ticket:
@@ -260,6 +260,9 @@
             # It would end at the caller's deadline on its way, its outcome unknown.
             self._end(now, journey, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             return
+        if address != self._me and self._peers.opens_soon(now, address):
+            self._wait(now, journey)
+            return
         journey.tries += 1
         journey.at = address
         journey.sent_at = now
--- a/rhubarbhall/core/traffic/journeys.py
+++ b/rhubarbhall/core/traffic/journeys.py
@@ -54,6 +54,9 @@
         Its outcome comes as `Entrance.on_outcome`.
         """
 
+    def opens_soon(self, now: Seconds, address: Address) -> bool:
+        """Tell whether a first connection to a daemon is just being made."""
+
     def cancel(self, address: Address, ticket: int) -> None:
         """Tell a daemon that a request's outcome is of no more use."""
 
--- a/tests/core/traffic/test_entrance.py
+++ b/tests/core/traffic/test_entrance.py
@@ -41,6 +41,7 @@
         self.sent: list[tuple[str, int]] = []
         self.cancelled: list[tuple[str, int]] = []
         self.down: set[str] = set()
+        self.opening: set[str] = set()
 
     def forward(self, now, address, ticket, request):
         if address in self.down:
@@ -48,6 +49,9 @@
         self.sent.append((address, ticket))
         return True
 
+    def opens_soon(self, now, address):
+        return address in self.opening
+
     def cancel(self, address, ticket):
         self.cancelled.append((address, ticket))
 
@@ -159,6 +163,22 @@
         self.ask("/look/1")
         self.assertEqual(self.peers.sent[0][0], FAR)
 
+    def test_a_first_connection_is_waited_for_a_moment(self):
+        # Load pattern: all daemons were started at once, and callers are there already.
+        self.peers.opening = {NEAR, FAR}
+        self.ask("/look/1")
+        self.assertEqual((self.peers.sent, self.replies), ([], []))
+        self.peers.opening = set()
+        self.ring(0.06)
+        self.assertEqual([address for address, _ in self.peers.sent], [NEAR])
+
+    def test_a_first_connection_that_is_not_made_is_waited_for_no_longer(self):
+        self.peers.opening = {NEAR, FAR}
+        self.ask("/look/1")
+        for hundredth in range(1, 60):
+            self.ring(hundredth / 100)
+        self.assertEqual(self.replies[0].kind, ErrorKind.NO_OWNER)
+
     def test_with_nobody_left_the_refusal_is_truthful(self):
         self.peers.down |= {NEAR, FAR}
         self.ask("/credit/1")
