--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -159,7 +159,7 @@
         return all(target.held for target in holders) and all(
             router.is_ready()
             and len(router.directory.member_by_address) == len(VMS)
-            # A record that was pushed before all connections stood comes a second later.
+            # What was pushed before all connections stood comes a second later.
             and "keyed" in router.directory.table_by_service
             for router in self.routers
         )
