Take every answer to a question for a renewal

With answers slower than the next question (a slow VM, a lossy link) none would ever count.

Ruled out: asking less often (a start would take longer again).

After: each answer counts from when its own question was sent; a test with three questions under way failed before.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -65,6 +65,8 @@
 FIRST_OPEN_S = 0.25
 #: Pause between two attempts to connect.
 REDIAL_S = 0.3
+#: Questions for a renewal whose answers are awaited at a time.
+MAX_RENEWALS = 32
 #: Time between looks at all links.
 LOOK_S = 0.1
 #: Time after a connection has ended for a new one to bring the outcomes on it.
@@ -96,7 +98,8 @@
     ping_number: int = 0
     sync_asked_at: Seconds = float("-inf")
     renewal: int = 0
-    renewal_asked_at: Seconds = float("-inf")
+    #: When renewals were asked for that have not come, by number.
+    renewal_asked_at: dict[int, Seconds] = field(default_factory=dict)
 
     def add(self, number: int, ticket: int) -> None:
         """Note a request that is sent."""
@@ -234,7 +237,8 @@
         link = self._link_by_address.get(address)
         if link is not None and link.is_open:
             link.renewal += 1
-            link.renewal_asked_at = self._clock()
+            link.renewal_asked_at[link.renewal] = self._clock()
+            link.renewal_asked_at.pop(link.renewal - MAX_RENEWALS, None)
             self._send(link, Renew(link.renewal))
 
     def ask_lapse(self, guardian: Address, owner: Address, at: int) -> None:
@@ -377,9 +381,10 @@
         elif isinstance(frame, Pong):
             self._on_pong(link, frame)
         elif isinstance(frame, Renewed):
-            # It counts from when the last question was sent, not an earlier one.
-            if frame.number == link.renewal:
-                self._handler.on_renewed(link.address, link.renewal_asked_at)
+            # It counts from when this question was sent; others may have been since.
+            asked_at = link.renewal_asked_at.pop(frame.number, None)
+            if asked_at is not None:
+                self._handler.on_renewed(link.address, asked_at)
         elif isinstance(frame, LapseVote):
             self._handler.on_lapse_vote(link.address, frame.owner, frame.at)
         elif isinstance(frame, Bye):
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -88,6 +88,10 @@
 class SenderEvents:
     def __init__(self):
         self.outcomes: dict[int, list] = {}
+        self.renewed: list[float] = []
+
+    def on_renewed(self, guardian, asked_at):
+        self.renewed.append(asked_at)
 
     def on_outcome(self, address, ticket, outcome, load):
         self.outcomes.setdefault(ticket, []).append(outcome)
@@ -115,6 +119,9 @@
     def on_cancel(self, ticket):
         self.cancelled.append(ticket)
 
+    def on_renew(self, owner):
+        return True
+
     def on_heard(self, address):
         pass
 
@@ -286,6 +293,22 @@
         self.assertEqual(self.outcomes(2), [])
 
 
+class RenewalTests(ResumeCase):
+    def test_an_answer_that_takes_longer_than_the_next_question_counts(self):
+        # Load pattern: a slow VM asks ten times a second while it has no lease.
+        for _ in range(3):
+            self.links.ask_renewal(RECEIVER)
+            self.now += LOOK_S
+        self.deliver()
+        self.assertEqual(self.sender.renewed, [0.0, LOOK_S, 2 * LOOK_S])
+
+    def test_an_answer_counts_once(self):
+        self.links.ask_renewal(RECEIVER)
+        self.deliver()
+        self.deliver()
+        self.assertEqual(self.sender.renewed, [0.0])
+
+
 class RandomCutsTests(ResumeCase):
     """Whatever breaks when, each request gets one outcome, and a true one."""
 
