Read an outcome before its request is settled

Cause: a frame with an error kind that is not known ended the connection after its request had been taken off the list, so its caller got nothing until its deadline. Found by reading.

After: the request is told unknown when the connection is not resumed; a test failed before.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -401,10 +401,11 @@
         self._handler.on_pong(link.address, asked_at, pong)
 
     def _settle(self, link: _Link, frame: Reply | Refused) -> None:
+        # Read first: a frame that cannot be read must not settle its request.
+        outcome = outcome_of(frame)
         ticket = link.take(frame.number)
         if ticket is not None:
             load = Load(frame.running, frame.waiting, frame.slots)
-            outcome = outcome_of(frame)
             self._handler.on_outcome(link.address, ticket, outcome, load)
 
     def closed(self, sock: socket.socket, refused: bool) -> None:
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from rhubarbhall.adapters import peer_links, peer_sessions
+from rhubarbhall.adapters.peer_frames import Refused
 from rhubarbhall.adapters.peer_links import LOOK_S, RESUME_S, PeerLinks
 from rhubarbhall.adapters.peer_sessions import ORPHAN_S, PeerSessions
 from rhubarbhall.core.errors import ErrorKind
@@ -293,6 +294,19 @@
         self.assertEqual(self.outcomes(2), [])
 
 
+class UnreadableTests(ResumeCase):
+    def test_a_frame_that_cannot_be_read_settles_nothing(self):
+        self.forward(1)
+        self.deliver()
+        writer = self.receiver.origin_by_id["q1"].session.writer
+        unreadable = Refused(1, "nonsense", True, 0, 0, 0, 1)
+        self.wire.to_sender.append(writer.encode(unreadable))
+        self.deliver()
+        self.assertEqual((self.links.rejected, self.outcomes(1)), (1, []))
+        self.pass_time(RESUME_S + LOOK_S)
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+
+
 class RenewalTests(ResumeCase):
     def test_an_answer_that_takes_longer_than_the_next_question_counts(self):
         # Load pattern: a slow VM asks ten times a second while it has no lease.
