--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,7 @@
     "imbalance",
     "takeover",
     "key_table",
+    "unowned",
     "log_lines",
 )
 RESULTS = Path(__file__).with_name("results")
