--- a/benchmarks/unowned.py
+++ b/benchmarks/unowned.py
@@ -1,8 +1,8 @@
 """Time for which keys have no holder on the platform, by what happens, in virtual time.
 
 Six routers and their targets on the virtual mesh of the ownership test. After each
-event, every tenth of a second tells how many keys a target holds; the time until all are
-held for good is taken, and the time without a holder of a mean key of those concerned.
+event, every tenth of a second tells how many keys a target holds; the time until all
+are held for good is taken, and that of a mean key of those concerned without a holder.
 """
 
 from __future__ import annotations
