--- a/rhubarbhall/core/ownership/target_holds.py
+++ b/rhubarbhall/core/ownership/target_holds.py
@@ -220,18 +220,10 @@
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Tell whether the target holds a key, as far as the daemon knows."""
         if now >= self._hold_ends_at:
-            return self._holds_from_before(now, key)
-        return any(span.first <= key <= span.last for span in self._granted)
-
-    def _holds_from_before(self, now: Seconds, key: int) -> bool:
-        """Tell whether the target says that it holds a key by an earlier grant.
-
-        A daemon that was started again may not grant yet, but the target goes on. It
-        refuses what it does not hold, so a wrong guess runs nothing.
-        """
-        if self._heartbeat is None or now - self.heard_at >= HOLD_S:
+            # What the last heartbeat says is no ground: the target may have stopped
+            # since, and each request that it turns away counts as a repeat.
             return False
-        return any(first <= key <= last for first, last, _ in self._heartbeat.holds)
+        return any(span.first <= key <= span.last for span in self._granted)
 
     def let_go(self, now: Seconds, table: KeyTable) -> Iterator[Range]:
         """Yield the ranges that the target had to let go and has."""
