Grant keys by requests to the target, beside heartbeats

Change: TargetKeys decides which spans are due; KeyHoldings tells what the target may hold, by heartbeat answers (as before) or by requests. A grant without an answer counts as held until its longest possible end, also after a release; after a connection has ended, grants wait for a heartbeat; a refused fence gets a new one. Rejections of granted keys count as seen by the target, draw on the retry budget and hold the range back for 0.1 to 2 s.

Releasing a grant that has no answer: it proves nothing, the grant may come later.

--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -99,6 +99,11 @@
         "An owner's lease has lapsed at this daemon; the owner may be replaced.",
         ("owner", "at"),
     ),
+    217: LogEventSpec(
+        "key_request_failed",
+        "The target has not carried out a grant or a release of keys.",
+        ("first", "last", "result"),
+    ),
     301: LogEventSpec("drain_begun", "The member has begun to leave.", ("member",)),
     302: LogEventSpec(
         "drain_ended", "The member has left; no request was interrupted.", ("member",)
--- a/rhubarbhall/core/ownership/key_table.py
+++ b/rhubarbhall/core/ownership/key_table.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -301,6 +301,17 @@
 
         return replace(self._mapped(change), next_fence=fence + 1)
 
+    def with_new_fences(self, owner: Address, refused: Container[int]) -> KeyTable:
+        """Return the table with a new fence for an owner's spans of refused fences."""
+        fence = self.next_fence
+
+        def change(span: Span) -> Span:
+            if span.owner == owner and span.fence in refused:
+                return replace(span, fence=fence)
+            return span
+
+        return replace(self._mapped(change), next_fence=fence + 1)
+
 
 def _token_for(span: Span, tokens: Mapping[Range, str]) -> str:
     """Return the token of the handed-over range that contains the span, or ``""``."""
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -154,6 +154,7 @@
         self._steps: tuple[tuple[str, Callable[[Seconds, KeyTable], KeyTable]], ...] = (
             ("let_go", self._release_relinquished),
             ("renew_run", self._renew_run),
+            ("renew_fence", self._renew_refused_fences),
             ("leave", self._reassign_local_keys),
             ("take_over", self._free_lost_spans),
             ("replace_reused", self._replace_reused),
@@ -380,6 +381,14 @@
         stale = any(span.run != run for span in table.owned_by(self._local_address))
         return table.renewed(self._local_address, run) if stale else table
 
+    def _renew_refused_fences(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Give a new fence to spans whose fence the local target has refused."""
+        refused = self._target_keys.refused_fences
+        owned = table.owned_by(self._local_address)
+        if not any(span.fence in refused for span in owned):
+            return table
+        return table.with_new_fences(self._local_address, refused)
+
     def _reassign_local_keys(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Reassign all keys of the local target when it leaves or is gone."""
         known = self._target_keys.heartbeat is not None or self._target_keys.is_overdue(
--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -1,4 +1,4 @@
-"""The keys that the local target holds, and the grants in answers to its heartbeats."""
+"""The local target as its heartbeats describe it, and the keys granted to it."""
 
 from __future__ import annotations
 
@@ -6,23 +6,29 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rhubarbhall.core.ownership.key_holdings import (
+    GRANT_MARGIN_S,
+    MAX_HOLD_S,
+    MIN_HOLD_S,
+    HeartbeatHoldings,
+    grant_end,
+)
 from rhubarbhall.core.ownership.key_table import Claim
 from rhubarbhall.core.ownership.read_lease import CLOCK_DRIFT
 from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.requested_holdings import (
+    GrantRequest,
+    KeyRequest,
+    ReleaseRequest,
+    RequestedHoldings,
+    RequestResult,
+)
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.key_holdings import KeyHoldings
     from rhubarbhall.core.ownership.key_table import KeyTable, Range, Span
     from rhubarbhall.types import Address, Offset, Seconds
 
-#: Longest time for which one answer lets a target hold its keys. Long enough for two
-#: heartbeats to be missed, short enough for the keys of a lost target to move soon.
-MAX_HOLD_S = 3.0
-#: Shortest time that is granted; below it, the answer grants nothing.
-MIN_HOLD_S = 0.3
-#: Margin for the end of a grant, in seconds: the grant is shortened by it, and other
-#: targets wait longer by it.
-GRANT_MARGIN_S = 0.1
-
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -90,20 +96,23 @@
     started_at : float
         Start of this daemon on the local clock, in seconds. An earlier process at the
         same address may have granted keys until then.
+    by_request : bool
+        Whether the target takes grants by requests, and not from the answers to its
+        heartbeats.
     """
 
-    def __init__(self, local_address: Address, started_at: Seconds) -> None:
+    def __init__(
+        self, local_address: Address, started_at: Seconds, by_request: bool = False
+    ) -> None:
         self._local_address = local_address
         self._heartbeat: Heartbeat | None = None
         self.last_contact_at: Seconds = float("-inf")
-        self._granted: tuple[Span, ...] = ()
-        #: The grant before the last: its answer may have been read after the last
-        #: heartbeat was written.
-        self._previously_granted: tuple[Span, ...] = ()
-        self._hold_ends_at: Seconds = float("-inf")
         #: When every grant of this daemon, and of an earlier process at its address,
         #: has ended.
-        self._grants_end_at = _grant_end(started_at, MAX_HOLD_S)
+        self._grants_end_at = grant_end(started_at, MAX_HOLD_S)
+        self._heartbeat_holdings = HeartbeatHoldings()
+        self._requested_holdings = RequestedHoldings(self._grants_end_at)
+        self.by_request = by_request
         #: Whether the target has reported that it is gone; it sends no more heartbeats
         #: then.
         self._has_left = False
@@ -124,6 +133,10 @@
         """Name of the present target; empty before the first heartbeat."""
         return self._heartbeat.instance if self._heartbeat else ""
 
+    @property
+    def _holdings(self) -> KeyHoldings:
+        return self._requested_holdings if self.by_request else self._heartbeat_holdings
+
     @property
     def heartbeat(self) -> Heartbeat | None:
         """The last heartbeat, or `None` before the first."""
@@ -148,13 +161,14 @@
         is_new_run = self._heartbeat is not None and heartbeat.run != self.run
         if is_new_run:
             # One target at a time uses the address, so the earlier run has ended.
-            self._granted = self._previously_granted = ()
+            self._holdings.reset()
             self._grants_end_at = now
             self._has_left = False
             self.tokens = {}
         self._heartbeat = heartbeat
         self.last_contact_at = now
         self.tokens.update(heartbeat.handed_over)
+        self._requested_holdings.record_heartbeat()
         return is_new_run
 
     def state(self, now: Seconds) -> TargetState:
@@ -171,7 +185,7 @@
 
     def is_unresponsive(self, now: Seconds) -> bool:
         """Return whether the last contact is longer ago than a grant lasts."""
-        return now > _grant_end(self.last_contact_at, MAX_HOLD_S)
+        return now > grant_end(self.last_contact_at, MAX_HOLD_S)
 
     def record_pending_release(self, ranges: Iterable[Range], at: Offset) -> None:
         """Record that a write that frees ranges has begun at an offset.
@@ -189,6 +203,27 @@
             return False
         return any(span.overlaps(first, last) for first, last in self._pending_releases)
 
+    def _hold_s(self, lease_remaining_s: Seconds) -> Seconds:
+        """Return the time for which keys may be granted, in seconds."""
+        return min(MAX_HOLD_S, lease_remaining_s / (1 + CLOCK_DRIFT) - GRANT_MARGIN_S)
+
+    def _grantable(self, table: KeyTable, end: Offset) -> tuple[Span, ...]:
+        """Return the spans that the target is to hold."""
+        return tuple(
+            span
+            for span in table.spans
+            if span.owner == self._local_address
+            and span.is_free
+            and span.run == self.run
+            and not self._has_pending_release(span, end)
+        )
+
+    def _record_grant(self, now: Seconds, span: Span, hold_s: Seconds) -> None:
+        for first, last in list(self.tokens):
+            if span.overlaps(first, last):
+                del self.tokens[first, last]
+        self._grants_end_at = max(self._grants_end_at, grant_end(now, hold_s))
+
     def grant(
         self,
         now: Seconds,
@@ -196,7 +231,7 @@
         lease_remaining_s: Seconds,
         end: Offset,
     ) -> Grant:
-        """Return the grant for the target, and record it.
+        """Return the grant for the answer to a heartbeat, and record it.
 
         Without a lease nothing is granted or renewed: the grant is empty.
 
@@ -210,55 +245,101 @@
             Offset before which every record of the directory, and so the table, is
             known.
         """
-        hold_s = min(MAX_HOLD_S, lease_remaining_s / (1 + CLOCK_DRIFT) - GRANT_MARGIN_S)
+        hold_s = self._hold_s(lease_remaining_s)
         if table is None or hold_s < MIN_HOLD_S:
             return Grant((), 0.0)
-        spans = tuple(
-            span
-            for span in table.spans
-            if span.owner == self._local_address
-            and span.is_free
-            and span.run == self.run
-            and not self._has_pending_release(span, end)
-        )
-        self._previously_granted, self._granted = self._granted, spans
-        for first, last in list(self.tokens):
-            if any(span.overlaps(first, last) for span in spans):
-                del self.tokens[first, last]
-        self._hold_ends_at = now + hold_s
-        self._grants_end_at = max(self._grants_end_at, _grant_end(now, hold_s))
+        spans = self._grantable(table, end)
+        self._heartbeat_holdings.record_grant(now, spans, hold_s)
+        for span in spans:
+            self._record_grant(now, span, hold_s)
         return Grant(spans, hold_s)
 
+    def due_requests(
+        self,
+        now: Seconds,
+        table: KeyTable | None,
+        lease_remaining_s: Seconds,
+        end: Offset,
+    ) -> Iterator[KeyRequest]:
+        """Yield the grants and releases to request now, and record them.
+
+        Nothing is granted without a lease, and nothing to a target that has never sent
+        a heartbeat. Parameters as of `grant`.
+        """
+        if table is None or self._heartbeat is None:
+            return
+        requests = self._requested_holdings.due(
+            now,
+            self._grantable(table, end),
+            self._hold_s(lease_remaining_s),
+            now - self.last_contact_at,
+        )
+        for request in requests:
+            if isinstance(request, GrantRequest):
+                self._record_grant(now, request.span, request.hold_s)
+            yield request
+
+    def record_result(
+        self, now: Seconds, request: KeyRequest, result: RequestResult, token: str = ""
+    ) -> None:
+        """Record the result of a request that `due_requests` has yielded.
+
+        Parameters
+        ----------
+        token : str
+            Handover token in the answer to a release; empty if there is none.
+        """
+        self._requested_holdings.record_result(now, request, result)
+        if isinstance(request, ReleaseRequest) and token:
+            self.tokens[request.range] = token
+
+    def record_connection_lost(self) -> None:
+        """Record that a connection for grants has ended."""
+        self._requested_holdings.record_connection_lost()
+
+    def record_rejection(self, now: Seconds, key: int) -> None:
+        """Record that the target has answered that it does not hold a key."""
+        self._holdings.record_rejection(now, key)
+
+    @property
+    def refused_fences(self) -> frozenset[int]:
+        """Fences that the target has refused, as it had seen higher ones."""
+        return frozenset(self._requested_holdings.refused_fences)
+
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Return whether the target holds a key, as far as this daemon knows."""
-        if now >= self._hold_ends_at:
-            # The last heartbeat is not enough: the target may have stopped holding the
-            # key since, and each request that it refuses counts as a retry.
-            return False
-        return any(span.first <= key <= span.last for span in self._granted)
+        return self._holdings.may_work_on(now, key)
 
     def relinquished(self, now: Seconds, table: KeyTable) -> Iterator[Range]:
-        """Yield the ranges that the target had to release and no longer holds."""
+        """Yield the ranges that the target had to release and no longer holds.
+
+        A range that was handed over in parts is yielded in these parts, each with its
+        own token.
+        """
         for span in table.unreleased_by(self._local_address):
             if self._has_relinquished(now, span):
-                yield span.first, span.last
+                yield from self._handed_over_parts(span)
+
+    def _handed_over_parts(self, span: Span) -> Iterator[Range]:
+        first = span.first
+        for token_first, token_last in sorted(self.tokens):
+            if token_last < first or span.last < token_first:
+                continue
+            if first < token_first:
+                yield first, token_first - 1
+                first = token_first
+            last = min(token_last, span.last)
+            yield first, last
+            first = last + 1
+        if first <= span.last:
+            yield first, span.last
 
     def _has_relinquished(self, now: Seconds, span: Span) -> bool:
         if now > self._grants_end_at:
             return True
-        if self._heartbeat is None or self._has_left:
-            return False
-        granted = (*self._granted, *self._previously_granted)
-        if any(span.overlaps(each.first, each.last) for each in granted):
-            return False
-        holds = self._heartbeat.holds
-        return not any(span.overlaps(first, last) for first, last, _ in holds)
+        heartbeat = None if self._has_left else self._heartbeat
+        return not self._holdings.may_hold(now, span, heartbeat)
 
     def claim(self) -> Claim:
         """Return the claim of the present run of the target."""
         return Claim(self._local_address, self.run)
-
-
-def _grant_end(sent_at: Seconds, hold_s: Seconds) -> Seconds:
-    """Return when a grant has certainly ended, whatever the drift of the clocks."""
-    return sent_at + hold_s * (1 + CLOCK_DRIFT) + GRANT_MARGIN_S
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -96,6 +96,9 @@
     def record_refusal(self) -> None:
         """Record that the target refused a request for a key."""
 
+    def record_rejection(self, now: Seconds, key: int) -> None:
+        """Record that the target has answered that it does not hold a key."""
+
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Return whether the target may work on requests for a key now."""
 
@@ -475,15 +478,29 @@
             return
         self._release_slot(entry)
         self._record_outcome(now, entry, outcome)
-        entry.on_outcome(outcome)
+        entry.on_outcome(self._reported(entry, outcome))
         self.dispatch(now)
 
+    @staticmethod
+    def _reported(entry: _Entry, outcome: Outcome) -> Outcome:
+        """Return the outcome as the daemon that sent the request gets it.
+
+        The target has seen a request that it rejects for its key, so sending it again
+        counts as a retry. A daemon that is not the owner has not passed it on.
+        """
+        is_rejected = outcome == NotRun(ErrorKind.NOT_OWNER)
+        if is_rejected and entry.request.key is not None:
+            return NotRun(ErrorKind.TARGET_REFUSED, KEY_WAIT_TIMEOUT_S)
+        return outcome
+
     def _record_outcome(self, now: Seconds, entry: _Entry, outcome: Outcome) -> None:
         if isinstance(outcome, NotRun):
             if outcome.kind is ErrorKind.TARGET_REFUSED:
                 self.limit.record_overload(now)
                 if entry.request.key is not None:
                     self._key_ownership.record_refusal()
+            elif outcome.kind is ErrorKind.NOT_OWNER and entry.request.key is not None:
+                self._key_ownership.record_rejection(now, entry.request.key)
         elif not isinstance(outcome, Unknown):
             took_s = now - entry.sent_at
             self.durations.record(entry.request.route, took_s)
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -14,10 +14,17 @@
 INSTANCE_ID = "Instance-Id"
 KEY = "Shard-Key"
 RETRY_AFTER = "Retry-After"
+HANDOVER = "Handover"
 
 # Paths.
 READINESS_PATH = "/readiness"
 INSTANCES_PATH = "/instances/"
+GRANT_PATH = "/grant"
+RELEASE_PATH = "/release"
+
+# How targets take keys.
+GRANTS_BY_REQUEST = "request"
+GRANTS_BY_HEARTBEAT = "heartbeat"
 
 # The operators' configuration in the store.
 OPERATOR_TOPIC = "keyed.op"
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from rhubarbhall.core.errors import ConfigurationError
-from rhubarbhall.platform.names import parse_time
+from rhubarbhall.platform.names import (
+    GRANTS_BY_HEARTBEAT,
+    GRANTS_BY_REQUEST,
+    parse_time,
+)
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -37,8 +41,10 @@
     platform: _Store
     port_range: tuple[int, int] = (0, 0)
     bounds: list[str] = []
+    grants: str = GRANTS_BY_HEARTBEAT
 
 
+_GRANTS_WAYS = (GRANTS_BY_HEARTBEAT, GRANTS_BY_REQUEST)
 _DECODER = msgspec.json.Decoder(_File)
 
 
@@ -67,6 +73,9 @@
         Time after which a target that leaves gets no more requests, in seconds.
     grace_s : float
         Time from a stop signal until the platform kills the process, in seconds.
+    grants_by_request : bool
+        Whether the target takes keys by requests, and not from the answers to its
+        heartbeats.
     """
 
     vm: str
@@ -83,6 +92,7 @@
     retry_window_s: float
     drain_s: float
     grace_s: float
+    grants_by_request: bool = False
 
 
 def _bounds(lines: list[str]) -> dict[str, str]:
@@ -90,6 +100,12 @@
     return {name.strip(): value.strip() for name, _, value in pairs}
 
 
+def _grants_by_request(grants: str) -> bool:
+    if grants not in _GRANTS_WAYS:
+        raise ValueError(f"grants {grants!r}; allowed: {', '.join(_GRANTS_WAYS)}")
+    return grants == GRANTS_BY_REQUEST
+
+
 def parse_settings(data: bytes) -> PlatformSettings:
     """Decode the content of a settings file.
 
@@ -116,6 +132,7 @@
             retry_window_s=parse_time(bounds.get("budget_window", "10s")),
             drain_s=parse_time(bounds.get("drain", "2500ms")),
             grace_s=parse_time(bounds.get("grace", "6s")),
+            grants_by_request=_grants_by_request(file.grants),
         )
     except ValueError as error:
         raise ConfigurationError([f"settings: {error}"]) from error
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -49,6 +49,7 @@
             if address != self.local_address
         }
         self.links.set_members(region, region_by_address)
+        self._request_keys(now)
         self.admission_queue.on_keys_changed(now)
         self.publisher.write_due(now, self._local_member(now))
 
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -11,6 +11,11 @@
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.requested_holdings import (
+    KeyRequest,
+    ReleaseRequest,
+    RequestResult,
+)
 from rhubarbhall.core.timers import TimerCallback
 
 if TYPE_CHECKING:
@@ -52,6 +57,10 @@
         """Record that the target refused a request for a key."""
         self._daemon.balancer.sampler.record_refusal()
 
+    def record_rejection(self, now: Seconds, key: int) -> None:
+        """Record that the target has answered that it does not hold a key."""
+        self._daemon.target_keys.record_rejection(now, key)
+
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Return whether the local target holds a key at present."""
         return self._daemon.target_keys.may_work_on(now, key)
@@ -89,7 +98,7 @@
             return None
         previous = self.target_keys.heartbeat
         self.target_keys.record_heartbeat(now, heartbeat)
-        self.target.instance = heartbeat.instance
+        self.target.instance = self.key_requests.instance = heartbeat.instance
         if previous is None or (previous.run, previous.state) != (
             heartbeat.run,
             heartbeat.state,
@@ -113,6 +122,9 @@
     def _grant(self, now: Seconds) -> Grant | None:
         if not self.publisher.by_key:
             return None
+        if self.target_keys.by_request:
+            self._request_keys(now)
+            return None
         remaining_s = self.lease_remaining_s(now)
         grant = self.target_keys.grant(
             now, self.local_table(), remaining_s, self.directory.end
@@ -120,6 +132,32 @@
         self.admission_queue.on_keys_changed(now)
         return grant
 
+    def _request_keys(self, now: Seconds) -> None:
+        """Request the grants and releases that are due from the target."""
+        if not self.publisher.by_key or not self.target_keys.by_request:
+            return
+        requests = self.target_keys.due_requests(
+            now,
+            self.local_table(),
+            self.lease_remaining_s(now),
+            self.directory.end,
+        )
+        for request in requests:
+            self.key_requests.request(request)
+
+    def _on_key_result(
+        self, request: KeyRequest, result: RequestResult, token: str
+    ) -> None:
+        now = self._advance_timers()
+        self.target_keys.record_result(now, request, result, token)
+        if result is not RequestResult.DONE:
+            first, last = request.range
+            fields = {"first": first, "last": last, "result": result.name.lower()}
+            self.log_event(LogEvent(217, fields))
+        self.admission_queue.on_keys_changed(now)
+        if isinstance(request, ReleaseRequest):
+            self.publisher.write_due(now, self._local_member(now))
+
     def _close_queue_later(self, now: Seconds) -> None:
         """Close the admission queue shortly before a target's drain period ends."""
         run = self.target_keys.run
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -47,6 +47,7 @@
 from rhubarbhall.core.traffic.target_chooser import TargetChooser
 from rhubarbhall.platform.heartbeats import HeartbeatSink
 from rhubarbhall.platform.ingress import CallerSink, ReadinessSink
+from rhubarbhall.platform.key_requests import KeyRequestClient
 from rhubarbhall.platform.names import OPERATOR_TOPIC
 from rhubarbhall.platform.settings import PlatformSettings, read_settings
 from rhubarbhall.platform.store import LogStore
@@ -146,7 +147,9 @@
             self.local_address, self.range_witness
         )
         self.witnessed_lease = WitnessedLease(started_at)
-        self.target_keys = TargetKeys(self.local_address, started_at)
+        self.target_keys = TargetKeys(
+            self.local_address, started_at, settings.grants_by_request
+        )
         self._configuration_entry: Entry | None = None
         self._logged_decision: dict[str, object] | None = None
         self._build_traffic()
@@ -177,6 +180,12 @@
             self._on_target_outcome,
             self._on_target_unreachable,
         )
+        self.key_requests = KeyRequestClient(
+            f"key-requests-{self.local_address}",
+            settings.target_address,
+            self._on_key_result,
+            self.target_keys.record_connection_lost,
+        )
         self.request_log = RouterRequestLog(settings.vm, self)
         self.admission_queue = AdmissionQueue(
             self.target,
@@ -292,6 +301,7 @@
         for component in (
             *self._clients,
             self.target,
+            self.key_requests,
             self.sessions.acceptor,
             self.links.dialer,
             self.callers,
@@ -343,6 +353,7 @@
         self.links.check()
         self.sessions.cancel_orphans()
         self._check_target(now)
+        self._request_keys(now)
         self.admission_queue.expire(now)
         self._request_loads(now)
         self._request_replacement_votes(now)
@@ -356,6 +367,7 @@
         for client in self._clients:
             client.sweep()
         self.target.sweep()
+        self.key_requests.sweep()
         for server in (self.callers, self._heartbeat_port, self._readiness_port):
             server.sweep()
 
--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -8,7 +8,7 @@
 
 import itertools
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -71,6 +71,9 @@
         nothing.
     unresponsive : bool
         Whether it neither executes nor answers requests.
+    grants_by_request : bool
+        Whether it takes keys by requests to its own port, and not from the answers to
+        its heartbeats.
     """
 
     work_s: Seconds = 0.01
@@ -79,6 +82,7 @@
     sheds: bool = False
     garbled_answer: str = ""
     unresponsive: bool = False
+    grants_by_request: bool = False
 
 
 @dataclass(slots=True)
@@ -231,7 +235,7 @@
         for row in released:
             self._released.pop(row, None)
         answer = msgspec.json.decode(result.body)
-        if "holds" not in answer:
+        if "holds" not in answer or self.behaviour.grants_by_request:
             return
         hold_s = int(answer["hold_time"].removesuffix("ms")) / _MS_PER_S
         rows = [
@@ -259,6 +263,9 @@
 
     def take(self, request_id: RequestId, raw: RawRequest) -> None:
         """Refuse a request, or execute it and answer after `work_s`."""
+        if self.behaviour.grants_by_request and raw.path in ("/grant", "/release"):
+            self.port.answer(request_id, self._on_key_request(raw))
+            return
         headers = {name.lower(): value for name, value in raw.headers}
         refusal = self._refusal(headers)
         if self.behaviour.unresponsive:
@@ -276,6 +283,36 @@
         )
         self._timers.at(time.monotonic() + self.behaviour.work_s, answer_timer)
 
+    def _on_key_request(self, raw: RawRequest) -> Response:
+        """Carry out a grant or a release of a range of keys."""
+        body = msgspec.json.decode(raw.body)
+        first, last, fence = body["from"], body["target_version"], body["fence"]
+        overlapping = [
+            row
+            for row in self._unexpired_ranges()
+            if row.first <= last and first <= row.last
+        ]
+        is_grant = raw.path == "/grant"
+        if is_grant and any(row.fence > fence for row in overlapping):
+            return Response(HTTPStatus.CONFLICT)
+        self._withdraw(first, last, overlapping)
+        if not is_grant:
+            return Response(HTTPStatus.OK, (("Handover", f"{first:x}.{fence:x}"),))
+        hold_s = int(body["hold_time"].removesuffix("ms")) / _MS_PER_S
+        until = time.monotonic() + hold_s
+        self.held.append(_GrantedRange(first, last, fence, until))
+        return Response(HTTPStatus.OK)
+
+    def _withdraw(
+        self, first: int, last: int, overlapping: list[_GrantedRange]
+    ) -> None:
+        for row in overlapping:
+            self.held.remove(row)
+            if row.first < first:
+                self.held.append(replace(row, last=first - 1))
+            if last < row.last:
+                self.held.append(replace(row, first=last + 1))
+
     def caller_disconnected(self, request_id: RequestId) -> None:
         """Do nothing: the request took effect when it was received."""
 
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.follower import TopicFollower
@@ -23,6 +23,11 @@
 from rhubarbhall.core.ownership.read_lease import ReadLease
 from rhubarbhall.core.ownership.reconciler import TableReconciler
 from rhubarbhall.core.ownership.records import Member, TargetState
+from rhubarbhall.core.ownership.requested_holdings import (
+    GrantRequest,
+    KeyRequest,
+    RequestResult,
+)
 from rhubarbhall.core.ownership.store_port import (
     Appended,
     Conflict,
@@ -155,7 +160,10 @@
     def __init__(self, mesh: OwnershipMesh, daemon: FakeDaemon, life: int) -> None:
         self.mesh = mesh
         self.daemon = daemon
-        self.instance = f"i-{daemon.local_address}-{life}"
+        self.life = life
+        self.instance = f"i-{daemon.local_address}"
+        if not mesh.reuses_ids:
+            self.instance += f"-{life}"
         self.born = int(mesh.simulation.now * 1000) + 1
         self.state = TargetState.READY
         self.held: list[Held] = []
@@ -167,6 +175,10 @@
             mesh.simulation.rng.uniform(0.1, 1.0), self.send_heartbeat
         )
 
+    @property
+    def run(self) -> str:
+        return f"{self.instance} {self.life}"
+
     def holdings(self) -> list[Held]:
         now = self.mesh.simulation.now
         self.held = [each for each in self.held if each.until > now]
@@ -211,6 +223,38 @@
                 0.001, lambda: self._take(grant, sent_at, heartbeat)
             )
 
+    def on_request(self, request: KeyRequest) -> tuple[RequestResult, str]:
+        """Carry out a grant or a release that the daemon requested."""
+        if not isinstance(request, GrantRequest):
+            return RequestResult.DONE, self._release(request)
+        span, now = request.span, self.mesh.simulation.now
+        first, last = request.range
+        overlapping = [
+            each
+            for each in self.holdings()
+            if each.first <= last and first <= each.last
+        ]
+        if any(each.fence > span.fence for each in overlapping):
+            return RequestResult.FENCED, ""
+        self._drop(first, last)
+        until = now + request.hold_s * SLOW_CLOCK
+        self.held.append(Held(first, last, span.fence, until))
+        self.mesh.check(self)
+        return RequestResult.DONE, ""
+
+    def _release(self, request: KeyRequest) -> str:
+        self._drop(*request.range)
+        return f"t{next(self._tokens)}"
+
+    def _drop(self, first: int, last: int) -> None:
+        remaining = []
+        for held in self.holdings():
+            if held.first < first:
+                remaining.append(replace(held, last=min(held.last, first - 1)))
+            if last < held.last:
+                remaining.append(replace(held, first=max(held.first, last + 1)))
+        self.held = remaining
+
     def _take(self, grant: Grant, sent_at: float, heartbeat: Heartbeat) -> None:
         if not self.is_up:
             return
@@ -248,6 +292,7 @@
         self.is_cut_from_peers = False
         self.target: FakeTarget | None = None
         self.targets = 0
+        self.connected_target: FakeTarget | None = None
 
     def start(self) -> None:
         self.life += 1
@@ -258,7 +303,8 @@
         self.directory = KeyDirectory()
         self.lease = ReadLease()
         self.liveness = Liveness(now)
-        self.target_keys = TargetKeys(self.local_address, now)
+        self.target_keys = TargetKeys(self.local_address, now, self.mesh.by_request)
+        self.connected_target = None
         self.balancer = RangeLoadBalancer(self.local_address, KeyLoadSampler())
         self.range_witness = RangeWitness(self.local_address, now)
         self.votes = ReplacementVotes(self.local_address, self.range_witness)
@@ -327,6 +373,70 @@
     def on_push(self, entry: Entry) -> None:
         if self.is_running and not self.is_frozen:
             self.directory.apply_next(entry)
+            self._request_keys(self.mesh.simulation.now)
+
+    # Targets that take keys by requests
+
+    def _request_keys(self, now: float) -> None:
+        if not self.mesh.by_request:
+            return
+        requests = self.target_keys.due_requests(
+            now, self._table(), self._lease_remaining_s(now), self.directory.end
+        )
+        for request in requests:
+            self._send_to_target(request)
+
+    def _send_to_target(self, request: KeyRequest) -> None:
+        """Send a request over the connection to the target, or over a new one.
+
+        The request names the instance that it is meant for.
+        """
+        simulation, life = self.mesh.simulation, self.life
+        instance = self.target_keys.instance
+        if self.connected_target is None:
+            self.connected_target = self.target
+        target = self.connected_target
+        loses_answer = simulation.rng.random() < self.mesh.lost_grants
+
+        def finish(result: RequestResult, token: str = "") -> None:
+            if self.life != life:
+                return
+            if self.is_frozen:
+                simulation.after(0.05, lambda: finish(result, token))
+                return
+            if result is RequestResult.UNKNOWN:
+                self.lose_connection()
+            now = simulation.now
+            self.target_keys.record_result(now, request, result, token)
+            self.publisher.write_due(now, self._member(now))
+
+        def arrive() -> None:
+            if target.is_up and target.instance != instance:
+                simulation.after(0.001, lambda: finish(RequestResult.REFUSED))
+            elif target.is_up and not loses_answer:
+                answer = target.on_request(request)
+                simulation.after(0.001, lambda: finish(*answer))
+            else:
+                late_s = simulation.rng.choice([0.0, 0.5, 2.0])
+                simulation.after(late_s, lambda: self._execute_late(target, request))
+                simulation.after(0.4, lambda: finish(RequestResult.UNKNOWN))
+
+        simulation.after(0.001, arrive)
+
+    def lose_connection(self) -> None:
+        self.connected_target = None
+        self.target_keys.record_connection_lost()
+
+    def _execute_late(self, target: FakeTarget, request: KeyRequest) -> None:
+        """Carry out a request late; the time of a grant counts from its arrival."""
+        if not target.is_up:
+            return
+        if isinstance(request, GrantRequest):
+            waited_s = self.mesh.simulation.now - request.sent_at
+            if waited_s >= request.hold_s:
+                return
+            request = replace(request, hold_s=request.hold_s - waited_s)
+        target.on_request(request)
 
     def _tick(self, life: int) -> None:
         if self.life != life:
@@ -340,6 +450,7 @@
         for peer in self.mesh.reachable_peers(self):
             if not peer.is_frozen:
                 self.liveness.record_contact(now, peer.local_address)
+        self._request_keys(now)
         self.publisher.write_due(now, self._member(now))
         ticks = round(now * 10)
         if ticks % 10 == 0:
@@ -436,13 +547,18 @@
             return None
         self.target_keys.record_heartbeat(now, heartbeat)
         self.publisher.write_due(now, self._member(now))
-        table = self.directory.table_by_service.get(SERVICE)
-        remaining_s = min(
-            self.lease.remaining_s(now), self.witnessed_lease.remaining_s(now)
+        if self.mesh.by_request:
+            self._request_keys(now)
+            return None
+        remaining_s = self._lease_remaining_s(now)
+        return self.target_keys.grant(
+            now, self._table(), remaining_s, self.directory.end
         )
+
+    def _lease_remaining_s(self, now: float) -> float:
         if not self.range_witness.has_boot_record(self.directory.end):
-            remaining_s = 0.0
-        return self.target_keys.grant(now, table, remaining_s, self.directory.end)
+            return 0.0
+        return min(self.lease.remaining_s(now), self.witnessed_lease.remaining_s(now))
 
 
 @dataclass
@@ -454,13 +570,27 @@
 
 
 class OwnershipMesh:
-    """Simulated daemons and targets that share one log."""
-
-    def __init__(self, seed: int, count: int = 4) -> None:
+    """Simulated daemons and targets that share one log.
+
+    With `by_request` the targets take their keys by requests, else from the answers to
+    their heartbeats. With `reuses_ids` a restarted target has the id that it had.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        count: int = 4,
+        by_request: bool = False,
+        reuses_ids: bool = False,
+    ) -> None:
         self.seed = seed
+        self.by_request = by_request
+        self.reuses_ids = reuses_ids
         self.simulation = Simulation(seed)
         self.log = FakeLog(self.simulation)
         self.late_heartbeats = 0.0
+        #: Share of the grants and releases whose answer is lost.
+        self.lost_grants = 0.0
         self.overlaps: list[Overlap] = []
         self._fence_rows: list[tuple[int, int, int, str]] = []
         self.daemons = [
@@ -473,6 +603,8 @@
     def new_target(self, daemon: FakeDaemon) -> None:
         if daemon.target is not None:
             daemon.target.is_up = False
+            if daemon.is_running:
+                daemon.lose_connection()
         daemon.targets += 1
         daemon.target = FakeTarget(self, daemon, daemon.targets)
 
@@ -503,14 +635,12 @@
 
     def _check_fences(self, receiver: FakeTarget) -> None:
         for held in receiver.held:
-            for first, last, fence, instance in self._fence_rows:
+            for first, last, fence, run in self._fence_rows:
                 overlaps = held.first <= last and first <= held.last
-                if overlaps and instance != receiver.instance and fence >= held.fence:
-                    description = (
-                        f"{receiver.instance} {held} after {instance} with {fence}"
-                    )
+                if overlaps and run != receiver.run and fence >= held.fence:
+                    description = f"{receiver.run} {held} after {run} with {fence}"
                     self.overlaps.append(Overlap(self.simulation.now, description))
-            row = (held.first, held.last, held.fence, receiver.instance)
+            row = (held.first, held.last, held.fence, receiver.run)
             if row not in self._fence_rows:
                 self._fence_rows.append(row)
 
@@ -548,6 +678,8 @@
             self._late_heartbeats,
             self._leave,
         ]
+        if self.mesh.by_request:
+            faults.append(self._lose_grants)
         for _ in range(count):
             fault = rng.choice(faults)
             daemon = rng.choice(self.mesh.daemons)
@@ -639,6 +771,15 @@
 
         self._after(duration_s, heal)
 
+    def _lose_grants(self, daemon: FakeDaemon, duration_s: float) -> None:
+        self._record("answers to grants lost", None, duration_s)
+        self.mesh.lost_grants = 0.4
+
+        def heal() -> None:
+            self.mesh.lost_grants = 0.0
+
+        self._after(duration_s, heal)
+
     def _leave(self, daemon: FakeDaemon, duration_s: float) -> None:
         self._record("leave", daemon, duration_s)
         target = daemon.target
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -172,6 +172,7 @@
             [
                 "let_go",
                 "renew_run",
+                "renew_fence",
                 "leave",
                 "take_over",
                 "replace_reused",
--- a/tests/core/ownership/test_sole_owner.py
+++ b/tests/core/ownership/test_sole_owner.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 from unittest import mock
 
 from rhubarbhall.core.ownership import range_witness, reconciler, target_keys
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.ownership.range_witness import WitnessedLease
+from rhubarbhall.core.ownership.requested_holdings import RequestedHoldings
 from rhubarbhall.core.ownership.target_keys import TargetKeys
 from tests.core.ownership.mesh import FaultPlan, OwnershipMesh
 
@@ -17,9 +19,11 @@
 SEEDS = range(40)
 
 
-def simulate(seed: int, faults: int = 14) -> tuple[OwnershipMesh, FaultPlan]:
+def simulate(
+    seed: int, faults: int = 14, by_request: bool = False
+) -> tuple[OwnershipMesh, FaultPlan]:
     """Return a simulated mesh after random faults and a time without new ones."""
-    mesh = OwnershipMesh(seed)
+    mesh = OwnershipMesh(seed, by_request=by_request)
     plan = FaultPlan(mesh)
     plan.schedule(faults, 6.0, RUN_S - CALM_S)
     mesh.simulation.run_until(RUN_S)
@@ -27,9 +31,13 @@
 
 
 class SoleOwnerTests(unittest.TestCase):
+    by_request = False
+
     @classmethod
     def setUpClass(cls):
-        cls.simulated = {seed: simulate(seed) for seed in SEEDS}
+        cls.simulated = {
+            seed: simulate(seed, by_request=cls.by_request) for seed in SEEDS
+        }
 
     def test_no_key_has_two_holders_and_fences_rise(self):
         for seed, (mesh, plan) in self.simulated.items():
@@ -46,6 +54,27 @@
                 self.assertEqual(held, KEY_COUNT, "\n".join(plan.injected))
 
 
+class SoleOwnerByRequestTests(SoleOwnerTests):
+    """The same for targets that take keys by requests, whose answers may be lost."""
+
+    by_request = True
+
+
+class ReusedIdTests(unittest.TestCase):
+    def test_a_restarted_target_with_its_former_id_gets_its_keys_with_new_fences(self):
+        for seed in range(10):
+            mesh = OwnershipMesh(seed, by_request=True, reuses_ids=True)
+            plan = FaultPlan(mesh)
+            for daemon in mesh.daemons:
+                at = mesh.simulation.rng.uniform(10.0, 12.0)
+                restart = functools.partial(plan._restart_target, daemon, 0.0)
+                mesh.simulation.after(at, restart)
+            mesh.simulation.run_until(20.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(mesh.overlaps, [])
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+
+
 class FormerFindingsTests(unittest.TestCase):
     """Seeds of runs that once gave a key two holders or none, each with its cause."""
 
@@ -77,9 +106,11 @@
 class RulesMatterTests(unittest.TestCase):
     """Each rule of ownership, switched off, gives a key two holders."""
 
+    by_request = False
+
     def assert_breaks(self, seeds: range = range(120)) -> None:
         for seed in seeds:
-            mesh, _ = simulate(seed, faults=18)
+            mesh, _ = simulate(seed, 18, self.by_request)
             if mesh.overlaps:
                 return
         self.fail("no seed gave a key two holders without the rule")
@@ -113,5 +144,51 @@
             self.assert_breaks()
 
     def test_waiting_for_the_end_of_grants_to_a_lost_target(self):
-        with mock.patch.object(target_keys, "_grant_end", lambda sent, hold: sent):
+        with mock.patch.object(target_keys, "grant_end", lambda sent, hold: sent):
+            self.assert_breaks()
+
+
+class RulesMatterByRequestTests(RulesMatterTests):
+    """The same for targets that take keys by requests, and the rules of that way."""
+
+    by_request = True
+
+    def test_granting_only_within_the_lease(self):
+        def due(self, now, table, lease_remaining_s, end):
+            return real(self, now, table, 100.0, end)
+
+        real = TargetKeys.due_requests
+        with mock.patch.object(TargetKeys, "due_requests", due):
+            self.assert_breaks()
+
+    def test_counting_a_grant_without_an_answer_as_held(self):
+        def may_hold(self, now, span, heartbeat):
+            answered = [grant for grant in self._grants if grant.is_answered]
+            with mock.patch.object(self, "_grants", answered):
+                return real(self, now, span, heartbeat)
+
+        real = RequestedHoldings.may_hold
+        with mock.patch.object(RequestedHoldings, "may_hold", may_hold):
+            self.assert_breaks()
+
+    def test_waiting_for_a_heartbeat_after_a_connection_has_ended(self):
+        for seed in range(120):
+            mesh = OwnershipMesh(seed, by_request=True, reuses_ids=True)
+            plan = FaultPlan(mesh)
+            for daemon in mesh.daemons:
+                at = mesh.simulation.rng.uniform(10.0, 12.0)
+                restart = functools.partial(plan._restart_target, daemon, 0.0)
+                mesh.simulation.after(at, restart)
+            with mock.patch.object(RequestedHoldings, "record_connection_lost"):
+                mesh.simulation.run_until(15.0)
+            if mesh.overlaps:
+                return
+        self.fail("no seed gave two runs of a target a key under one fence")
+
+    def test_counting_the_grants_of_an_earlier_process_as_held(self):
+        def initialize(self, unknown_until):
+            real(self, float("-inf"))
+
+        real = RequestedHoldings.__init__
+        with mock.patch.object(RequestedHoldings, "__init__", initialize):
             self.assert_breaks()
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -46,6 +46,7 @@
     def __init__(self):
         self.held: set[int] = set()
         self.awaited: set[int] = set()
+        self.rejected: list[int] = []
 
     def record_request(self, now, key):
         pass
@@ -56,6 +57,9 @@
     def record_refusal(self):
         pass
 
+    def record_rejection(self, now, key):
+        self.rejected.append(key)
+
     def may_work_on(self, now, key):
         return key in self.held
 
@@ -278,6 +282,24 @@
         self.assertNotIn("low", self.sent_ids())
 
 
+class RejectedKeyTests(AdmissionQueueCase):
+    """Load pattern: the target answers that it does not hold keys it was granted."""
+
+    def test_a_rejection_counts_as_seen_by_the_target(self):
+        self.keys.held = {5}
+        self.submit(0.0, "a", key=5)
+        self.finish(0.1, "a", NotRun(ErrorKind.NOT_OWNER))
+        self.assertEqual(self.keys.rejected, [5])
+        self.assertEqual(self.outcomes["a"].kind, ErrorKind.TARGET_REFUSED)
+        self.assertGreater(self.outcomes["a"].retry_after_s, 0.0)
+
+    def test_a_rejection_is_no_sign_of_overload(self):
+        self.keys.held = {5}
+        self.submit(0.0, "a", key=5)
+        self.finish(0.1, "a", NotRun(ErrorKind.NOT_OWNER))
+        self.assertEqual(self.queue.limit.value, self.SLOTS)
+
+
 class LongWorkTests(AdmissionQueueCase):
     """Load pattern: long reports and short look-ups share the slots of one target."""
 
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -308,6 +308,18 @@
         self.assertEqual(self.replies[0].kind, ErrorKind.NO_OWNER)
         self.assertGreater(self.replies[0].retry_after_s, 0.3)
 
+    def test_a_target_that_rejects_every_key_uses_no_more_than_the_retry_budget(self):
+        """Load pattern: a target answers each request that it does not hold the key."""
+        rejected, count = NotRun(ErrorKind.TARGET_REFUSED, 1.0), 200
+        for index in range(count):
+            self.submit("/status/1", now=index / 100, key=5)
+            while self.router.in_flight:
+                self.outcome(index / 100, rejected)
+        self.assertEqual(len(self.replies), count)
+        self.assertTrue(all(reply.retry_after_s > 0 for reply in self.replies))
+        repeats = len(self.peers.sent) - count
+        self.assertLessEqual(repeats, 0.2 * count)
+
     def test_request_without_a_key_is_refused(self):
         self.submit("/status/1")
         self.assertEqual(self.replies[0].kind, ErrorKind.KEY_MISSING)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -66,6 +66,9 @@
 
 
 class RouterTestCase(unittest.TestCase):
+    #: How targets take keys, as the settings file names it.
+    GRANTS = "heartbeat"
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -101,6 +104,7 @@
                 port.close()
             for port in (router._heartbeat_port, router._readiness_port, router.target):
                 port.close()
+            router.key_requests.close()
             for client in router._clients:
                 client.close()
         for target in self.targets:
@@ -123,7 +127,7 @@
             SERVICES[service],
             self.timers,
             self.client,
-            TargetBehaviour(),
+            TargetBehaviour(grants_by_request=self.GRANTS == "request"),
         )
         self.loop.add(target.port)
         return target
@@ -146,6 +150,7 @@
                     "app_addr": address(vm, 5),
                     "service": service,
                     "platform": {"address": STORE},
+                    "grants": self.GRANTS,
                 }
             )
         )
@@ -284,3 +289,20 @@
             self.tick_until(lambda found=results: found, 3.0)
             self.assertEqual(results[0].status, 200)
             self.assertIn(expected, results[0].body)
+
+
+class GrantsByRequestTests(RouterPathTests):
+    """The same for targets that take their keys by requests of their daemons."""
+
+    GRANTS = "request"
+
+    def test_keys_of_a_leaving_target_are_handed_over_with_their_tokens(self):
+        leaving, other = self.targets[0], self.targets[1]
+        leaving.state = "draining"
+        self.tick_until(
+            lambda: sum(row.last - row.first + 1 for row in other.held) == 65536, 8.0
+        )
+        table = self.routers[1].local_table()
+        self.assertTrue(any(span.token for span in table.spans))
+        answer = self.send_request(2, "/status/handed", Shard_Key="5")
+        self.assertEqual(answer.status, 200)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -170,6 +170,14 @@
         self.assertEqual((settings.retry_ratio, settings.retry_window_s), (0.3, 5.0))
         self.assertEqual((settings.drain_s, settings.grace_s), (2.5, 6.0))
 
+    def test_the_way_of_granting_keys_is_decoded(self):
+        for way, expected in (("request", True), ("heartbeat", False)):
+            body = msgspec.json.encode({**self.SETTINGS, "grants": way})
+            self.assertEqual(parse_settings(body).grants_by_request, expected)
+        body = msgspec.json.encode({**self.SETTINGS, "grants": "push"})
+        with self.assertRaisesRegex(ConfigurationError, "'push'; allowed: heartbeat"):
+            parse_settings(body)
+
     def test_invalid_settings_are_an_error(self):
         for path, value in (("listen.ready", None), ("bounds", ["drain=soon"])):
             body = changed(self.SETTINGS, path, value)
