--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -251,13 +251,15 @@
         reader: ResponseReader,
     ) -> None:
         connection.call = None
+        # The next call on the connection clears the response of the reader.
+        response = reader.response
         if reader.keep_alive:
             connection.idle_since = time.monotonic()
             self._idle_by_address[connection.address].append(sock)
         else:
             self.drop(sock)
         self._start_waiting_call(connection.address)
-        self._finish(call, reader.response)
+        self._finish(call, response)
 
     def on_closed(self, sock: socket.socket) -> None:
         """Fail the call whose connection ended before its response was whole."""
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -235,11 +235,15 @@
     entry : SyncEntry
         The record.
     relay : bool
-        Whether the receiver passes the record on within its region.
+        Whether the receiver passes the record on within its whole region.
+    limit : str
+        If not empty, the address in the ring of the region before which the receiver
+        passes the record on.
     """
 
     entry: SyncEntry
     relay: bool
+    limit: str = ""
 
 
 class RenewLease(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -1,15 +1,16 @@
 """Connections that this daemon opens to its peers.
 
-Every daemon keeps one connection open to each other daemon and sends its requests over
-it, many at a time; outcomes come back on the same connection. It also carries pings,
-lease renewals and records of the store. Any received bytes show that the peer responds,
-so pings are sent only on links where nothing has been received for a while.
+A daemon keeps connections with the few peers that it watches; they carry pings, lease
+renewals and records of the store. A connection with any other peer is opened for the
+first request to it and closed when it has been idle. Requests go over a connection many
+at a time, and their outcomes come back on it. Any received bytes show that the peer
+responds, so pings are sent only where nothing has been received for a while.
 """
 
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from errno import ECONNREFUSED
 from typing import TYPE_CHECKING
@@ -42,6 +43,7 @@
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.ownership.peer_selection import relay_plan
 from rhubarbhall.core.traffic.requests import Load, RoutedRequest, Unknown
 from rhubarbhall.settings import split_address
 
@@ -74,6 +76,9 @@
 REDIAL_DELAY_S = 0.3
 #: Requests for renewal on one link whose answers are awaited at a time.
 MAX_PENDING_RENEWALS = 32
+#: Time without requests after which a connection with a peer that is not watched is
+#: closed.
+LINK_IDLE_TIMEOUT_S = 15.0
 #: Time between checks of all links.
 CHECK_INTERVAL_S = 0.1
 #: Time after a connection has ended in which a new one can still bring the outcomes of
@@ -116,6 +121,10 @@
         When the last connection ended, while requests on it may still be resumed.
     dialed_at : float
         When the last attempt to connect began.
+    last_used_at : float
+        When the link was last needed.
+    is_kept : bool
+        Whether the peer is watched, so that the link is kept open and pinged.
     last_contact_at : float
         When bytes were last received or a connection was last established.
     pinged_at : float, optional
@@ -145,6 +154,8 @@
     number_by_ticket: dict[int, int] = field(default_factory=dict)
     broken_at: Seconds | None = None
     dialed_at: Seconds = float("-inf")
+    last_used_at: Seconds = float("-inf")
+    is_kept: bool = False
     last_contact_at: Seconds = float("-inf")
     pinged_at: Seconds | None = None
     ping_number: int = 0
@@ -182,7 +193,7 @@
 
 
 class PeerLinks:
-    """The links from the local daemon to all its peers.
+    """The links from the local daemon to its peers.
 
     Parameters
     ----------
@@ -222,6 +233,8 @@
         #: of another request.
         self._numbers = itertools.count(1)
         self.dialer = _Dialer(f"links-{local_address}", self)
+        self._region = ""
+        self._region_by_address: Mapping[Address, str] = {}
         self._link_by_address: dict[Address, _Link] = {}
         self._link_by_sock: dict[socket.socket, _Link] = {}
         self.rejected = 0
@@ -231,7 +244,7 @@
     def set_members(
         self, region: str, region_by_address: Mapping[Address, str]
     ) -> None:
-        """Keep links to these daemons only.
+        """Set the daemons that links may lead to, and close all other links.
 
         Parameters
         ----------
@@ -240,21 +253,71 @@
         region_by_address : mapping of str to str
             Region of each daemon by its address.
         """
+        self._region = region
+        self._region_by_address = region_by_address
         for address in set(self._link_by_address) - set(region_by_address):
-            link = self._link_by_address.pop(address)
-            if link.sock is not None:
-                self.dialer.drop(link.sock)
-            self._abandon_requests(link)
-        for address, peer_region in region_by_address.items():
-            same_region = peer_region == region
-            link = self._link_by_address.get(address)
-            if link is None:
-                link = _Link(address, same_region, known_since=self._clock())
-                self._link_by_address[address] = link
-            link.same_region, link.region = same_region, peer_region
-            link.round_trip_s = link.round_trip_s or (
-                LOCAL_REGION_ROUND_TRIP_S if same_region else REMOTE_REGION_ROUND_TRIP_S
-            )
+            self._remove(self._link_by_address[address])
+        for address, link in self._link_by_address.items():
+            self._set_region(link, region_by_address[address])
+
+    def _set_region(self, link: _Link, region: str) -> None:
+        link.region, link.same_region = region, region == self._region
+        link.round_trip_s = link.round_trip_s or (
+            LOCAL_REGION_ROUND_TRIP_S
+            if link.same_region
+            else REMOTE_REGION_ROUND_TRIP_S
+        )
+
+    def _remove(self, link: _Link) -> None:
+        del self._link_by_address[link.address]
+        if link.sock is not None:
+            self.dialer.drop(link.sock)
+        self._abandon_requests(link)
+
+    def keep(self, addresses: Collection[Address]) -> None:
+        """Set the peers that are watched: their links are kept open and pinged."""
+        for link in self._link_by_address.values():
+            if link.is_kept and link.address not in addresses:
+                link.is_kept = False
+                link.last_used_at = self._clock()
+        for address in addresses:
+            link = self._link_to(address)
+            if link is not None:
+                link.is_kept = True
+
+    def _link_to(self, address: Address) -> _Link | None:
+        """Return the link to a daemon, created if needed; None if it is unknown."""
+        link = self._link_by_address.get(address)
+        if link is None and address in self._region_by_address:
+            link = _Link(address, same_region=False, known_since=self._clock())
+            self._set_region(link, self._region_by_address[address])
+            self._link_by_address[address] = link
+        return link
+
+    def _open_link_to(self, address: Address) -> _Link | None:
+        """Return the link to a daemon if it is open; begin to open it otherwise."""
+        link = self._link_to(address)
+        if link is None:
+            return None
+        now = self._clock()
+        link.last_used_at = now
+        if link.is_open:
+            return link
+        if link.sock is None and now - link.dialed_at >= REDIAL_DELAY_S:
+            self._dial(now, link)
+        return None
+
+    def awaited_peers(self) -> list[Address]:
+        """Return the peers that answer soon if they run.
+
+        These are the peers that are pinged, those with requests under way and those
+        that a connection is being opened to.
+        """
+        return [
+            link.address
+            for link in self._link_by_address.values()
+            if link.is_kept or link.ticket_by_number or not link.is_open
+        ]
 
     def check(self) -> None:
         """Dial, ping and drop connections as needed; called at each check interval."""
@@ -262,7 +325,9 @@
         for link in list(self._link_by_address.values()):
             if link.broken_at is not None and now - link.broken_at > RESUME_TIMEOUT_S:
                 self._abandon_requests(link)
-            if link.sock is None:
+            if self._is_idle(now, link):
+                self._remove(link)
+            elif link.sock is None:
                 if now - link.dialed_at >= REDIAL_DELAY_S:
                     self._dial(now, link)
             elif not link.is_open:
@@ -271,6 +336,12 @@
             else:
                 self._check_open_link(now, link)
 
+    @staticmethod
+    def _is_idle(now: Seconds, link: _Link) -> bool:
+        if link.is_kept or link.ticket_by_number:
+            return False
+        return now - link.last_used_at > LINK_IDLE_TIMEOUT_S
+
     def _check_open_link(self, now: Seconds, link: _Link) -> None:
         if link.pinged_at is not None:
             bound = (
@@ -281,32 +352,41 @@
             if now - max(link.pinged_at, link.last_contact_at) > bound:
                 self.dialer.drop(link.sock)
             return
+        if not link.is_kept and not link.ticket_by_number:
+            return
         idle_s = (
             LOCAL_REGION_PING_DELAY_S
             if link.same_region
             else REMOTE_REGION_PING_DELAY_S
         )
+        active_at = max(link.last_contact_at, link.dialed_at)
         if link.ticket_by_number:
             idle_s = min(idle_s, PENDING_PING_DELAY_S)
-        if now - max(link.last_contact_at, link.dialed_at) >= idle_s:
-            self.ping(link.address)
+            if not link.is_kept:
+                # Silence before the request says nothing about a link without pings.
+                active_at = max(active_at, link.last_used_at)
+        if now - active_at >= idle_s:
+            self._ping(link)
 
     def ping(self, address: Address) -> None:
         """Ping a daemon, whose answer also reports its state of the store.
 
-        Does nothing if the link is not open or another ping awaits its answer.
+        Opens the link instead if it is not open, and does nothing if another ping
+        awaits its answer.
         """
-        link = self._link_by_address.get(address)
-        if link is None or not link.is_open or link.pinged_at is not None:
-            return
+        link = self._open_link_to(address)
+        if link is not None and link.pinged_at is None:
+            self._ping(link)
+
+    def _ping(self, link: _Link) -> None:
         link.ping_number += 1
         link.pinged_at = self._clock()
         self._send(link, Ping(link.ping_number))
 
     def request_renewal(self, address: Address) -> None:
         """Request that a witness renews the lease."""
-        link = self._link_by_address.get(address)
-        if link is not None and link.is_open:
+        link = self._open_link_to(address)
+        if link is not None:
             link.renewal_number += 1
             link.renewal_requested_at[link.renewal_number] = self._clock()
             link.renewal_requested_at.pop(
@@ -318,40 +398,46 @@
         self, witness: Address, owner: Address, at: int
     ) -> None:
         """Request a witness's vote for replacing an owner by a record at an offset."""
-        link = self._link_by_address.get(witness)
-        if link is not None and link.is_open:
+        link = self._open_link_to(witness)
+        if link is not None:
             self._send(link, ReplacementRequest(owner, at))
 
     def same_region_peers(self) -> list[Address]:
-        """Return the peers of the local region whose links are open."""
+        """Return the watched peers of the local region whose links are open."""
         return [
             link.address
             for link in self._link_by_address.values()
-            if link.same_region and link.is_open
+            if link.same_region and link.is_kept and link.is_open
         ]
 
-    def push(self, entry: SyncEntry, everywhere: bool) -> None:
-        """Send a record that has just been written to the peers of the local region.
+    def push(self, entry: SyncEntry) -> None:
+        """Send a record to the whole local region and to one daemon of each other.
 
-        Bytes between regions are expensive, so only one daemon of each other region
-        receives the record and relays it within that region.
+        Bytes between regions are expensive, so that daemon passes the record on within
+        its region.
+        """
+        self.relay(entry, self._local_address)
+        regions: set[str] = set()
+        for link in self._link_by_address.values():
+            if link.is_open and not link.same_region and link.region not in regions:
+                regions.add(link.region)
+                self._send(link, Push(entry, relay=True))
+
+    def relay(self, entry: SyncEntry, limit: Address) -> None:
+        """Pass a record on within the local region.
 
         Parameters
         ----------
         entry : SyncEntry
             The record.
-        everywhere : bool
-            Whether other regions receive the record too.
+        limit : str
+            Address in the ring of the region before which it is passed on; the local
+            address for the whole region.
         """
-        regions: set[str] = set()
-        for link in self._link_by_address.values():
-            if not link.is_open:
-                continue
-            if link.same_region:
-                self._send(link, Push(entry, relay=False))
-            elif everywhere and link.region not in regions:
-                regions.add(link.region)
-                self._send(link, Push(entry, relay=True))
+        peers = self.same_region_peers()
+        for address, next_limit in relay_plan(self._local_address, peers, limit):
+            push = Push(entry, relay=False, limit=next_limit)
+            self._send(self._link_by_address[address], push)
 
     def _dial(self, now: Seconds, link: _Link) -> None:
         link.dialed_at = now
@@ -404,8 +490,8 @@
             False if nothing was sent, because the link is not open or the daemon shuts
             down.
         """
-        link = self._link_by_address.get(address)
-        if link is None or not link.is_open or link.is_shutting_down:
+        link = self._open_link_to(address)
+        if link is None or link.is_shutting_down:
             return False
         number = next(self._numbers)
         link.add(number, ticket)
@@ -435,12 +521,14 @@
     def opens_soon(self, now: Seconds, address: Address) -> bool:
         """Return whether the first connection to a daemon is still being established.
 
-        True within `FIRST_CONNECT_GRACE_S` after the daemon became known.
+        The attempt begins with the first call. True within `FIRST_CONNECT_GRACE_S`
+        after the link was needed, unless the attempt has failed.
         """
-        link = self._link_by_address.get(address)
+        link = self._link_to(address)
         if link is None or link.has_been_open:
             return False
-        return now - link.known_since < FIRST_CONNECT_GRACE_S
+        self._open_link_to(address)
+        return link.sock is not None and now - link.known_since < FIRST_CONNECT_GRACE_S
 
     def cancel(self, address: Address, ticket: int) -> None:
         """Cancel a request that was sent to a daemon; its outcome is not reported."""
@@ -549,7 +637,8 @@
             self._handler.on_connection_refused(link.address)
             self._abandon_requests(link)
         elif had_opened and link.address in self._link_by_address:
-            self._dial(self._clock(), link)
+            if link.is_kept or link.ticket_by_number:
+                self._dial(self._clock(), link)
 
     def _abandon_requests(self, link: _Link) -> None:
         """Report the outcomes of the requests on an ended connection as unknown."""
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -5,16 +5,20 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership.records import (
+    LOST_PREFIX,
     MEMBER_PREFIX,
     TABLE_PREFIX,
     Member,
     decode_member,
     decode_table,
+    lost_key,
+    member_key,
 )
 
 if TYPE_CHECKING:
@@ -67,6 +71,12 @@
     def __init__(self) -> None:
         self.member_by_address: dict[Address, Member] = {}
         self.table_by_service: dict[str, KeyTable] = {}
+        #: Addresses of the members of each service, in order.
+        self._addresses_by_service: dict[str, list[Address]] = {}
+        #: Grows with each change of the addresses or regions of the members.
+        self.member_version = 0
+        #: Grows with each change of a member, and of which ones are lost.
+        self.state_version = 0
         self._entry_by_key: dict[str, Entry] = {}
         #: Offset after the last known record; every record before it is known.
         self.end: Offset = 0
@@ -77,8 +87,7 @@
 
     def apply(self, entry: Entry) -> Rejected | None:
         """Apply one record; return it as `Rejected` if it cannot be decoded."""
-        known = self._entry_by_key.get(entry.key)
-        if known is not None and known.offset >= entry.offset:
+        if self.knows(entry.key, entry.offset):
             return None
         self._entry_by_key[entry.key] = entry
         try:
@@ -90,14 +99,39 @@
     def _decode(self, entry: Entry) -> None:
         if entry.key.startswith(MEMBER_PREFIX):
             address = entry.key.removeprefix(MEMBER_PREFIX)
-            if entry.value:
-                self.member_by_address[address] = decode_member(entry.value)
-            else:
-                self.member_by_address.pop(address, None)
+            self._set_member(
+                address, decode_member(entry.value) if entry.value else None
+            )
+        elif entry.key.startswith(LOST_PREFIX):
+            self.state_version += 1
         elif entry.key.startswith(TABLE_PREFIX) and entry.value:
             service = entry.key.removeprefix(TABLE_PREFIX)
             self.table_by_service[service] = decode_table(entry.value)
 
+    def _set_member(self, address: Address, member: Member | None) -> None:
+        self.state_version += 1
+        known = self.member_by_address.pop(address, None)
+        if known is not None and (member is None or known.service != member.service):
+            self._addresses_by_service[known.service].remove(address)
+        if member is not None:
+            self.member_by_address[address] = member
+            if known is None or known.service != member.service:
+                addresses = self._addresses_by_service.setdefault(member.service, [])
+                insort(addresses, address)
+        if known is None or member is None or known.region != member.region:
+            self.member_version += 1
+
+    def is_lost(self, address: Address) -> bool:
+        """Return whether a watcher has recorded that a daemon does not respond.
+
+        The record counts until the daemon writes its member record again.
+        """
+        lost = self._entry_by_key.get(lost_key(address))
+        if lost is None or not lost.value:
+            return False
+        member = self._entry_by_key.get(member_key(address))
+        return member is None or member.offset < lost.offset
+
     def advance_end(self, end: Offset) -> None:
         """Record that every record before `end` is known."""
         self.is_loaded = True
@@ -123,6 +157,11 @@
             offset for offset in self._known_beyond_end if offset >= self.end
         }
 
+    def knows(self, key: str, offset: Offset) -> bool:
+        """Return whether the record of a key at an offset, or a newer one, is known."""
+        known = self._entry_by_key.get(key)
+        return known is not None and known.offset >= offset
+
     def entries_from(self, offset: Offset) -> list[Entry]:
         """Return the newest record of each key at `offset` or later, for a peer."""
         entries = [
@@ -132,7 +171,5 @@
 
     def members_of(self, service: str) -> Iterator[tuple[Address, Member]]:
         """Yield the daemons beside targets of a service, ordered by address."""
-        for address in sorted(self.member_by_address):
-            member = self.member_by_address[address]
-            if member.service == service:
-                yield address, member
+        for address in self._addresses_by_service.get(service, ()):
+            yield address, self.member_by_address[address]
--- a/rhubarbhall/core/ownership/liveness.py
+++ b/rhubarbhall/core/ownership/liveness.py
@@ -36,6 +36,25 @@
         self._started_at = started_at
         self._last_contact_at: dict[Address, Seconds] = {}
         self._refused_at: dict[Address, Seconds] = {}
+        #: Since when an answer is expected of each watched peer.
+        self._watched_since: dict[Address, Seconds] = {}
+
+    def watch(self, now: Seconds, addresses: Iterable[Address]) -> None:
+        """Set the peers that answer within `SAME_REGION_TIMEOUT_S` while they run.
+
+        These are the peers that are pinged or that a connection is being opened to. The
+        silence of any other peer means nothing.
+        """
+        watched = set(addresses)
+        for address in watched - self._watched_since.keys():
+            self._watched_since[address] = now
+        for address in self._watched_since.keys() - watched:
+            del self._watched_since[address]
+
+    @property
+    def watched(self) -> list[Address]:
+        """The watched peers."""
+        return list(self._watched_since)
 
     def record_contact(self, now: Seconds, address: Address) -> None:
         """Record a message from a daemon."""
@@ -56,30 +75,35 @@
     def is_unresponsive(
         self, now: Seconds, address: Address, same_region: bool
     ) -> bool:
-        """Return whether a daemon counts as lost.
+        """Return whether a daemon counts as lost; one that is not watched never does.
 
         Parameters
         ----------
         same_region : bool
             Whether it is in the region of the local daemon.
         """
+        watched_since = self._watched_since.get(address)
+        if watched_since is None:
+            return False
         timeout_s = SAME_REGION_TIMEOUT_S if same_region else OTHER_REGION_TIMEOUT_S
         if now - self._refused_at.get(address, float("-inf")) < RESTART_GRACE_S:
             timeout_s = max(timeout_s, RESTART_GRACE_S)
-        return self.time_since_contact_s(now, address) > timeout_s
+        silence_s = min(self.time_since_contact_s(now, address), now - watched_since)
+        return silence_s > timeout_s
 
-    def may_declare_lost(
-        self, now: Seconds, suspect: Address, peers: Iterable[Address]
-    ) -> bool:
+    def may_declare_lost(self, now: Seconds, suspect: Address) -> bool:
         """Return whether the suspect may be declared lost by this daemon.
 
-        A daemon that has contact with fewer than half of its other peers may be cut off
-        itself, so it must not declare a peer lost before `CERTAIN_LOSS_TIMEOUT_S`.
+        A daemon that has contact with fewer than half of the other peers that it
+        watches may be cut off itself, so it must not declare a peer lost before
+        `CERTAIN_LOSS_TIMEOUT_S`.
         """
         if self.time_since_contact_s(now, suspect) > CERTAIN_LOSS_TIMEOUT_S:
             return True
         contact_ages_s = [
-            self.time_since_contact_s(now, peer) for peer in peers if peer != suspect
+            self.time_since_contact_s(now, peer)
+            for peer in self._watched_since
+            if peer != suspect
         ]
         recent = sum(age_s <= OTHER_REGION_TIMEOUT_S for age_s in contact_ages_s)
         return 2 * recent >= len(contact_ages_s)
--- /dev/null
+++ b/rhubarbhall/core/ownership/peer_selection.py
@@ -0,0 +1,121 @@
+"""Which peers a daemon watches and keeps connections with, whatever the fleet's size.
+
+The daemons of a region form a ring in the order of their addresses. Each one keeps
+connections with the peers at the distances 1, 2, 4 and so on in its ring, the fingers
+of Chord (Stoica and others, 2001), and with a few daemons of each other region. These
+connections carry pings, and records pass along them through the whole region in a
+number of hops that grows with the logarithm of its size (El-Ansary and others, 2003).
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator, Mapping
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Address
+
+#: Number of daemons up to which a region is watched as a whole.
+WHOLE_REGION_SIZE = 8
+#: Number of daemons of each larger region, other than the local one, that are watched.
+REMOTE_CONTACTS = 2
+
+
+def ring_distances(size: int) -> Iterator[int]:
+    """Yield the distances of a daemon's watched peers in a ring of a size."""
+    if size <= WHOLE_REGION_SIZE:
+        yield from range(1, size)
+        return
+    distance = 1
+    while distance < size:
+        yield distance
+        distance *= 2
+
+
+def _ring_by_region(
+    region_by_address: Mapping[Address, str],
+) -> dict[str, list[Address]]:
+    ring_by_region: dict[str, list[Address]] = {}
+    for address in sorted(region_by_address):
+        ring_by_region.setdefault(region_by_address[address], []).append(address)
+    return ring_by_region
+
+
+def _spread(ring: list[Address], start: int) -> Iterable[Address]:
+    if len(ring) <= WHOLE_REGION_SIZE:
+        return ring
+    return [ring[(start + step) % len(ring)] for step in range(REMOTE_CONTACTS)]
+
+
+def watched_peers(
+    local: Address, local_region: str, region_by_address: Mapping[Address, str]
+) -> set[Address]:
+    """Return the peers that a daemon watches.
+
+    Parameters
+    ----------
+    local, local_region : str
+        Address and region of the daemon.
+    region_by_address : mapping of str to str
+        Region of each daemon by its address, with or without the daemon itself.
+    """
+    ring_by_region = _ring_by_region({**region_by_address, local: local_region})
+    ring = ring_by_region.pop(local_region)
+    position = bisect_left(ring, local)
+    watched = {
+        ring[(position + distance) % len(ring)]
+        for distance in ring_distances(len(ring))
+    }
+    for other in ring_by_region.values():
+        watched.update(_spread(other, position))
+    return watched
+
+
+def is_reader(
+    local: Address,
+    local_region: str,
+    region_by_address: Mapping[Address, str],
+    count: int,
+) -> bool:
+    """Return whether a daemon is among the first of its region, which read the store.
+
+    Parameters
+    ----------
+    count : int
+        Number of daemons of each region that read.
+    """
+    before = sum(
+        address < local and region == local_region
+        for address, region in region_by_address.items()
+    )
+    return before < count
+
+
+def ring_order(local: Address, addresses: Iterable[Address]) -> list[Address]:
+    """Return addresses in the order of the ring, beginning after the local one."""
+    return sorted(addresses, key=lambda each: (each < local, each))
+
+
+def relay_plan(
+    local: Address, linked: Iterable[Address], limit: Address
+) -> Iterator[tuple[Address, Address]]:
+    """Yield the peers that a record is passed on to, each with its own limit.
+
+    A receiver passes the record on to the daemons between itself and its limit, so that
+    each daemon of the region gets it once.
+
+    Parameters
+    ----------
+    linked : iterable of str
+        Peers of the region that the daemon has connections with.
+    limit : str
+        Address in the ring before which the local daemon passes the record on. Its own
+        address stands for the whole ring.
+    """
+    in_reach = ring_order(local, (each for each in linked if each != local))
+    if limit != local:
+        reach = ring_order(local, [*in_reach, limit])
+        in_reach = reach[: reach.index(limit)]
+    # The last one, without a successor here, gets the limit of the local daemon.
+    yield from zip(in_reach, [*in_reach, limit][1:], strict=True)
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -11,6 +11,7 @@
     boot_key,
     encode_member,
     encode_table,
+    lost_key,
     member_key,
     table_key,
 )
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
+    from rhubarbhall.core.ownership.loss_reports import LossReports
     from rhubarbhall.core.ownership.range_witness import RangeWitness
     from rhubarbhall.core.ownership.read_lease import ReadLease
     from rhubarbhall.core.ownership.reconciler import TableReconciler
@@ -50,6 +52,8 @@
         Members and tables that the store is known to hold.
     reconciler : TableReconciler
         Proposes changes of the table of a service whose keys are divided into ranges.
+    losses : LossReports
+        Finds peers that are to be reported as lost.
     lease : ReadLease
         Renewed by a conditional write that succeeds.
     range_witness : RangeWitness
@@ -72,6 +76,7 @@
         store: Store,
         directory: KeyDirectory,
         reconciler: TableReconciler,
+        losses: LossReports,
         lease: ReadLease,
         range_witness: RangeWitness,
         timers: TimerService,
@@ -84,6 +89,7 @@
         self._store = store
         self._directory = directory
         self._reconciler = reconciler
+        self._losses = losses
         self._lease = lease
         self._range_witness = range_witness
         self._timers = timers
@@ -109,12 +115,17 @@
         if not self._directory.is_loaded:
             return
         known = self._directory.member_by_address.get(self._local_address)
-        if member is not None and known != member:
+        is_reported_lost = self._directory.is_lost(self._local_address)
+        if member is not None and (known != member or is_reported_lost):
             value = encode_member(member)
             self._write(
                 now, member_key(self._local_address), value, False, member.state
             )
             return
+        lost = self._losses.due(now)
+        if lost is not None:
+            self._write(now, lost_key(lost), b"1", False, "lost")
+            return
         if not self.by_key:
             return
         if self._range_witness.boot_offset is None:
--- a/rhubarbhall/core/ownership/range_distribution.py
+++ b/rhubarbhall/core/ownership/range_distribution.py
@@ -11,13 +11,17 @@
     from rhubarbhall.core.ownership.key_table import Claim, KeyTable, Range, Span
     from rhubarbhall.types import Address
 
-#: Least number of keys of a piece that a span is cut into, so that tables stay short.
+#: Maximum number of targets that the keys of one target are divided among, or that one
+#: target's keys are taken from, when there are many.
+MAX_PARTIES = 8
+#: Least number of keys of a piece that a span is cut into while there are few targets,
+#: so that tables stay short.
 MIN_PIECE_KEYS = KEY_COUNT // 64
 
 
-def _pieces(span: Span, count: int) -> list[Range]:
+def _pieces(span: Span, count: int, min_keys: int) -> list[Range]:
     """Return the ranges of a span that is cut into at most `count` pieces."""
-    count = max(1, min(count, span.size // MIN_PIECE_KEYS))
+    count = max(1, min(count, span.size // max(1, min_keys)))
     cuts = [span.first + span.size * index // count for index in range(count + 1)]
     return [(low, high - 1) for low, high in zip(cuts, cuts[1:], strict=False)]
 
@@ -43,8 +47,13 @@
     """
     size_by_owner = {claim.owner: sizes.get(claim.owner, 0) for claim in claims}
     moves: list[tuple[Range, Claim]] = []
+    spans = list(spans)
+    count = len(claims)
+    if count > MAX_PARTIES:
+        count = max(1, MAX_PARTIES // max(1, len(spans)))
+    min_keys = min(MIN_PIECE_KEYS, KEY_COUNT // (MAX_PARTIES * len(claims)))
     for span in spans:
-        for first, last in _pieces(span, len(claims)):
+        for first, last in _pieces(span, count, min_keys):
             claim = min(claims, key=lambda each: size_by_owner[each.owner])
             size_by_owner[claim.owner] += last - first + 1
             moves.append(((first, last), claim))
@@ -54,7 +63,10 @@
 def share_for_new_targets(
     table: KeyTable, new_targets: list[Claim], target_count: int
 ) -> list[tuple[Range, Claim]]:
-    """Return an even share of every owner's keys for each target that owns none yet.
+    """Return an even share of the keys for each target that owns none yet.
+
+    It is taken from the owners with the most keys, `MAX_PARTIES` at most, so that the
+    number of ranges does not grow with that of the targets.
 
     Parameters
     ----------
@@ -71,10 +83,21 @@
         Each range with the claim of its new owner.
     """
     moves: list[tuple[Range, Claim]] = []
-    for owner, size in sorted(table.size_by_owner().items()):
-        share = size // target_count
-        for claim in new_targets:
-            moves += _cut_share(table, owner, share, claim, moves)
+    sizes = table.size_by_owner()
+    largest = sorted(sizes, key=lambda owner: (-sizes[owner], owner))
+    if len(largest) <= MAX_PARTIES:
+        for owner in sorted(sizes):
+            for claim in new_targets:
+                share = sizes[owner] // target_count
+                moves += _cut_share(table, owner, share, claim, moves)
+        return moves
+    for index, claim in enumerate(new_targets):
+        start = MAX_PARTIES * index % len(largest)
+        donors = largest[start : start + MAX_PARTIES]
+        share = KEY_COUNT // target_count // len(donors)
+        for owner in donors:
+            limit = sizes[owner] // 2
+            moves += _cut_share(table, owner, min(share, limit), claim, moves)
     return moves
 
 
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -41,6 +41,9 @@
 DISCOVERY_PERIOD_S = 3.0
 #: Extra delay of each next daemon in rank before it carries out a step.
 RANK_DELAY_S = 0.7
+#: Number of ranks. Daemons that share a rank may write at the same time; the store
+#: takes one of their changes, and the wait does not grow with the number of daemons.
+MAX_RANKS = 8
 #: Time for which a new target is known before keys are assigned to it.
 NEW_TARGET_DELAY_S = 0.3
 #: Time since the last contact up to which a daemon is assigned keys or becomes a
@@ -268,7 +271,9 @@
     def _is_unresponsive(self, now: Seconds, address: Address) -> bool:
         member = self._directory.member_by_address.get(address)
         same_region = member is not None and member.region == self._region
-        return self._liveness.is_unresponsive(now, address, same_region)
+        return self._directory.is_lost(address) or self._liveness.is_unresponsive(
+            now, address, same_region
+        )
 
     def _rank_delay_passed(self, now: Seconds, step_name: str, needed: bool) -> bool:
         """Return whether a step has been due for the delay of the local rank."""
@@ -282,7 +287,7 @@
             if self._local_address in ranked
             else len(ranked)
         )
-        return now - since >= rank * RANK_DELAY_S
+        return now - since >= rank % MAX_RANKS * RANK_DELAY_S
 
     # First table
 
@@ -310,14 +315,19 @@
 
         Daemons of the owner's region come first because they answer soonest. The rest
         follow by address, beginning after the owner, so that each daemon is a witness
-        of about as many owners.
+        of about as many owners. Watched daemons that are silent are left out; of those
+        that are not watched, the owner drops the ones that do not answer.
         """
         members = self._directory.member_by_address
         region = members[owner].region if owner in members else self._region
+        watched = set(self._liveness.watched)
+        receivers = {claim.owner for claim in self._receivers(now)}
         others = [
             claim.owner
-            for claim in self._receivers(now)
-            if claim.owner != owner and claim.owner not in avoided
+            for claim in self._claims(now)
+            if claim.owner != owner
+            and claim.owner not in avoided
+            and (claim.owner in receivers or claim.owner not in watched)
         ]
         in_order = sorted(
             others,
@@ -403,7 +413,8 @@
 
     def _reassigned(self, now: Seconds, table: KeyTable, owner: Address) -> KeyTable:
         spans = table.owned_by(owner)
-        claims = [claim for claim in self._receivers(now) if claim.owner != owner]
+        receivers = self._receivers(now) or list(self._claims(now))
+        claims = [claim for claim in receivers if claim.owner != owner]
         if not spans or not claims:
             return table
         return table.moved(
@@ -448,12 +459,11 @@
     def _replace_unresponsive(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Mark unresponsive daemons as lost and reassign their keys."""
         daemons = _owners_and_holders(table)
-        others = list(self._directory.member_by_address)
         unresponsive = [
             address
             for address in sorted(daemons - {self._local_address})
             if self._is_unresponsive(now, address)
-            and self._liveness.may_declare_lost(now, address, others)
+            and self._liveness.may_declare_lost(now, address)
         ]
         if not self._rank_delay_passed(now, "replace_silent", bool(unresponsive)):
             return table
@@ -486,8 +496,10 @@
     def _assign_to_new_targets(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Assign an even share of the keys to targets that own none yet."""
         owners = table.size_by_owner()
-        claims = self._receivers(now)
-        new_targets = [claim for claim in claims if claim.owner not in owners]
+        claims = list(self._claims(now))
+        new_targets = [
+            claim for claim in self._receivers(now) if claim.owner not in owners
+        ]
         is_due = self._rank_delay_passed(
             now - NEW_TARGET_DELAY_S, "welcome", bool(new_targets)
         )
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -23,6 +23,8 @@
 
 MEMBER_PREFIX = "member/"
 TABLE_PREFIX = "keys/"
+#: Records that say that a daemon does not respond; see `KeyDirectory.is_lost`.
+LOST_PREFIX = "lost/"
 #: Records that only make the log grow; see `rhubarbhall.core.ownership.range_witness`.
 BOOT_PREFIX = "boot/"
 
@@ -94,6 +96,11 @@
     return f"{MEMBER_PREFIX}{address}"
 
 
+def lost_key(address: Address) -> str:
+    """Return the key of the record that says that a daemon does not respond."""
+    return f"{LOST_PREFIX}{address}"
+
+
 def boot_key(address: Address) -> str:
     """Return the key of the record that a daemon writes after its start."""
     return f"{BOOT_PREFIX}{address}"
--- a/rhubarbhall/core/traffic/pending_requests.py
+++ b/rhubarbhall/core/traffic/pending_requests.py
@@ -112,6 +112,8 @@
     non_owners : set of (str, int)
         Addresses of daemons that refused the request as not theirs, each with the fence
         of the span at that time.
+    awaited_address : str, optional
+        Address of the daemon whose connection the request waits for.
     waiting_since : float, optional
         Time when the request first waited for a key or a connection, local clock.
     may_have_run : bool
@@ -132,5 +134,6 @@
     attempts: int = 0
     tried: set[Address] = field(default_factory=set)
     non_owners: set[tuple[Address, int]] = field(default_factory=set)
+    awaited_address: Address | None = None
     waiting_since: Seconds | None = None
     may_have_run: bool = False
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -309,9 +309,20 @@
         retry = TimerCallback(lambda later: self._retry_after_wait(later, pending))
         pending.retry_timer = self._timers.at(now + WAIT_POLL_INTERVAL_S, retry)
 
+    def on_peer_connected(self, now: Seconds, address: Address) -> None:
+        """Send the requests that wait for the connection to a daemon."""
+        for pending in list(self._pending_by_ticket.values()):
+            if pending.awaited_address == address:
+                self._retry_after_wait(now, pending)
+
     def _retry_after_wait(self, now: Seconds, pending: PendingRequest) -> None:
-        if pending.ticket in self._pending_by_ticket:
-            self._send_to_next(now, pending)
+        if pending.ticket not in self._pending_by_ticket:
+            return
+        pending.awaited_address = None
+        if pending.retry_timer is not None:
+            pending.retry_timer.cancel()
+            pending.retry_timer = None
+        self._send_to_next(now, pending)
 
     def _send(self, now: Seconds, pending: PendingRequest, address: Address) -> None:
         request = pending.request
@@ -323,6 +334,7 @@
             self._finish(now, pending, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             return
         if address != self._local_address and self._peers.opens_soon(now, address):
+            pending.awaited_address = address
             self._wait_and_retry(now, pending)
             return
         pending.sends += 1
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -42,10 +43,22 @@
 #: Time for which a target is avoided after one failure, and at most.
 FIRST_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 3.0
+#: Maximum number of targets of the local region, and of all others, that are compared
+#: for one request.
+MAX_RANKED = 12
 #: Share of occupied slots above which a target is assumed to become slower.
 SLOWDOWN_UTILIZATION = 0.7
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """Targets of one service that accept work, at one version of the directory."""
+
+    version: int
+    local_region: list[tuple[Address, Member]]
+    other_regions: list[tuple[Address, Member]]
+
+
 @dataclass(slots=True)
 class TargetView:
     """State of one target as the local daemon knows it.
@@ -123,6 +136,8 @@
         self._liveness = liveness
         self.view_by_address: dict[Address, TargetView] = {}
         self._mean_by_route: dict[str, Seconds] = {}
+        self._candidates_by_service: dict[str, _Candidates] = {}
+        self._rng = random.Random(local_address)
 
     def view(self, address: Address) -> TargetView:
         """Return the state of a target, created if the target was unknown."""
@@ -200,20 +215,49 @@
         str or None
             The address; None if no target can be used.
         """
-        ranked = sorted(
-            (*self._cost(now, address, member, route), address, member)
-            for address, member in self._directory.members_of(service)
-            if address not in tried and self._is_usable(now, address, member)
-        )
-        for avoided, cost_s, address, member in ranked:
-            in_time = cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s
-            if member.region == self._region and in_time and not avoided:
+        candidates = self._candidates(service)
+        near = self._ranked(now, candidates.local_region, route, tried)
+        for avoided, cost_s, address in near:
+            if cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s and not avoided:
                 return address
-        return ranked[0][2] if ranked else None
+        far = self._ranked(now, candidates.other_regions, route, tried)
+        return min((*near, *far))[2] if near or far else None
+
+    def _candidates(self, service: str) -> _Candidates:
+        """Return the targets of a service that accept work, by their records."""
+        known = self._candidates_by_service.get(service)
+        if known is not None and known.version == self._directory.state_version:
+            return known
+        candidates = _Candidates(self._directory.state_version, [], [])
+        for address, member in self._directory.members_of(service):
+            if member.state is not TargetState.READY or self._directory.is_lost(
+                address
+            ):
+                continue
+            if member.region == self._region:
+                candidates.local_region.append((address, member))
+            else:
+                candidates.other_regions.append((address, member))
+        self._candidates_by_service[service] = candidates
+        return candidates
+
+    def _ranked(
+        self,
+        now: Seconds,
+        candidates: list[tuple[Address, Member]],
+        route: str,
+        tried: Collection[Address],
+    ) -> list[tuple[bool, Seconds, Address]]:
+        """Return usable candidates, of many a random sample, the best first."""
+        if len(candidates) > MAX_RANKED:
+            candidates = self._rng.sample(candidates, MAX_RANKED)
+        return sorted(
+            (*self._cost(now, address, member, route), address)
+            for address, member in candidates
+            if address not in tried and self._is_responsive(now, address, member)
+        )
 
-    def _is_usable(self, now: Seconds, address: Address, member: Member) -> bool:
-        if member.state is not TargetState.READY:
-            return False
+    def _is_responsive(self, now: Seconds, address: Address, member: Member) -> bool:
         in_local_region = member.region == self._region
         return address == self._local_address or not self._liveness.is_unresponsive(
             now, address, in_local_region
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -75,6 +75,8 @@
     def on_link_changed(self, address: Address, is_up: bool) -> None:
         """Log that the connection to a peer was opened or lost."""
         self.log_event(LogEvent(311 if is_up else 312, {"peer": address}))
+        if is_up:
+            self.request_router.on_peer_connected(self._advance_timers(), address)
 
     def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
         """Record a peer's load, and compare its directory with the local one.
@@ -96,13 +98,20 @@
             self.read_lease.confirm(asked_at - pong.age_ms / 1000)
 
     def on_push(self, push: Push) -> None:
-        """Apply a record that a peer has just written, and relay it if requested."""
+        """Apply a record that a peer has just written, and pass it on if requested.
+
+        A record that is known already has been passed on already.
+        """
         now = self._advance_timers()
         entry = Entry(push.entry.offset, push.entry.key, push.entry.value)
+        if self.directory.knows(entry.key, entry.offset):
+            return
         rejected = self.directory.apply_next(entry)
         self._log_rejected(rejected)
         if push.relay:
-            self.links.push(push.entry, everywhere=False)
+            self.links.relay(push.entry, self.local_address)
+        elif push.limit:
+            self.links.relay(push.entry, push.limit)
         self._on_directory_changed(now)
 
     def on_sync_request(self, ask: SyncRequest) -> SyncResponse:
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -42,13 +42,6 @@
             self.log_event(LogEvent(112, fields))
 
     def _on_directory_changed(self, now: Seconds) -> None:
-        region = self.settings.region
-        region_by_address = {
-            address: member.region
-            for address, member in self.directory.member_by_address.items()
-            if address != self.local_address
-        }
-        self.links.set_members(region, region_by_address)
         self._request_keys(now)
         self.admission_queue.on_keys_changed(now)
         self.publisher.write_due(now, self._local_member(now))
@@ -75,7 +68,7 @@
         self.log_event(LogEvent(211, {"key": entry.key, "reason": str(reason)}))
         self._on_directory_changed(now)
         pushed = SyncEntry(entry.offset, entry.key, entry.value)
-        self.links.push(pushed, everywhere=True)
+        self.links.push(pushed)
 
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -28,6 +28,8 @@
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.liveness import Liveness
+from rhubarbhall.core.ownership.loss_reports import LossReports
+from rhubarbhall.core.ownership.peer_selection import is_reader, watched_peers
 from rhubarbhall.core.ownership.publisher import TOPIC, RecordPublisher
 from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
 from rhubarbhall.core.ownership.range_witness import (
@@ -65,14 +67,24 @@
     from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.traffic.pending_requests import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
-    from rhubarbhall.types import Seconds
+    from rhubarbhall.types import Address, Seconds
 
 #: Minimum time between two reads of the directory from the store, in seconds.
 MIN_DIRECTORY_READ_INTERVAL_S = 2.0
-#: Range of the directory age, in seconds, above which a read is due; each check draws
-#: its limit from it at random. Peers pass new records on and report how old their
-#: directories are, so a few daemons read on behalf of all.
-DIRECTORY_MAX_AGE_RANGE_S = (2.0, 3.5)
+#: Number of daemons of each region that read the store on behalf of the others.
+READERS_PER_REGION = 3
+#: Range of the directory age, in seconds, above which such a daemon reads; each check
+#: draws its limit from it at random.
+READER_MAX_AGE_RANGE_S = (2.0, 3.5)
+#: The same range for the other daemons. They learn from peers how old directories are,
+#: and read only if that does not reach them.
+DIRECTORY_MAX_AGE_RANGE_S = (4.5, 6.0)
+#: Maximum number of owners that are asked for their load at a time, and the time after
+#: which others are asked, in seconds.
+MAX_LOAD_PEERS = 8
+LOAD_PEERS_INTERVAL_S = 2.0
+#: Time between two checks whether other peers are to be watched, in seconds.
+PEER_UPDATE_INTERVAL_S = 0.5
 #: Time that the store holds a read of the operators' configuration while there is
 #: nothing new, in seconds.
 CONFIGURATION_LONG_POLL_S = 8.0
@@ -151,6 +163,10 @@
             self.local_address, started_at, settings.grants_by_request
         )
         self._configuration_entry: Entry | None = None
+        self._member_version = 0
+        self._reads_store = True
+        self._load_peers: list[Address] = []
+        self._load_peers_chosen_at: Seconds = float("-inf")
         self._logged_decision: dict[str, object] | None = None
         self._build_traffic()
         self._build_ownership(started_at)
@@ -239,6 +255,9 @@
             store,
             self.directory,
             self.reconciler,
+            LossReports(
+                self.local_address, settings.region, self.directory, self.liveness
+            ),
             self.read_lease,
             self.range_witness,
             self.timers,
@@ -319,6 +338,7 @@
             (SWEEP_INTERVAL_S, self._sweep),
             (SETTINGS_CHECK_INTERVAL_S, self._check_settings),
             (PEER_PING_INTERVAL_S, self._ping_nearby_peer),
+            (PEER_UPDATE_INTERVAL_S, self._update_peers),
             (RENEWAL_INTERVAL_S, self._request_renewals),
         ):
             self.timers.every(
@@ -351,6 +371,7 @@
 
     def _run_checks(self, now: Seconds) -> None:
         self.links.check()
+        self.liveness.watch(now, self.links.awaited_peers())
         self.sessions.cancel_orphans()
         self._check_target(now)
         self._request_keys(now)
@@ -383,18 +404,42 @@
             )
 
     def _needs_directory_read(self, now: Seconds) -> bool:
-        return self.read_lease.age_s(now) > self._rng.uniform(
-            *DIRECTORY_MAX_AGE_RANGE_S
+        age_range_s = (
+            READER_MAX_AGE_RANGE_S if self._reads_store else DIRECTORY_MAX_AGE_RANGE_S
+        )
+        return self.read_lease.age_s(now) > self._rng.uniform(*age_range_s)
+
+    def _update_peers(self, now: Seconds) -> None:
+        """Choose the peers to watch, if the members have changed."""
+        if self.directory.member_version == self._member_version:
+            return
+        self._member_version = self.directory.member_version
+        region = self.settings.region
+        region_by_address = {
+            address: member.region
+            for address, member in self.directory.member_by_address.items()
+            if address != self.local_address
+        }
+        self.links.set_members(region, region_by_address)
+        self.links.keep(watched_peers(self.local_address, region, region_by_address))
+        self._reads_store = is_reader(
+            self.local_address, region, region_by_address, READERS_PER_REGION
         )
 
     def _request_loads(self, now: Seconds) -> None:
-        """Ping the other owners for their load while the local target is busy.
+        """Ping some of the other owners for their load while the local target is busy.
 
         Keys can only be moved to owners whose load is known.
         """
-        if self.publisher.by_key and self.balancer.is_busy(now):
-            for address in self.reconciler.service_peers():
-                self.links.ping(address)
+        if not self.publisher.by_key or not self.balancer.is_busy(now):
+            return
+        if now - self._load_peers_chosen_at > LOAD_PEERS_INTERVAL_S:
+            self._load_peers_chosen_at = now
+            peers = self.reconciler.service_peers()
+            count = min(MAX_LOAD_PEERS, len(peers))
+            self._load_peers = self._rng.sample(peers, count)
+        for address in self._load_peers:
+            self.links.ping(address)
 
     def _ping_nearby_peer(self, now: Seconds) -> None:
         """Ping a nearby peer to learn the end and the age of its directory."""
--- /dev/null
+++ b/tests/adapters/test_client.py
@@ -0,0 +1,81 @@
+"""The HTTP client over a fake poller: calls that wait for a connection."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.adapters.client import HttpClient
+
+ADDRESS = "10.0.0.1:80"
+
+
+class FakeSocketClient(HttpClient):
+    """Opens fake sockets and records the bytes that are sent on them."""
+
+    def __init__(self, max_connections: int):
+        super().__init__("client", max_connections)
+        self.opened: list[object] = []
+        self.sent: list[tuple[object, bytes]] = []
+
+    def open(self, address, on_open):
+        sock = object()
+        self.opened.append((sock, on_open))
+        return sock
+
+    def send(self, sock, data):
+        self.sent.append((sock, data))
+
+    def drop(self, sock):
+        if sock in self._connection_by_sock:
+            self.on_closed(sock)
+
+
+class WaitingCallTests(unittest.TestCase):
+    def setUp(self):
+        self.client = FakeSocketClient(max_connections=1)
+        self.answers: dict[str, list] = {}
+
+    def fetch(self, path: str):
+        answers = self.answers.setdefault(path, [])
+        self.client.fetch(ADDRESS, "GET", path, (), b"", 1.0, answers.append)
+
+    def answer(self, body: bytes, close: bool = False):
+        sock = self.client.sent[-1][0]
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+        if close:
+            head += b"Connection: close\r\n"
+        self.client.on_data(sock, head + b"\r\n" + body)
+
+    def open_next(self):
+        sock, on_open = self.client.opened.pop(0)
+        on_open()
+
+    def test_each_call_gets_its_own_answer_when_calls_wait_for_the_connection(self):
+        for path in ("/a", "/b", "/c"):
+            self.fetch(path)
+        self.open_next()
+        for body in (b"a", b"b", b"c"):
+            self.answer(body)
+        bodies = {
+            path: [each.body for each in got] for path, got in self.answers.items()
+        }
+        self.assertEqual(bodies, {"/a": [b"a"], "/b": [b"b"], "/c": [b"c"]})
+
+    def test_a_waiting_call_opens_a_connection_when_the_last_one_closes(self):
+        self.fetch("/a")
+        self.fetch("/b")
+        self.open_next()
+        self.answer(b"a", close=True)
+        self.open_next()
+        self.answer(b"b")
+        self.assertEqual([each.body for each in self.answers["/b"]], [b"b"])
+
+    def test_an_answer_without_a_call_ends_the_connection(self):
+        self.fetch("/a")
+        self.open_next()
+        sock = self.client.sent[-1][0]
+        self.answer(b"a")
+        self.client.on_data(sock, b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+        self.fetch("/b")
+        self.assertEqual(len(self.client.opened), 1)
+        self.assertEqual(self.answers["/b"], [])
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -149,6 +149,7 @@
         self.links = PeerLinks(SENDER, "own", self.sender, lambda: self.now, 77)
         self.restart_receiver()
         self.links.set_members("r", {RECEIVER: "r"})
+        self.links.keep({RECEIVER})
         self.links.check()
         self.connect()
 
@@ -293,6 +294,7 @@
         self.cut()
         self.links.set_members("r", {})
         self.links.set_members("r", {RECEIVER: "r"})
+        self.links.keep({RECEIVER})
         self.links.check()
         self.connect()
         self.forward(2)
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -13,6 +13,7 @@
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
+from rhubarbhall.core.ownership.loss_reports import LossReports
 from rhubarbhall.core.ownership.publisher import RecordPublisher
 from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
 from rhubarbhall.core.ownership.range_witness import (
@@ -341,6 +342,7 @@
             store,
             self.directory,
             self.reconciler,
+            LossReports(self.local_address, self.region, self.directory, self.liveness),
             self.lease,
             self.range_witness,
             self.timers,
@@ -447,6 +449,8 @@
         now = self.mesh.simulation.now
         for event in list(self.timers.due(now)):
             event.fire(now)
+        others = {each.local_address for each in self.mesh.daemons}
+        self.liveness.watch(now, others - {self.local_address})
         for peer in self.mesh.reachable_peers(self):
             if not peer.is_frozen:
                 self.liveness.record_contact(now, peer.local_address)
--- /dev/null
+++ b/tests/core/ownership/test_loss_reports.py
@@ -0,0 +1,72 @@
+"""Watched peers that do not respond are reported to all daemons, by one of them."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.liveness import SAME_REGION_TIMEOUT_S, Liveness
+from rhubarbhall.core.ownership.loss_reports import DISTANCE_DELAY_S, LossReports
+from rhubarbhall.core.ownership.records import (
+    Member,
+    TargetState,
+    encode_member,
+    lost_key,
+    member_key,
+)
+
+LOCAL, NEXT, SECOND, FAR = (f"10.0.0.{number}:1" for number in range(1, 5))
+
+
+class LossReportTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = KeyDirectory()
+        self.offset = 0
+        for address in (LOCAL, NEXT, SECOND):
+            self.put_member(address, "r")
+        self.put_member(FAR, "other")
+        self.liveness = Liveness(0.0)
+        self.liveness.watch(0.0, (NEXT, SECOND, FAR))
+        self.reports = LossReports(LOCAL, "r", self.directory, self.liveness)
+
+    def put(self, key: str, value: bytes):
+        self.offset += 1
+        self.directory.apply(Entry(self.offset, key, value))
+
+    def put_member(self, address: str, region: str):
+        member = Member("s", "d", region, "i@1", 9, TargetState.READY)
+        self.put(member_key(address), encode_member(member))
+
+    def due_at(self, now: float, *silent: str) -> str | None:
+        for address in (NEXT, SECOND, FAR):
+            if address not in silent:
+                self.liveness.record_contact(now, address)
+        return self.reports.due(now)
+
+    def test_a_silent_peer_is_reported_after_its_timeout(self):
+        self.assertIsNone(self.due_at(SAME_REGION_TIMEOUT_S - 0.1, NEXT))
+        self.assertEqual(self.due_at(SAME_REGION_TIMEOUT_S + 0.1, NEXT), NEXT)
+
+    def test_a_watcher_at_a_greater_distance_waits_longer(self):
+        now = SAME_REGION_TIMEOUT_S + 0.1
+        self.assertIsNone(self.due_at(now, SECOND))
+        self.assertEqual(self.due_at(now + DISTANCE_DELAY_S + 0.01, SECOND), SECOND)
+
+    def test_a_reported_peer_is_not_reported_again(self):
+        now = SAME_REGION_TIMEOUT_S + 0.1
+        self.due_at(now, NEXT)
+        self.put(lost_key(NEXT), b"1")
+        self.assertIsNone(self.due_at(now, NEXT))
+        self.assertTrue(self.directory.is_lost(NEXT))
+
+    def test_a_peer_that_writes_its_record_again_is_not_lost_any_more(self):
+        self.put(lost_key(NEXT), b"1")
+        self.put_member(NEXT, "r")
+        self.assertFalse(self.directory.is_lost(NEXT))
+
+    def test_a_daemon_that_is_cut_off_reports_nobody(self):
+        now = SAME_REGION_TIMEOUT_S + 4.0
+        self.assertIsNone(self.due_at(now, NEXT, SECOND, FAR))
+
+    def test_peers_of_other_regions_are_left_to_their_watchers(self):
+        self.assertIsNone(self.due_at(SAME_REGION_TIMEOUT_S + 4.0, FAR))
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -40,6 +40,7 @@
         self.directory = KeyDirectory()
         self.directory.advance_end(0)
         self.liveness = Liveness(0.0)
+        self.liveness.watch(0.0, (B, C))
         self.target_keys = TargetKeys(LOCAL, 0.0)
         balancer = RangeLoadBalancer(LOCAL, KeyLoadSampler())
         self.range_witness = RangeWitness(LOCAL, 0.0)
@@ -141,6 +142,7 @@
     def test_a_daemon_that_was_never_contacted_gets_no_share(self):
         # Its record is older than the start of this daemon; the other daemon is gone.
         self.set_member("10.0.0.4:1")
+        self.liveness.watch(self.now, (B, C, "10.0.0.4:1"))
         for _ in range(25):
             self.pass_time(0.1)
             self.assertIsNone(self.propose())
