Refuse late requests by the rate at which such get a slot

Cause: a retried request that missed the target latency waited until its deadline even when requests in time took every slot for seconds; it was held for 0.8 of its time and then refused.

Change: the queue measures how long the backlog has lasted and how many late requests got a slot; one whose estimated wait passes its deadline is refused at once or as soon as that shows, with a time to return.

Ruled out: refusing every late request under backlog (a short burst would turn away requests that are served late).

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -13,8 +13,10 @@
 import enum
 import heapq
 import itertools
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 from rhubarbhall.core.admission import ConcurrencyLimit
@@ -68,6 +70,8 @@
 #: Share of the remaining time after which the caller of such a request is asked to
 #: retry; callers wait at most a third of it.
 RETRY_AFTER_SHARE = 0.3
+#: Window over which the rate is measured at which late requests get a slot.
+LATE_RATE_WINDOW_S = 1.0
 #: Minimum time to retry after in a refusal for overload.
 MIN_RETRY_AFTER_S = 0.05
 #: Minimum remaining time for which any request is sent to the target.
@@ -193,6 +197,46 @@
         return self._mean_by_route[route] >= LONG_WORK_FACTOR * shortest
 
 
+class _LateService:
+    """Rate at which waiting requests that miss the target latency get a slot.
+
+    They get what requests in time leave over, which under lasting overload is nothing.
+    The rate tells which of them cannot be served before their deadline.
+    """
+
+    def __init__(self) -> None:
+        self._backlog_since: Seconds | None = None
+        self._sent_at: deque[Seconds] = deque()
+
+    def record_backlog(self, now: Seconds, has_backlog: bool) -> None:
+        """Record whether any request waits for a slot."""
+        if not has_backlog:
+            self._backlog_since = None
+            self._sent_at.clear()
+        elif self._backlog_since is None:
+            self._backlog_since = now
+
+    def record_sent(self, now: Seconds) -> None:
+        """Record that a request which misses the target latency got a slot."""
+        self._sent_at.append(now)
+
+    def wait_s(self, now: Seconds, ahead: int) -> Seconds:
+        """Return the estimated wait behind `ahead` such requests, in seconds.
+
+        If none got a slot lately, the backlog is expected to last for as long again as
+        it has lasted.
+        """
+        if self._backlog_since is None:
+            return 0.0
+        while self._sent_at and now - self._sent_at[0] > LATE_RATE_WINDOW_S:
+            self._sent_at.popleft()
+        backlog_s = now - self._backlog_since
+        if not self._sent_at:
+            return backlog_s
+        observed_s = min(backlog_s, LATE_RATE_WINDOW_S)
+        return (ahead + 1) * observed_s / len(self._sent_at)
+
+
 class AdmissionQueue:
     """Queues requests for the local target and limits how many run at a time.
 
@@ -230,6 +274,7 @@
         self._entry_by_ticket: dict[int, _Entry] = {}
         self._waiting_for_key: dict[int, _Entry] = {}
         self._queued = 0
+        self._late_service = _LateService()
         self._running = 0
         self._long_running = 0
         self.limit = ConcurrencyLimit(1)
@@ -320,11 +365,38 @@
         if urgency is not _Urgency.IN_TIME:
             # Requests that meet the target latency will arrive and be sent first.
             wait_s *= LATE_WAIT_FACTOR
+            wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
         needed_s = wait_s + self.durations.mean_s(request.route)
         if self._queued >= self._max_waiting() or now + needed_s > request.deadline:
-            return NotRun(ErrorKind.OVERLOADED, max(wait_s, MIN_RETRY_AFTER_S))
+            retry_after_s = min(wait_s, self._room_after_s(now, request))
+            return NotRun(ErrorKind.OVERLOADED, max(retry_after_s, MIN_RETRY_AFTER_S))
         return None
 
+    @staticmethod
+    def _room_after_s(now: Seconds, request: RoutedRequest) -> Seconds:
+        """Return the time after which the caller of a refused request may try again."""
+        return max(0.0, RETRY_AFTER_SHARE * (request.deadline - now))
+
+    def _late_wait_s(
+        self, now: Seconds, request: RoutedRequest, urgency: _Urgency
+    ) -> Seconds:
+        """Return the wait of a late request by the rate at which such get a slot."""
+        if self._running < self.limit.value:
+            return 0.0
+        position = _queue_position(request, urgency, 0)
+        ahead = sum(
+            entry.urgency is not _Urgency.IN_TIME and other[:3] <= position[:3]
+            for other, entry in self._waiting_entries()
+        )
+        return self._late_service.wait_s(now, ahead)
+
+    def _waiting_entries(self) -> Iterator[tuple[_QueuePosition, _Entry]]:
+        """Yield the requests that wait for a slot, in no particular order."""
+        for position in self._waiting:
+            entry = self._entry_by_ticket.get(position[-1])
+            if entry is not None:
+                yield position, entry
+
     def _urgency(self, now: Seconds, request: RoutedRequest) -> _Urgency:
         """Return the urgency of a request among those of equal priority."""
         wait_s = self.expected_wait_s(request, _Urgency.IN_TIME)
@@ -378,6 +450,7 @@
                 self._send(now, entry)
         for position in held_back:
             heapq.heappush(self._waiting, position)
+        self._late_service.record_backlog(now, self._queued > 0)
 
     def _demote_if_late(self, now: Seconds, entry: _Entry) -> bool:
         """Lower the urgency of a request that can no longer meet the target latency.
@@ -414,6 +487,8 @@
             self._refuse_dequeued(entry, NotRun(ErrorKind.NOT_OWNER))
             return
         entry.sent_at = now
+        if entry.urgency is not _Urgency.IN_TIME:
+            self._late_service.record_sent(now)
         self._running += 1
         self._long_running += entry.is_long
         self._target.send(entry.ticket, request, now)
@@ -546,11 +621,28 @@
             elif self._would_miss_deadline(now, entry.request):
                 self._refuse_waiting(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             elif not waits_for_key and self._has_exceeded_late_wait(now, entry):
-                remaining_s = entry.request.deadline - now
-                retry_after_s = RETRY_AFTER_SHARE * remaining_s
-                self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
+                self._refuse_overloaded(now, entry)
+        self._refuse_unservable(now)
         self.dispatch(now)
 
+    def _refuse_overloaded(self, now: Seconds, entry: _Entry) -> None:
+        retry_after_s = self._room_after_s(now, entry.request)
+        self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
+
+    def _refuse_unservable(self, now: Seconds) -> None:
+        """Refuse late requests that get no slot before their deadline, by the rate."""
+        kept = 0
+        for _, entry in sorted(self._waiting_entries(), key=itemgetter(0)):
+            is_waiting = entry.ticket in self._entry_by_ticket and entry.sent_at is None
+            if entry.urgency is _Urgency.IN_TIME or not is_waiting:
+                continue
+            wait_s = self._late_service.wait_s(now, kept)
+            needed_s = wait_s + self._min_work_s(entry.request)
+            if now + needed_s > entry.request.deadline:
+                self._refuse_overloaded(now, entry)
+            else:
+                kept += 1
+
     def _would_miss_deadline(self, now: Seconds, request: RoutedRequest) -> bool:
         """Return whether a waiting request has to be refused now.
 
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -282,6 +282,80 @@
         self.assertNotIn("low", self.sent_ids())
 
 
+class LastingOverloadTests(AdmissionQueueCase):
+    """Load pattern: for seconds, requests in time alone take all slots.
+
+    Requests that already missed the target latency get no slot then. They must be told
+    at once, and not be held until their deadline.
+    """
+
+    SLOTS = 2
+    WORK_S = 0.1
+
+    def setUp(self):
+        super().setUp()
+        self.learn("r", self.WORK_S)
+        self.ended_at: dict[str, float] = {}
+
+    def run_overload(self, length_s: float) -> None:
+        """Submit twice the capacity in time, and return in between as late retries."""
+        now, sent_at, number = 0.0, {}, 0
+        while now < length_s:
+            now = round(now + 0.01, 3)
+            if number % 5 == 0:
+                self.submit_late(now, f"late{number}")
+            if round(now * 1000) % 25 < 10:
+                self.submit(
+                    now,
+                    f"r{number}",
+                    deadline=now + 1.0,
+                    target_latency_deadline=now + 0.4,
+                )
+            number += 1
+            for request in list(self.target.sent.values()):
+                if now - sent_at.setdefault(request.id, now) >= self.WORK_S:
+                    self.finish(now, request.id)
+            self.queue.expire(now)
+            for id in self.outcomes:
+                self.ended_at.setdefault(id, now)
+
+    def submit_late(self, now: float, id: str) -> None:
+        self.began = getattr(self, "began", {}) | {id: now}
+        self.submit(
+            now,
+            id,
+            deadline=now + 0.9,
+            target_latency_deadline=now - 0.1,
+            is_retry=True,
+        )
+
+    def test_late_retries_are_refused_at_once_when_the_overload_lasts(self):
+        self.run_overload(6.0)
+        held = [
+            self.ended_at[id] - began
+            for id, began in self.began.items()
+            if began > 2.0 and isinstance(self.outcomes.get(id), NotRun)
+        ]
+        self.assertGreater(len(held), 20)
+        self.assertLess(sorted(held)[int(0.9 * len(held))], 0.25)
+
+    def test_late_retries_are_served_again_soon_after_the_overload(self):
+        self.run_overload(3.0)
+        now = 3.0
+        while self.target.sent:
+            now += self.WORK_S
+            for request in list(self.target.sent.values()):
+                self.finish(now, request.id)
+            self.queue.expire(now)
+        self.submit_late(now, "after")
+        self.assertIn("after", self.sent_ids())
+
+    def test_refused_requests_learn_when_to_return(self):
+        self.run_overload(4.0)
+        refused = [o for o in self.outcomes.values() if isinstance(o, NotRun)]
+        self.assertTrue(all(outcome.retry_after_s > 0 for outcome in refused))
+
+
 class RejectedKeyTests(AdmissionQueueCase):
     """Load pattern: the target answers that it does not hold keys it was granted."""
 
