--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from rhubarbhall.adapters.peer_frames import Pong, Push, SyncRequest, SyncResponse
+    from rhubarbhall.adapters.peer_frames import (
+        ConfigurationPush,
+        Pong,
+        Push,
+        SyncRequest,
+        SyncResponse,
+    )
     from rhubarbhall.adapters.peer_sessions import Session
     from rhubarbhall.core.traffic.requests import Load, Outcome, RoutedRequest
     from rhubarbhall.types import Address, Seconds
@@ -80,6 +86,15 @@
     def on_push(self, push: Push) -> None:
         """Handle a record that was just written."""
 
+    def on_configuration_push(self, push: ConfigurationPush) -> None:
+        """Handle an operators' configuration that a peer passes on.
+
+        Raises
+        ------
+        ValueError
+            If it cannot be decompressed; the connection is then closed.
+        """
+
     def on_renewal_request(self, owner: Address) -> bool:
         """Return whether this daemon, as a witness, renews an owner's lease."""
 
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -246,6 +246,27 @@
     limit: str = ""
 
 
+class ConfigurationPush(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Passes on an operators' configuration that has just been read.
+
+    Parameters
+    ----------
+    offset : int
+        Offset of its record in the operators' topic.
+    key : str
+        Key of its record.
+    deflated : bytes
+        Its value, compressed by zlib.
+    limit : str
+        As in `Push`.
+    """
+
+    offset: int
+    key: str
+    deflated: bytes
+    limit: str
+
+
 class RenewLease(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """Requests that the receiver, as a witness, renews the sender's lease."""
 
@@ -296,6 +317,7 @@
     | SyncRequest
     | SyncResponse
     | Push
+    | ConfigurationPush
     | ShutdownNotice
     | RenewLease
     | LeaseRenewed
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -15,8 +15,11 @@
 from errno import ECONNREFUSED
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from rhubarbhall.adapters.peer_frames import (
     Cancel,
+    ConfigurationPush,
     Forward,
     Frame,
     Hello,
@@ -439,6 +442,17 @@
             push = Push(entry, relay=False, limit=next_limit)
             self._send(self._link_by_address[address], push)
 
+    def relay_configuration(self, push: ConfigurationPush) -> None:
+        """Pass an operators' configuration on within the local region up to its limit.
+
+        The local address as the limit stands for the whole region.
+        """
+        peers = self.same_region_peers()
+        plan = relay_plan(self._local_address, peers, push.limit)
+        for address, next_limit in plan:
+            link = self._link_by_address[address]
+            self._send(link, msgspec.structs.replace(push, limit=next_limit))
+
     def _dial(self, now: Seconds, link: _Link) -> None:
         link.dialed_at = now
         link.is_shutting_down = False
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -15,6 +15,7 @@
 from rhubarbhall.adapters.peer_events import Origin, PeerEvents
 from rhubarbhall.adapters.peer_frames import (
     Cancel,
+    ConfigurationPush,
     Forward,
     Frame,
     Hello,
@@ -226,6 +227,8 @@
                 self._send(session, ReplacementVote(frame.owner, frame.at))
         elif isinstance(frame, Push):
             self._handler.on_push(frame)
+        elif isinstance(frame, ConfigurationPush):
+            self._handler.on_configuration_push(frame)
         elif isinstance(frame, SyncRequest):
             self._send(session, self._handler.on_sync_request(frame))
 
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -19,6 +19,8 @@
 #: Limit of an encoded frame and of the bytes inflated at a time; a request's largest
 #: body fits together with its headers.
 MAX_FRAME_BYTES = 72 << 20
+#: Limit of a record's value that is compressed on its own.
+MAX_VALUE_BYTES = 16 << 20
 #: Raw deflate (negative: no zlib header) with a window of 4 KiB, about ten requests.
 #: Kept small because a connection takes 43 KiB for both directions, and a daemon has
 #: two connections with each other daemon.
@@ -84,3 +86,26 @@
         if self._inflate.eof:
             raise ValueError("the compressed stream ended before its connection")
         return inflated
+
+
+def deflate_value(value: bytes) -> bytes:
+    """Return a record's value compressed by zlib, to be sent to several peers."""
+    return zlib.compress(value)
+
+
+def inflate_value(deflated: bytes) -> bytes:
+    """Return the value that `deflate_value` has compressed.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not valid or inflate to more than `MAX_VALUE_BYTES`.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(deflated, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"record cannot be inflated: {error}") from error
+    if not inflater.eof:
+        raise ValueError(f"record is cut short or over {MAX_VALUE_BYTES} bytes")
+    return value
--- a/rhubarbhall/core/ownership/peer_selection.py
+++ b/rhubarbhall/core/ownership/peer_selection.py
@@ -78,18 +78,22 @@
     region_by_address: Mapping[Address, str],
     count: int,
 ) -> bool:
-    """Return whether a daemon is among the first of its region, which read the store.
+    """Return whether a daemon reads the store on behalf of its region.
+
+    All daemons of a small region do, and the first ones of a larger one.
 
     Parameters
     ----------
     count : int
-        Number of daemons of each region that read.
+        Number of daemons of a larger region that read.
     """
-    before = sum(
-        address < local and region == local_region
+    others = [
+        address
         for address, region in region_by_address.items()
-    )
-    return before < count
+        if region == local_region and address != local
+    ]
+    before = sum(address < local for address in others)
+    return before < count or len(others) < WHOLE_REGION_SIZE
 
 
 def ring_order(local: Address, addresses: Iterable[Address]) -> list[Address]:
--- a/rhubarbhall/core/traffic/routes.py
+++ b/rhubarbhall/core/traffic/routes.py
@@ -122,24 +122,39 @@
     routes: tuple[HostRoute, ...]
     services_by_name: dict[str, ServiceRules]
     callers: CallerRules = field(default_factory=CallerRules)
-    _routes_by_host: dict[str, list[HostRoute]] = field(init=False, repr=False)
+    _routes_by_host: dict[str, dict[str, HostRoute]] = field(init=False, repr=False)
+    _longest_prefix: int = field(init=False, repr=False)
     _credits_by_route: dict[str, list[float]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
-        self._routes_by_host = defaultdict(list)
+        self._routes_by_host = defaultdict(dict)
         self._credits_by_route = {}
-        # `match` takes the first prefix that fits, so longer prefixes come first.
-        for route in sorted(self.routes, key=lambda each: -len(each.prefix)):
-            self._routes_by_host[route.host].append(route)
+        self._longest_prefix = max(
+            (len(each.prefix) for each in self.routes), default=0
+        )
+        for route in self.routes:
+            # Of two routes with the same host and prefix the first one counts.
+            self._routes_by_host[route.host].setdefault(route.prefix, route)
 
     def match(self, host: str, path: str) -> HostRoute | None:
-        """Return the route of a host with the longest prefix of a path, or None."""
+        """Return the route of a host with the longest prefix of a path, or None.
+
+        Every prefix ends with a slash, so each slash of the path is looked up, from the
+        last one on. The time does not depend on the number of routes.
+        """
         bare_host = host.lower().partition(":")[0]
-        bare_path = path.partition("?")[0]
-        for route in self._routes_by_host.get(bare_host, ()):
-            if bare_path.startswith(route.prefix):
+        route_by_prefix = self._routes_by_host.get(bare_host)
+        if route_by_prefix is None:
+            return None
+        prefix = path.partition("?")[0][: self._longest_prefix]
+        while True:
+            end = prefix.rfind("/")
+            if end < 0:
+                return None
+            route = route_by_prefix.get(prefix[: end + 1])
+            if route is not None:
                 return route
-        return None
+            prefix = prefix[:end]
 
     def choose_part(self, route: HostRoute) -> str:
         """Return the service that gets the next request of a route.
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -9,12 +9,14 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.adapters.peer_frames import (
+    ConfigurationPush,
     Pong,
     Push,
     SyncEntry,
     SyncRequest,
     SyncResponse,
 )
+from rhubarbhall.adapters.peer_stream import inflate_value
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry
@@ -114,6 +116,16 @@
             self.links.relay(push.entry, push.limit)
         self._on_directory_changed(now)
 
+    def on_configuration_push(self, push: ConfigurationPush) -> None:
+        """Apply an operators' configuration and pass it on within the region."""
+        self._advance_timers()
+        if self._knows_configuration(push.offset):
+            return
+        value = inflate_value(push.deflated)
+        # Passed on first, as it takes long to parse a large one.
+        self.links.relay_configuration(push)
+        self._apply_configuration(Entry(push.offset, push.key, value))
+
     def on_sync_request(self, ask: SyncRequest) -> SyncResponse:
         """Return the records that the requesting peer has not read yet."""
         now = self._advance_timers()
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -8,7 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from rhubarbhall.adapters.peer_frames import SyncEntry
+from rhubarbhall.adapters.peer_frames import ConfigurationPush, SyncEntry
+from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.ownership.directory import Entry
@@ -72,12 +73,28 @@
 
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
-            if entry.key == CONFIGURATION_KEY and entry.value:
-                self._apply_configuration(entry)
+            if entry.key != CONFIGURATION_KEY or not entry.value:
+                continue
+            if self._configuration_entry and not self._knows_configuration(
+                entry.offset
+            ):
+                self._push_configuration(entry)
+            self._apply_configuration(entry)
+
+    def _knows_configuration(self, offset: Offset) -> bool:
+        known = self._configuration_entry
+        return known is not None and known.offset >= offset
+
+    def _push_configuration(self, entry: Entry) -> None:
+        """Pass a configuration that was read from the store on to the region."""
+        deflated = deflate_value(entry.value)
+        push = ConfigurationPush(
+            entry.offset, entry.key, deflated, limit=self.local_address
+        )
+        self.links.relay_configuration(push)
 
     def _apply_configuration(self, entry: Entry) -> None:
-        known = self._configuration_entry
-        if known is not None and known.offset >= entry.offset:
+        if self._knows_configuration(entry.offset):
             return
         try:
             routing = parse_configuration(entry.value)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -72,7 +72,7 @@
 #: Minimum time between two reads of the directory from the store, in seconds.
 MIN_DIRECTORY_READ_INTERVAL_S = 2.0
 #: Number of daemons of each region that read the store on behalf of the others.
-READERS_PER_REGION = 3
+READERS_PER_REGION = 4
 #: Range of the directory age, in seconds, above which such a daemon reads; each check
 #: draws its limit from it at random.
 READER_MAX_AGE_RANGE_S = (2.0, 3.5)
@@ -287,6 +287,7 @@
             lambda now, sent_at, end: None,
             lambda reachable, reason: None,
             self._rng,
+            self._needs_configuration_read,
         )
 
     def _build_ports(self) -> None:
@@ -409,6 +410,10 @@
         )
         return self.read_lease.age_s(now) > self._rng.uniform(*age_range_s)
 
+    def _needs_configuration_read(self, now: Seconds) -> bool:
+        """Return whether no peer would pass on a new configuration."""
+        return self._reads_store or self._needs_directory_read(now)
+
     def _update_peers(self, now: Seconds) -> None:
         """Choose the peers to watch, if the members have changed."""
         if self.directory.member_version == self._member_version:
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
@@ -342,3 +343,17 @@
         self.assertIs(table.match("H:8080", "/a/b/c?x=/a/"), long)
         self.assertIs(table.match("h", "/a/bc"), short)
         self.assertIsNone(table.match("other", "/a/b/"))
+
+    def test_match_takes_no_longer_with_many_routes(self):
+        """Load pattern: the configuration grows by many routes of one host."""
+        part = (RoutePart("pay", 1),)
+        routes = tuple(
+            HostRoute(f"r{n}", "h", f"/a{n}/", part, True) for n in range(2000)
+        )
+        table = RoutingTable(1, routes, {})
+        self.assertEqual(table.match("h", "/a1999/" + "x/" * 5000).name, "r1999")
+        self.assertIsNone(table.match("h", "/b/" + "/" * 8000))
+        lookups = mock.Mock(wraps=table._routes_by_host["h"])
+        table._routes_by_host["h"] = lookups
+        table.match("h", "/b/c/" + "x/" * 5000)
+        self.assertLessEqual(lookups.get.call_count, len("/a1999/"))
