Count rejections that were under way once, and answer heartbeats first

Change: a rejection within the backoff of an earlier one changes nothing; requests are sent after the answer that grants their keys. Ruled out: the lease, releases under way, the order of the queue.

--- a/rhubarbhall/core/ownership/key_holdings.py
+++ b/rhubarbhall/core/ownership/key_holdings.py
@@ -90,9 +90,14 @@
         self._rejection_by_fence: dict[tuple[int, int], _Rejection] = {}
 
     def record(self, now: Seconds, span: Span) -> None:
-        """Record a rejection of a request for a key of a span."""
+        """Record a rejection of a request for a key of a span.
+
+        Requests that were under way at an earlier rejection change nothing.
+        """
         place = (span.first, span.fence)
         rejection = self._rejection_by_fence.setdefault(place, _Rejection())
+        if now < rejection.until:
+            return
         if now - rejection.until > REJECTION_MEMORY_S:
             rejection.count = 0
         backoff_s = FIRST_REJECTION_BACKOFF_S * 2 ** min(rejection.count, 10)
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -148,8 +148,11 @@
     def _answer_heartbeat(self, now: Seconds) -> None:
         """Answer the last heartbeat with a grant, unless it is answered already."""
         unanswered, self._unanswered_heartbeat = self._unanswered_heartbeat, None
-        if unanswered is not None:
-            unanswered.answer(self._grant(now, now - unanswered.arrived_at))
+        if unanswered is None:
+            return
+        unanswered.answer(self._grant(now, now - unanswered.arrived_at))
+        # Only now, so that no request overtakes the answer that grants its key.
+        self.admission_queue.on_keys_changed(now)
 
     def _answer_heartbeat_if_free(self, now: Seconds) -> None:
         """Answer the last heartbeat once the keys that it waits for are free."""
@@ -174,15 +177,13 @@
             self._request_keys(now)
             return None
         remaining_s = self.lease_remaining_s(now)
-        grant = self.target_keys.grant(
+        return self.target_keys.grant(
             now,
             self.local_table(),
             remaining_s,
             self.directory.end,
             heartbeat_age_s,
         )
-        self.admission_queue.on_keys_changed(now)
-        return grant
 
     def _request_keys(self, now: Seconds) -> None:
         """Request the grants and releases that are due from the target."""
--- a/tests/core/ownership/test_requested_holdings.py
+++ b/tests/core/ownership/test_requested_holdings.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from rhubarbhall.core.ownership.key_holdings import MAX_HOLD_S, grant_end
+from rhubarbhall.core.ownership.key_holdings import (
+    FIRST_REJECTION_BACKOFF_S,
+    MAX_HOLD_S,
+    RejectedSpans,
+    grant_end,
+)
 from rhubarbhall.core.ownership.key_table import Span
 from rhubarbhall.core.ownership.requested_holdings import (
     MAX_HEARTBEAT_AGE_S,
@@ -152,6 +157,15 @@
             now += 0.05
         self.assertLessEqual(sent, 12)
 
+    def test_rejections_of_requests_under_way_count_once(self):
+        """Load pattern: all slots work on a key when the target begins to reject it."""
+        rejected = RejectedSpans()
+        for _ in range(18):
+            rejected.record(100.0, span(0, 99))
+        after_s = FIRST_REJECTION_BACKOFF_S + 0.01
+        self.assertTrue(rejected.is_open(100.0, span(0, 99)))
+        self.assertFalse(rejected.is_open(100.0 + after_s, span(0, 99)))
+
     def test_a_rejected_range_is_granted_again(self):
         holdings = RequestedHoldings(float("-inf"))
         for request in list(holdings.due(100.0, (span(0, 99),), MAX_HOLD_S, 0.1)):
--- /dev/null
+++ b/tests/programs/test_router_target.py
@@ -0,0 +1,136 @@
+"""Answers to heartbeats: what they wait for, and what happens after them."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.target_keys import Heartbeat, TargetKeys
+from rhubarbhall.core.timers import TimerService
+from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
+from rhubarbhall.programs.router_target import GRANT_WAIT_S, TargetHandlers
+
+LOCAL, OTHER = "10.0.0.1:1", "10.0.0.2:1"
+TARGET = "10.0.0.1:9"
+
+
+class FakeDaemon(TargetHandlers):
+    """The parts of the routing daemon that handle heartbeats."""
+
+    def __init__(self):
+        self.timers = TimerService()
+        self.now = 100.0
+        self.events: list[str] = []
+        self.settings = SimpleNamespace(target_address=TARGET, service="s", drain_s=2.5)
+        self.target_keys = TargetKeys(LOCAL, 0.0)
+        self.target = SimpleNamespace(instance="")
+        self.key_requests = SimpleNamespace(instance="")
+        self.admission_queue = SimpleNamespace(
+            open=lambda slots: None,
+            on_keys_changed=lambda now: self.events.append("keys changed"),
+        )
+        self.balancer = SimpleNamespace(slots=1)
+        self.publisher = SimpleNamespace(
+            by_key=True, write_due=lambda now, member: None
+        )
+        self.directory = SimpleNamespace(end=5)
+        self.table = KeyTable.divided([Claim(LOCAL, "i@1"), Claim(OTHER, "j@1")])
+        self._unanswered_heartbeat = None
+
+    def _advance_timers(self):
+        self.timers.advance_to(self.now)
+        return self.now
+
+    def local_table(self):
+        return self.table
+
+    def lease_remaining_s(self, now):
+        return 10.0
+
+    def _local_member(self, now):
+        return None
+
+    def log_event(self, event):
+        pass
+
+
+class HeartbeatAnswerTests(unittest.TestCase):
+    def setUp(self):
+        self.daemon = FakeDaemon()
+        self.answers: list = []
+        self.sequence = 0
+
+    def beat(self):
+        self.sequence += 1
+        heartbeat = Heartbeat("i", 1, self.sequence, TargetState.READY, 8)
+
+        def answer(grant):
+            self.answers.append(grant)
+            self.daemon.events.append("answered")
+
+        received = ReceivedHeartbeat(TARGET, "s", heartbeat)
+        self.daemon.on_heartbeat(received, answer)
+
+    def granted_keys(self) -> int:
+        return sum(span.size for span in self.answers[-1].spans)
+
+    def fire_timers(self, now: float):
+        self.daemon.now = now
+        for event in list(self.daemon.timers.due(now)):
+            event.fire(now)
+
+    def move_to_local(self):
+        moved = [((40000, 40099), Claim(LOCAL, "i@1"))]
+        self.daemon.table = self.daemon.table.moved(moved)
+
+    def release(self):
+        table = self.daemon.table
+        self.daemon.table = table.released(OTHER, [(40000, 40099)], {})
+        self.daemon._answer_heartbeat_if_free(self.daemon.now)
+
+    def test_a_heartbeat_is_answered_at_once_while_no_keys_are_on_their_way(self):
+        self.beat()
+        self.assertEqual(self.granted_keys(), 32768)
+
+    def test_requests_are_sent_only_after_the_answer_that_grants_their_keys(self):
+        self.beat()
+        self.assertEqual(self.daemon.events, ["answered", "keys changed"])
+
+    def test_the_answer_waits_for_keys_that_another_target_is_to_release(self):
+        self.move_to_local()
+        self.beat()
+        self.assertEqual(self.answers, [])
+        self.daemon.now += 0.2
+        self.release()
+        self.assertEqual(self.granted_keys(), 32768 + 100)
+
+    def test_the_wait_ends_before_the_target_gives_up_on_the_answer(self):
+        self.move_to_local()
+        self.beat()
+        self.fire_timers(100.0 + GRANT_WAIT_S + 0.01)
+        self.assertEqual(self.granted_keys(), 32768)
+
+    def test_each_heartbeat_gets_one_answer(self):
+        self.move_to_local()
+        self.beat()
+        self.beat()
+        self.assertEqual(len(self.answers), 1)
+        self.release()
+        self.fire_timers(100.0 + GRANT_WAIT_S + 0.01)
+        self.assertEqual(len(self.answers), 2)
+
+    def test_a_grant_counts_from_the_heartbeat_and_not_from_its_answer(self):
+        self.move_to_local()
+        self.beat()
+        self.fire_timers(100.0 + GRANT_WAIT_S + 0.01)
+        keys = self.daemon.target_keys
+        self.assertTrue(keys.may_work_on(100.0 + 2.9, 5))
+        self.assertFalse(keys.may_work_on(100.0 + 3.1, 5))
+
+    def test_a_heartbeat_of_another_target_gets_no_keys(self):
+        heartbeat = Heartbeat("x", 1, 1, TargetState.READY, 8)
+        received = ReceivedHeartbeat("10.0.0.9:9", "s", heartbeat)
+        self.daemon.on_heartbeat(received, self.answers.append)
+        self.assertEqual(self.answers, [None])
