Bound bytes that are no answer, in a head as in a body

Cause: the parser reports a header, a chunk extension or a trailer only when it ends, so one without end was never counted and grew in memory until the deadline closed the connection; bytes on an idle connection to the target were collected up to 64 MB.

Change: each reader counts the bytes since the parser last reported anything and gives up at the limit of the headers; any byte on an idle connection to the target closes it; an answer of the target is at most 8 MB; numbers in headers are digits 0 to 9 of bounded length (a Keep-Alive of '2' in superscript raised).

--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -38,9 +38,13 @@
     def __init__(self, max_head: int, max_body: int) -> None:
         self._max_head = max_head
         self._max_body = max_body
+        #: Bytes since the parser last reported anything: it keeps a header, a chunk
+        #: extension or a trailer without end to itself.
+        self._unreported_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
+        self._unreported_bytes = 0
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._header_bytes = 0
@@ -53,6 +57,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header."""
+        self._unreported_bytes = 0
         self._count_header_bytes(len(name) + len(value) + 4)
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -63,6 +68,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
+        self._unreported_bytes = 0
         self._body += data
         if len(self._body) > self._max_body:
             raise WireError(self.body_error)
@@ -72,11 +78,14 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes, which may end in the middle of a message.
 
+        Bytes without end that belong to no message exceed the limit of the headers.
+
         Raises
         ------
         WireError
             If the bytes are not valid HTTP/1.1 or exceed a limit.
         """
+        self._unreported_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -88,6 +97,8 @@
             raise
         except httptools.HttpParserError as error:
             raise WireError(ErrorKind.MALFORMED_REQUEST) from error
+        if self._unreported_bytes > self._max_head:
+            raise WireError(ErrorKind.HEADERS_TOO_LARGE)
 
 
 class ParsedRequest:
--- a/rhubarbhall/platform/ingress.py
+++ b/rhubarbhall/platform/ingress.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
@@ -45,9 +46,13 @@
 _SERVICE_UNAVAILABLE = int(HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+#: Whole numbers of the platform's headers; longer ones are above every limit.
+_NUMBER = re.compile(r"[0-9]{1,12}")
+
+
 def _parse_number(text: str | None, limit: int) -> int | None:
     """Return a whole number from 0 to below a limit; none for any other text."""
-    if text is None or not text.isascii() or not text.isdigit():
+    if text is None or not _NUMBER.fullmatch(text):
         return None
     number = int(text)
     return number if number < limit else None
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -34,7 +35,7 @@
 
 #: Limits on the head and the whole of an answer, in bytes.
 MAX_HEAD_BYTES = 64 * 1024
-MAX_ANSWER_BYTES = 64 << 20
+MAX_ANSWER_BYTES = 8 << 20
 #: Timeout for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.5
 #: Idle timeout of a connection, in seconds, if the target does not report its own.
@@ -65,6 +66,10 @@
     idle_s: Seconds = IDLE_TIMEOUT_S
 
 
+#: Whole seconds in a header; longer numbers than any timeout are not read.
+_SECONDS = re.compile(r"[0-9]{1,6}")
+
+
 def _header(response: Response, wanted: str) -> str | None:
     for name, value in response.headers:
         if name.lower() == wanted.lower():
@@ -77,7 +82,7 @@
     text = _header(response, _KEEP_ALIVE) or ""
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _SECONDS.fullmatch(value):
             return float(value)
     return None
 
@@ -217,6 +222,10 @@
         connection = self._connection_by_sock.get(sock)
         if connection is None:
             return
+        if connection.exchange is None:
+            # No request waits, so the bytes are no answer, whatever they are.
+            self.drop(sock)
+            return
         try:
             connection.reader.feed(data)
         except WireError:
--- a/tests/core/ownership/test_peer_selection.py
+++ b/tests/core/ownership/test_peer_selection.py
@@ -9,6 +9,7 @@
 from rhubarbhall.core.ownership.peer_selection import (
     REMOTE_CONTACTS,
     WHOLE_REGION_SIZE,
+    RelayedLimits,
     is_reader,
     relay_plan,
     watched_peers,
@@ -114,3 +115,41 @@
         expected = list(relay_plan("10.0.0.1:1", linked, "10.0.0.1:1"))
         random.Random(1).shuffle(linked)
         self.assertEqual(list(relay_plan("10.0.0.1:1", linked, "10.0.0.1:1")), expected)
+
+
+class RelayedLimitTests(unittest.TestCase):
+    """Two readers pass on one configuration, each along its own tree."""
+
+    def setUp(self):
+        self.relayed = RelayedLimits("10.0.0.5:1")
+
+    def test_a_record_is_passed_on_again_only_for_more_of_the_ring(self):
+        self.assertTrue(self.relayed.extend("config", 7, "10.0.0.7:1"))
+        self.assertFalse(self.relayed.extend("config", 7, "10.0.0.6:1"))
+        self.assertTrue(self.relayed.extend("config", 7, "10.0.0.9:1"))
+        self.assertTrue(self.relayed.extend("config", 7, "10.0.0.2:1"))
+        self.assertTrue(self.relayed.extend("config", 7, "10.0.0.5:1"))
+        self.assertFalse(self.relayed.extend("config", 7, "10.0.0.2:1"))
+
+    def test_a_newer_record_is_passed_on_and_an_older_one_is_not(self):
+        self.relayed.extend("config", 7, "10.0.0.5:1")
+        self.assertTrue(self.relayed.extend("config", 8, "10.0.0.6:1"))
+        self.assertFalse(self.relayed.extend("config", 7, "10.0.0.5:1"))
+
+    def test_two_trees_at_once_reach_every_daemon(self):
+        region_by_address = fleet(65, 1)
+        by_all = watched_by_all(region_by_address)
+        ring = sorted(region_by_address)
+        for seed in range(30):
+            rng = random.Random(seed)
+            origins = rng.sample(ring, 2)
+            relayed = {address: RelayedLimits(address) for address in ring}
+            waiting = [(origin, origin) for origin in origins]
+            reached = set(origins)
+            while waiting:
+                address, limit = waiting.pop(rng.randrange(len(waiting)))
+                reached.add(address)
+                if relayed[address].extend("config", 1, limit):
+                    waiting += relay_plan(address, by_all[address], limit)
+            with self.subTest(seed=seed):
+                self.assertEqual(reached, set(ring))
