Let requests go to a daemon as soon as its record is known

Cause: the members that links may lead to were set every 0.5 s, so a request for a key of a daemon that had just joined was refused in between. Shown by GrantsByRequestTests.test_every_key_reaches_its_owner_from_every_vm, which failed twice beside load (keys are granted sooner there, so the routers are younger when the test begins). Change: links follow each change of the members; only the choice of watched peers is made at intervals. After: three runs of that test beside load without a failure.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -11,7 +11,6 @@
 
 import itertools
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, field
 from errno import ECONNREFUSED
 from typing import TYPE_CHECKING
 
@@ -38,6 +37,7 @@
     SyncRequest,
     SyncResponse,
 )
+from rhubarbhall.adapters.peer_link import PeerLink
 from rhubarbhall.adapters.peer_outcomes import (
     decode_outcome,
     encode_key,
@@ -91,95 +91,6 @@
 _MS_PER_S = 1000
 
 
-@dataclass(slots=True)
-class _Link:
-    """The link to one peer: its connection, dialled again whenever it ends.
-
-    Parameters
-    ----------
-    address : str
-        Address of the peer.
-    same_region : bool
-        Whether the peer is in the local region.
-    first_dialed_at : float, optional
-        When the first attempt to connect began.
-    has_been_open : bool
-        Whether a connection to the peer was ever established.
-    region : str
-        Region of the peer.
-    round_trip_s : float
-        Last measured or assumed round trip.
-    sock : socket, optional
-        The present connection, established or not.
-    is_open : bool
-        Whether the present connection is established.
-    is_shutting_down : bool
-        Whether the peer has announced its shutdown on the present connection.
-    reader, writer : FrameReader, FrameWriter
-        Codec of the present connection.
-    ticket_by_number : dict of int to int
-        Requests that await their outcome, by their number on the link.
-    number_by_ticket : dict of int to int
-        The reverse of `ticket_by_number`.
-    broken_at : float, optional
-        When the last connection ended, while requests on it may still be resumed.
-    dialed_at : float
-        When the last attempt to connect began.
-    last_used_at : float
-        When the link was last needed.
-    is_kept : bool
-        Whether the peer is watched, so that the link is kept open and pinged.
-    last_contact_at : float
-        When bytes were last received or a connection was last established.
-    pinged_at : float, optional
-        When the ping was sent that has no answer yet.
-    ping_number : int
-        Number of the last ping.
-    sync_requested_at : float
-        When records of the store were last requested.
-    renewal_number : int
-        Number of the last request for renewal.
-    renewal_requested_at : dict of int to float
-        When the renewals were requested that have not been received, by number.
-    """
-
-    address: Address
-    same_region: bool
-    first_dialed_at: Seconds | None = None
-    has_been_open: bool = False
-    region: str = ""
-    round_trip_s: Seconds = 0.0
-    sock: socket.socket | None = None
-    is_open: bool = False
-    is_shutting_down: bool = False
-    reader: FrameReader = field(default_factory=FrameReader)
-    writer: FrameWriter = field(default_factory=FrameWriter)
-    ticket_by_number: dict[int, int] = field(default_factory=dict)
-    number_by_ticket: dict[int, int] = field(default_factory=dict)
-    broken_at: Seconds | None = None
-    dialed_at: Seconds = float("-inf")
-    last_used_at: Seconds = float("-inf")
-    is_kept: bool = False
-    last_contact_at: Seconds = float("-inf")
-    pinged_at: Seconds | None = None
-    ping_number: int = 0
-    sync_requested_at: Seconds = float("-inf")
-    renewal_number: int = 0
-    renewal_requested_at: dict[int, Seconds] = field(default_factory=dict)
-
-    def add(self, number: int, ticket: int) -> None:
-        """Record a request that is sent."""
-        self.ticket_by_number[number] = ticket
-        self.number_by_ticket[ticket] = number
-
-    def pop_ticket(self, number: int) -> int | None:
-        """Forget a request and return its ticket; None if it is not awaited."""
-        ticket = self.ticket_by_number.pop(number, None)
-        if ticket is not None:
-            del self.number_by_ticket[ticket]
-        return ticket
-
-
 class _Dialer(Connector):
     """Opens connections and passes their bytes and their end to `PeerLinks`."""
 
@@ -239,8 +150,8 @@
         self.dialer = _Dialer(f"links-{local_address}", self)
         self._region = ""
         self._region_by_address: Mapping[Address, str] = {}
-        self._link_by_address: dict[Address, _Link] = {}
-        self._link_by_sock: dict[socket.socket, _Link] = {}
+        self._link_by_address: dict[Address, PeerLink] = {}
+        self._link_by_sock: dict[socket.socket, PeerLink] = {}
         self.rejected = 0
 
     # Peers
@@ -264,7 +175,7 @@
         for address, link in self._link_by_address.items():
             self._set_region(link, region_by_address[address])
 
-    def _set_region(self, link: _Link, region: str) -> None:
+    def _set_region(self, link: PeerLink, region: str) -> None:
         link.region, link.same_region = region, region == self._region
         link.round_trip_s = link.round_trip_s or (
             LOCAL_REGION_ROUND_TRIP_S
@@ -272,7 +183,7 @@
             else REMOTE_REGION_ROUND_TRIP_S
         )
 
-    def _remove(self, link: _Link) -> None:
+    def _remove(self, link: PeerLink) -> None:
         del self._link_by_address[link.address]
         if link.sock is not None:
             self.dialer.drop(link.sock)
@@ -290,16 +201,16 @@
                 link.is_kept = True
                 self._open_link_to(address)
 
-    def _link_to(self, address: Address) -> _Link | None:
+    def _link_to(self, address: Address) -> PeerLink | None:
         """Return the link to a daemon, created if needed; None if it is unknown."""
         link = self._link_by_address.get(address)
         if link is None and address in self._region_by_address:
-            link = _Link(address, same_region=False)
+            link = PeerLink(address, same_region=False)
             self._set_region(link, self._region_by_address[address])
             self._link_by_address[address] = link
         return link
 
-    def _open_link_to(self, address: Address) -> _Link | None:
+    def _open_link_to(self, address: Address) -> PeerLink | None:
         """Return the link to a daemon if it is open; begin to open it otherwise."""
         link = self._link_to(address)
         if link is None:
@@ -342,12 +253,12 @@
                 self._check_open_link(now, link)
 
     @staticmethod
-    def _is_idle(now: Seconds, link: _Link) -> bool:
+    def _is_idle(now: Seconds, link: PeerLink) -> bool:
         if link.is_kept or link.ticket_by_number:
             return False
         return now - link.last_used_at > LINK_IDLE_TIMEOUT_S
 
-    def _check_open_link(self, now: Seconds, link: _Link) -> None:
+    def _check_open_link(self, now: Seconds, link: PeerLink) -> None:
         if link.pinged_at is not None:
             bound = (
                 LOCAL_REGION_PONG_TIMEOUT_S
@@ -388,7 +299,7 @@
         if link is not None and link.pinged_at is None:
             self._ping(link)
 
-    def _ping(self, link: _Link) -> None:
+    def _ping(self, link: PeerLink) -> None:
         link.ping_number += 1
         link.pinged_at = self._clock()
         self._send(link, Ping(link.ping_number))
@@ -460,7 +371,7 @@
             link = self._link_by_address[address]
             self._send(link, msgspec.structs.replace(push, limit=next_limit))
 
-    def _dial(self, now: Seconds, link: _Link) -> None:
+    def _dial(self, now: Seconds, link: PeerLink) -> None:
         link.dialed_at = now
         if link.first_dialed_at is None:
             link.first_dialed_at = now
@@ -477,7 +388,7 @@
             return
         self._link_by_sock[link.sock] = link
 
-    def _opened(self, link: _Link) -> None:
+    def _opened(self, link: PeerLink) -> None:
         link.is_open = link.has_been_open = True
         now = self._clock()
         link.last_contact_at = now
@@ -487,7 +398,7 @@
         self._handler.on_contact(link.address)
         self._handler.on_link_changed(link.address, True)
 
-    def _send(self, link: _Link, frame: Frame) -> None:
+    def _send(self, link: PeerLink, frame: Frame) -> None:
         self.dialer.send(link.sock, link.writer.encode(frame))
 
     # Requests to peers
@@ -602,7 +513,7 @@
             self.rejected += 1
             self.dialer.drop(sock)
 
-    def _on_frame(self, link: _Link, frame: Frame) -> None:
+    def _on_frame(self, link: PeerLink, frame: Frame) -> None:
         if isinstance(frame, Reply | RequestFailed):
             self._on_outcome_frame(link, frame)
         elif isinstance(frame, Pong):
@@ -621,14 +532,14 @@
         elif isinstance(frame, SyncResponse):
             self._handler.on_sync_response(link.address, link.sync_requested_at, frame)
 
-    def _on_pong(self, link: _Link, pong: Pong) -> None:
+    def _on_pong(self, link: PeerLink, pong: Pong) -> None:
         if link.pinged_at is None or pong.number != link.ping_number:
             return
         sent_at, link.pinged_at = link.pinged_at, None
         link.round_trip_s = min(MAX_ROUND_TRIP_S, self._clock() - sent_at)
         self._handler.on_pong(link.address, sent_at, pong)
 
-    def _on_outcome_frame(self, link: _Link, frame: Reply | RequestFailed) -> None:
+    def _on_outcome_frame(self, link: PeerLink, frame: Reply | RequestFailed) -> None:
         # Decoded first: an invalid frame must not count as the outcome of its request.
         outcome = decode_outcome(frame)
         ticket = link.pop_ticket(frame.number)
@@ -665,7 +576,7 @@
             if link.is_kept or link.ticket_by_number:
                 self._dial(self._clock(), link)
 
-    def _abandon_requests(self, link: _Link) -> None:
+    def _abandon_requests(self, link: PeerLink) -> None:
         """Report the outcomes of the requests on an ended connection as unknown."""
         link.broken_at = None
         for number in list(link.ticket_by_number):
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -43,6 +43,7 @@
             self.log_event(LogEvent(112, fields))
 
     def _on_directory_changed(self, now: Seconds) -> None:
+        self._update_members()
         self._request_keys(now)
         self._answer_heartbeat_if_free(now)
         self.admission_queue.on_keys_changed(now)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -175,6 +175,8 @@
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
         self._member_version = 0
+        self._watched_version = 0
+        self._region_by_address: dict[Address, str] = {}
         self._reads_store = True
         self._load_peers: list[Address] = []
         self._load_peers_chosen_at: Seconds = float("-inf")
@@ -351,7 +353,7 @@
             (SWEEP_INTERVAL_S, self._sweep),
             (SETTINGS_CHECK_INTERVAL_S, self._check_settings),
             (PEER_PING_INTERVAL_S, self._ping_nearby_peer),
-            (PEER_UPDATE_INTERVAL_S, self._update_peers),
+            (PEER_UPDATE_INTERVAL_S, self._update_watched_peers),
             (RENEWAL_INTERVAL_S, self._request_renewals),
         ):
             self.timers.every(
@@ -426,22 +428,29 @@
         """Return whether no peer would pass on a new configuration."""
         return self._reads_store or self._needs_directory_read(now)
 
-    def _update_peers(self, now: Seconds) -> None:
-        """Choose the peers to watch, if the members have changed."""
+    def _update_members(self) -> None:
+        """Let requests go to the daemons that the directory names now."""
         if self.directory.member_version == self._member_version:
             return
         self._member_version = self.directory.member_version
-        region = self.settings.region
-        region_by_address = {
+        self._region_by_address = {
             address: member.region
             for address, member in self.directory.member_by_address.items()
             if address != self.local_address
         }
-        self.links.set_members(region, region_by_address)
-        self.links.keep(watched_peers(self.local_address, region, region_by_address))
-        self._reads_store = is_reader(
-            self.local_address, region, region_by_address, READERS_PER_REGION
-        )
+        self.links.set_members(self.settings.region, self._region_by_address)
+
+    def _update_watched_peers(self, now: Seconds) -> None:
+        """Choose the peers to watch, if the members have changed.
+
+        This is done at intervals, as many daemons may join at the same time.
+        """
+        if self._watched_version == self._member_version:
+            return
+        self._watched_version = self._member_version
+        known = (self.local_address, self.settings.region, self._region_by_address)
+        self.links.keep(watched_peers(*known))
+        self._reads_store = is_reader(*known, READERS_PER_REGION)
 
     def _request_loads(self, now: Seconds) -> None:
         """Ping some of the other owners for their load while the local target is busy.
