--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -33,6 +33,7 @@
     wait_in_force,
 )
 from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
+from rhubarbhall.programs.outcome_summary import summarize, summary_rows
 from rhubarbhall.programs.store_view import StoreView, member_rows, owner_rows
 from rhubarbhall.programs.text_tables import text_table
 from rhubarbhall.programs.trace import explain, find_lines, format_trace
@@ -387,6 +388,22 @@
     return 0
 
 
+@command.command()
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+def outcomes(logs: tuple[Any, ...]) -> int:
+    """Sum the outcomes in the LOGS of several routers, or in standard input.
+
+    Lines about answers to ordinary requests may be dropped under load, so the counts of
+    answers are lower bounds.
+    """
+    rows = summarize(itertools.chain(*(logs or (sys.stdin,))))
+    if not rows:
+        raise click.ClickException("no log line reports the outcome of a request")
+    header = ("ROUTE", "OUTCOME", "REASON", "COUNT", "P50 S", "P90 S")
+    click.echo(text_table(header, list(summary_rows(rows))))
+    return 0
+
+
 @command.command("explain")
 @click.argument("word")
 def explain_word(word: str) -> None:
--- a/rhubarbhall/programs/trace.py
+++ b/rhubarbhall/programs/trace.py
@@ -37,7 +37,7 @@
     fields: dict[str, Any]
 
 
-def _parsed(line: str) -> dict[str, Any] | None:
+def parse_line(line: str) -> dict[str, Any] | None:
     """Return the JSON message of a line; none if there is none.
 
     Log collectors may put text in front of it.
@@ -60,7 +60,7 @@
     for line in lines:
         if request_id not in line:
             continue
-        message = _parsed(line)
+        message = parse_line(line)
         if message is None or not isinstance(message.get("request"), str):
             continue
         logged_id = message["request"]
