--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -454,17 +454,21 @@
         return True
 
     def opens_soon(self, now: Seconds, address: Address) -> bool:
-        """Return whether the first connection to a daemon is still being established.
+        """Return whether a connection to a daemon is likely to be established soon.
 
-        The attempt begins with the first call at the latest. True within
-        `FIRST_CONNECT_GRACE_S` after its begin, unless it has failed.
+        True within `FIRST_CONNECT_GRACE_S` after the begin of the first attempt, which
+        this call makes if necessary, and within `RESUME_TIMEOUT_S` after a connection
+        has broken. False once an attempt has failed.
         """
         link = self._link_to(address)
-        if link is None or link.has_been_open:
+        if link is None or self._open_link_to(address) is not None:
             return False
-        self._open_link_to(address)
-        is_recent = now - link.first_dialed_at < FIRST_CONNECT_GRACE_S
-        return link.sock is not None and is_recent
+        if link.sock is None:
+            return False
+        if link.has_been_open:
+            broken_at = link.broken_at
+            return broken_at is not None and now - broken_at < RESUME_TIMEOUT_S
+        return now - link.first_dialed_at < FIRST_CONNECT_GRACE_S
 
     def cancel(self, address: Address, ticket: int) -> None:
         """Cancel a request that was sent to a daemon; its outcome is not reported."""
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -14,6 +14,7 @@
 from rhubarbhall.adapters.peer_frames import RequestFailed
 from rhubarbhall.adapters.peer_links import (
     CHECK_INTERVAL_S,
+    LINK_IDLE_TIMEOUT_S,
     RESUME_TIMEOUT_S,
     PeerLinks,
 )
@@ -203,6 +204,62 @@
         return self.sender.outcomes.get(ticket, [])
 
 
+class OpensSoonTests(ResumeCase):
+    """Requests for a peer whose connection was just reset."""
+
+    def test_a_connection_that_was_just_reset_opens_soon(self):
+        self.assertFalse(self.links.opens_soon(self.now, RECEIVER))
+        self.cut()
+        self.assertTrue(self.links.opens_soon(self.now, RECEIVER))
+        self.connect()
+        self.assertFalse(self.links.opens_soon(self.now, RECEIVER))
+        self.assertTrue(self.forward(1))
+
+    def test_it_does_not_once_no_process_listens_there(self):
+        self.cut()
+        wire, _ = self.links.dialer.pending.pop()
+        self.links.connection_closed(wire, True)
+        self.assertFalse(self.links.opens_soon(self.now, RECEIVER))
+
+    def test_it_does_not_when_the_peer_stays_silent(self):
+        self.cut()
+        self.pass_time(RESUME_TIMEOUT_S + CHECK_INTERVAL_S)
+        self.assertFalse(self.links.opens_soon(self.now, RECEIVER))
+
+
+class OnDemandTests(ResumeCase):
+    """Links with peers that are not watched."""
+
+    def setUp(self):
+        super().setUp()
+        self.links.keep(set())
+
+    def test_an_idle_link_is_closed_and_opened_again_for_a_request(self):
+        self.pass_time(LINK_IDLE_TIMEOUT_S + CHECK_INTERVAL_S)
+        self.assertFalse(self.wire.is_open)
+        self.assertTrue(self.links.opens_soon(self.now, RECEIVER))
+        self.connect()
+        self.assertTrue(self.forward(1))
+        self.deliver()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+
+    def test_a_peer_with_a_request_under_way_is_awaited(self):
+        self.forward(1)
+        self.assertEqual(self.links.awaited_peers(), [RECEIVER])
+        self.deliver()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.links.awaited_peers(), [])
+
+    def test_an_idle_link_is_not_pinged_and_its_silence_means_nothing(self):
+        self.deliver()
+        self.pass_time(5.0)
+        self.assertEqual(self.wire.to_receiver, [])
+        self.assertEqual(self.links.awaited_peers(), [])
+
+
 class ResumeTests(ResumeCase):
     def test_a_request_continues_over_the_next_connection(self):
         self.forward(1)
