--- a/rhubarbhall/core/traffic/queue_estimates.py
+++ b/rhubarbhall/core/traffic/queue_estimates.py
@@ -1,4 +1,4 @@
-"""What the admission queue expects: durations of routes, and waits of late requests."""
+"""Durations of routes, and waits of requests that miss the target latency."""
 
 from __future__ import annotations
 
