--- a/rhubarbhall/core/ownership/key_holdings.py
+++ b/rhubarbhall/core/ownership/key_holdings.py
@@ -1,8 +1,9 @@
 """What the local target may hold of the keys, by the way in which it takes grants.
 
-A target takes keys either from the answers to its heartbeats (`HeartbeatHoldings`) or
-from requests of the daemon (`rhubarbhall.core.ownership.requested_holdings`). Which
-keys it is to hold does not depend on the way.
+A target takes keys in one of two ways: in the answers to its heartbeats
+(`HeartbeatHoldings`), or by requests that the daemon sends to it
+(`rhubarbhall.core.ownership.requested_holdings`). Which keys it is to hold does not
+depend on the way.
 """
 
 from __future__ import annotations
--- a/rhubarbhall/core/ownership/requested_holdings.py
+++ b/rhubarbhall/core/ownership/requested_holdings.py
@@ -27,8 +27,9 @@
 
 #: Time between two renewals of a grant, in seconds: three fit into the longest grant.
 RENEWAL_INTERVAL_S = 0.9
-#: Age of the last heartbeat up to which a grant is sent. After a longer silence another
-#: run of the target may listen at the address, and the fences are those of this run.
+#: Age of the last heartbeat, in seconds, up to which a grant is sent: two intervals and
+#: a margin. After a longer silence a new run of the target may listen at the address,
+#: and it must not get the fences of the run before.
 MAX_HEARTBEAT_AGE_S = 2.0
 #: Time until a request that failed is sent again, in seconds.
 RETRY_DELAY_S = 0.3
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -274,7 +274,7 @@
     def _late_wait_s(
         self, now: Seconds, request: RoutedRequest, urgency: _Urgency
     ) -> Seconds:
-        """Return the wait of a late request by the rate at which such get a slot."""
+        """Return the estimated wait of a request that misses the target latency."""
         if self._running < self.limit.value:
             return 0.0
         position = _queue_position(request, urgency, 0)
@@ -524,7 +524,10 @@
         self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
 
     def _refuse_unservable(self, now: Seconds) -> None:
-        """Refuse late requests that get no slot before their deadline, by the rate."""
+        """Refuse late requests that are estimated to get no slot in time.
+
+        The estimate is that of `LateService`; time for the work must remain.
+        """
         kept = 0
         for _, entry in sorted(self._waiting_entries(), key=itemgetter(0)):
             is_waiting = entry.ticket in self._entry_by_ticket and entry.sent_at is None
--- a/rhubarbhall/core/traffic/queue_estimates.py
+++ b/rhubarbhall/core/traffic/queue_estimates.py
@@ -21,7 +21,7 @@
 MAX_COUNTED_REQUESTS = 400
 #: Time within which most backlogs end: a burst passes, or keys are moved away.
 RELIEF_TIME_S = 1.5
-#: Window over which the rate is measured at which late requests get a slot.
+#: Window of the rate at which requests that miss the target latency get a slot.
 LATE_RATE_WINDOW_S = 1.0
 
 
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -33,7 +33,8 @@
     from rhubarbhall.core.requests import Response
     from rhubarbhall.types import Address, Seconds
 
-#: Limits on the head and the whole of an answer, in bytes.
+#: Limits on the head and the whole of an answer, in bytes. The second is low enough
+#: that answers on all slots at the same time fit into the memory of a small VM.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 8 << 20
 #: Timeout for opening a connection, in seconds.
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -126,7 +126,7 @@
             self.read_lease.confirm(asked_at - pong.age_ms / 1000)
 
     def _lacks_records(self, now: Seconds, pong: Pong, configuration: Offset) -> bool:
-        """Return whether records that a peer has do not reach this daemon by pushes.
+        """Return whether records of a peer are missing here and have to be requested.
 
         A record takes a moment from its writer to all daemons, so a peer that is ahead
         counts only once this daemon has learned nothing for `PUSH_GRACE_S`. The two
