Log what a stopped router leaves, and part its stop from the daemon

Event 314 told how many callers' requests had no outcome when a router exited, but not whether requests waited for the local target or ran there, which is what tells a request that was cut needlessly from one that its target still worked on. It now has the running and waiting requests of the local queue as well.

--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -115,7 +115,11 @@
     313: LogEventSpec(
         "stop_begun", "The router was requested to stop.", ("in_flight",)
     ),
-    314: LogEventSpec("stop_ended", "The router exits.", ("in_flight",)),
+    314: LogEventSpec(
+        "stop_ended",
+        "The router exits; the requests counted have no outcome yet.",
+        ("in_flight", "running", "waiting"),
+    ),
     401: LogEventSpec("intent_in_force", "A new intent is in force.", ("version",)),
     402: LogEventSpec(
         "record_void",
--- /dev/null
+++ b/rhubarbhall/core/traffic/shutdown.py
@@ -0,0 +1,50 @@
+"""When a stopping router takes each step, from the stop signal to its exit."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Seconds
+
+#: Time after a stop signal for which requests are still accepted, in seconds. By then
+#: the platform has polled readiness twice and sends no more requests.
+ACCEPTING_S = 2.4
+#: Time before the end of `ACCEPTING_S` at which the other daemons are asked to send no
+#: more requests, in seconds.
+NOTICE_LEAD_S = 0.5
+#: Time before the end of the grace period at which requests that are still in flight
+#: get their outcome, in seconds.
+LAST_OUTCOMES_MARGIN_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """The times of a planned stop, on the local clock, in seconds.
+
+    Parameters
+    ----------
+    requested_at : float
+        Time of the stop signal.
+    grace_s : float
+        Time after the signal at which the platform kills the process.
+    """
+
+    requested_at: Seconds
+    grace_s: Seconds
+
+    @property
+    def notice_at(self) -> Seconds:
+        """Time at which the other daemons are asked to send no more requests."""
+        return self.accepting_until - NOTICE_LEAD_S
+
+    @property
+    def accepting_until(self) -> Seconds:
+        """Time until which callers may open connections."""
+        return self.requested_at + ACCEPTING_S
+
+    @property
+    def last_outcomes_at(self) -> Seconds:
+        """Time at which every request that is still in flight gets an outcome."""
+        return self.requested_at + self.grace_s - LAST_OUTCOMES_MARGIN_S
--- /dev/null
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -0,0 +1,93 @@
+"""Handlers for changed settings and for the planned stop of a router."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from rhubarbhall.core.commands import LogEvent
+from rhubarbhall.core.errors import ConfigurationError
+from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
+from rhubarbhall.platform.settings import read_settings
+
+if TYPE_CHECKING:
+    from rhubarbhall.types import Seconds
+
+#: Time between two checks whether the settings file has changed, in seconds.
+SETTINGS_CHECK_INTERVAL_S = 1.0
+
+
+def file_version(path: Path) -> tuple[int, int] | None:
+    """Return the modification time (ns) and size of a file; none if it is missing."""
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
+class ShutdownHandlers:
+    """Handles settings and stop signals; a mix-in of `RoutingDaemon`, on its fields."""
+
+    def _check_settings(self, now: Seconds) -> None:
+        if file_version(self._settings_path) != self._settings_version:
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again; if they have changed, stop so that they take effect.
+
+        A file that cannot be read or is invalid is logged and otherwise ignored.
+        """
+        self._settings_version = file_version(self._settings_path)
+        try:
+            settings = read_settings(self._settings_path)
+        except ConfigurationError as error:
+            self.log_event(LogEvent(415, {"reason": str(error)}))
+            return
+        changed = settings != self.settings
+        self.log_event(LogEvent(414, {"changed": changed}))
+        if changed:
+            # The ports, the target and the service are fixed at construction. The
+            # platform restarts the process, which then reads the settings again.
+            self.request_stop()
+
+    def request_stop(self) -> None:
+        """Start to drain the daemon and then exit; a second call has no effect."""
+        if self.shutdown is None:
+            now = self._advance_timers()
+            self.shutdown = ShutdownSchedule(now, self.settings.grace_s)
+            self.log_event(LogEvent(313, {"in_flight": self.request_router.in_flight}))
+
+    def _check_stop(self, now: Seconds) -> None:
+        shutdown = self.shutdown
+        if now >= shutdown.notice_at and not self._shutdown_announced:
+            self._shutdown_announced = True
+            self.sessions.announce_shutdown()
+        if now < shutdown.accepting_until:
+            return
+        if not self.callers.draining:
+            self.callers.draining = True
+            self.callers.stop_listening()
+        self.callers.close_idle()
+        if self._has_no_work() or now > shutdown.last_outcomes_at:
+            self._end()
+
+    def _has_no_work(self) -> bool:
+        """Return whether nobody waits for an answer of this daemon any more."""
+        return (
+            not self.request_router.in_flight
+            and self.admission_queue.is_idle
+            and not self.callers.connections
+        )
+
+    def _end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            load = self.admission_queue.load
+            fields = {
+                "in_flight": self.request_router.in_flight,
+                "running": load.running,
+                "waiting": load.waiting,
+            }
+            self.log_event(LogEvent(314, fields))
+            self._on_exit()
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -23,7 +23,7 @@
 from rhubarbhall.adapters.peer_sessions import PeerSessions
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
-from rhubarbhall.core.errors import ConfigurationError, ErrorKind
+from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
@@ -55,13 +55,18 @@
 from rhubarbhall.platform.ingress import CallerSink, ReadinessSink
 from rhubarbhall.platform.key_requests import KeyRequestClient
 from rhubarbhall.platform.names import OPERATOR_TOPIC
-from rhubarbhall.platform.settings import PlatformSettings, read_settings
+from rhubarbhall.platform.settings import PlatformSettings
 from rhubarbhall.platform.store import LogStore
 from rhubarbhall.platform.target import HttpTargetClient
 from rhubarbhall.programs.request_log import RouterRequestLog
 from rhubarbhall.programs.router_dump import dump_router
 from rhubarbhall.programs.router_metrics import gauges_of, render_metrics
 from rhubarbhall.programs.router_peers import PeerHandlers, RecordGap
+from rhubarbhall.programs.router_shutdown import (
+    SETTINGS_CHECK_INTERVAL_S,
+    ShutdownHandlers,
+    file_version,
+)
 from rhubarbhall.programs.router_store import MAX_CALLER_CONNECTIONS, StoreHandlers
 from rhubarbhall.programs.router_target import (
     LocalKeyOwnership,
@@ -75,6 +80,7 @@
     from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.traffic.pending_requests import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
+    from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
     from rhubarbhall.types import Address, Seconds
 
 #: Minimum time between two reads of the directory from the store, in seconds.
@@ -107,22 +113,13 @@
 #: Maximum number of inbound connections from the target to the heartbeat port, and from
 #: the platform to the readiness port.
 MAX_CONTROL_CONNECTIONS = 32
-#: Time after a stop signal for which requests are still accepted, in seconds. By then
-#: the platform has polled readiness twice and sends no more requests.
-STOP_ACCEPTING_DELAY_S = 2.4
-#: Time before the end of `STOP_ACCEPTING_DELAY_S` at which the other daemons are asked
-#: to send no more requests, in seconds.
-SHUTDOWN_NOTICE_LEAD_S = 0.5
-#: Time before the platform kills the process at which it exits even if requests are
-#: still in flight, in seconds.
-STOP_MARGIN_S = 0.6
 #: Bits of the random number that distinguishes this run of the process from others.
 SESSION_BITS = 63
-#: Time between two checks whether the settings file has changed, in seconds.
-SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
-class RoutingDaemon(StoreHandlers, TargetHandlers, PeerHandlers, BaseComponent):
+class RoutingDaemon(
+    StoreHandlers, TargetHandlers, PeerHandlers, ShutdownHandlers, BaseComponent
+):
     """A router daemon with its inbound ports, outbound connections and timers.
 
     Parameters
@@ -150,9 +147,9 @@
         self.settings = settings
         self.local_address = settings.peer_address
         self._settings_path = settings_path
-        self._settings_version = _file_version(settings_path)
+        self._settings_version = file_version(settings_path)
         self._on_exit = on_exit
-        self._stop_requested_at: Seconds | None = None
+        self.shutdown: ShutdownSchedule | None = None
         self._shutdown_announced = False
         self._ended = False
         started_at = self.now()
@@ -396,7 +393,7 @@
         if self.witnessed_lease.remaining_s(now) <= 0:
             self._request_renewals(now)
         self.publisher.write_due(now, self._local_member(now))
-        if self._stop_requested_at is not None:
+        if self.shutdown is not None:
             self._check_stop(now)
 
     def _sweep(self, now: Seconds) -> None:
@@ -503,7 +500,7 @@
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this daemon."""
         known = self.directory.is_loaded and self.request_router.routing is not None
-        return known and self._stop_requested_at is None
+        return known and self.shutdown is None
 
     def _metrics_page(self) -> tuple[str, bytes]:
         return render_metrics(
@@ -531,69 +528,3 @@
     def caller_gone(self, ticket: int) -> None:
         """Cancel a request whose caller has closed its connection."""
         self.request_router.caller_gone(self._advance_timers(), ticket)
-
-    # Settings and shutdown
-
-    def _check_settings(self, now: Seconds) -> None:
-        if _file_version(self._settings_path) != self._settings_version:
-            self.reload()
-
-    def reload(self) -> None:
-        """Read the settings again; if they have changed, stop so that they take effect.
-
-        A file that cannot be read or is invalid is logged and otherwise ignored.
-        """
-        self._settings_version = _file_version(self._settings_path)
-        try:
-            settings = read_settings(self._settings_path)
-        except ConfigurationError as error:
-            self.log_event(LogEvent(415, {"reason": str(error)}))
-            return
-        changed = settings != self.settings
-        self.log_event(LogEvent(414, {"changed": changed}))
-        if changed:
-            # The ports, the target and the service are fixed at construction. The
-            # platform restarts the process, which then reads the settings again.
-            self.request_stop()
-
-    def request_stop(self) -> None:
-        """Start to drain the daemon and then exit; a second call has no effect."""
-        if self._stop_requested_at is None:
-            self._stop_requested_at = self._advance_timers()
-            self.log_event(LogEvent(313, {"in_flight": self.request_router.in_flight}))
-
-    def _check_stop(self, now: Seconds) -> None:
-        stopping_s = now - self._stop_requested_at
-        if (
-            stopping_s >= STOP_ACCEPTING_DELAY_S - SHUTDOWN_NOTICE_LEAD_S
-            and not self._shutdown_announced
-        ):
-            self._shutdown_announced = True
-            self.sessions.announce_shutdown()
-        if stopping_s < STOP_ACCEPTING_DELAY_S:
-            return
-        if not self.callers.draining:
-            self.callers.draining = True
-            self.callers.stop_listening()
-        self.callers.close_idle()
-        has_no_requests = (
-            not self.request_router.in_flight and self.admission_queue.is_idle
-        )
-        is_overdue = stopping_s > self.settings.grace_s - STOP_MARGIN_S
-        if (has_no_requests and not self.callers.connections) or is_overdue:
-            self._end()
-
-    def _end(self) -> None:
-        if not self._ended:
-            self._ended = True
-            self.log_event(LogEvent(314, {"in_flight": self.request_router.in_flight}))
-            self._on_exit()
-
-
-def _file_version(path: Path) -> tuple[int, int] | None:
-    """Return the modification time (ns) and size of a file; none if it is missing."""
-    try:
-        status = path.stat()
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_size
