Answer every caller before a stopped router exits

What callers saw: at the end of a router's grace period the connections of all callers whose requests had no outcome were closed without an answer (LOST).

Cause: `_check_stop` exited 0.6 s before the kill whatever was in flight, and nothing limited what it still took: requests were queued, sent to the target and forwarded to others although they could not end in time. Class of fault: a limit that only one of the parts it concerns knows of.

Ruled out: a longer margin alone (what waits in a queue would still be cut); a shorter time for accepting (the platform sends requests for 2 s after the signal).

Why this works: the end of the grace period is a limit of the admission queue and the request router. The queue refuses at once, as not run, what would not be done by then, so another target can serve it; requests accepted during the stop have their deadline cut to it, so other daemons refuse them in time as well; and whatever is left gets its outcome, not run or unknown, 0.6 s before the kill, with 0.3 s to send the answers.

Tests: tests/platform/test_path.py PlannedStopTests failed before (the router had ended, neither caller had an answer: IndexError at answers[0]) and passes; tests/core/traffic/test_shutdown.py on virtual clocks.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -175,6 +175,8 @@
         self.durations = RouteDurations()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
+        #: Time at which the process exits, so that work has to be done by then.
+        self._drain_end: Seconds = float("inf")
 
     @property
     def load(self) -> Load:
@@ -198,6 +200,13 @@
         self.closed_reason = kind
         self._refuse_all_waiting(kind)
 
+    def drain(self, end: Seconds) -> None:
+        """Refuse the requests whose work would not be done by `end`.
+
+        Refused at once, they can still be served by another target.
+        """
+        self._drain_end = end
+
     def _refuse_all_waiting(self, kind: ErrorKind) -> None:
         for entry in list(self._entry_by_ticket.values()):
             if entry.sent_at is None:
@@ -261,6 +270,8 @@
             wait_s *= LATE_WAIT_FACTOR
             wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
         needed_s = wait_s + self.durations.mean_s(request.route)
+        if now + needed_s > self._drain_end:
+            return self._too_late(now, request)
         if self._queued >= self._max_waiting() or now + needed_s > request.deadline:
             retry_after_s = min(wait_s, self._room_after_s(now, request))
             return NotRun(ErrorKind.OVERLOADED, max(retry_after_s, MIN_RETRY_AFTER_S))
@@ -372,8 +383,8 @@
 
     def _send(self, now: Seconds, entry: _Entry) -> None:
         request = entry.request
-        if request.deadline - now < self._min_work_s(request):
-            self._refuse_dequeued(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+        if self._latest_end(request) - now < self._min_work_s(request):
+            self._refuse_dequeued(entry, self._too_late(now, request))
             return
         if request.key is not None and not self._key_ownership.may_work_on(
             now, request.key
@@ -387,6 +398,17 @@
         self._long_running += entry.is_long
         self._target.send(entry.ticket, request, now)
 
+    def _latest_end(self, request: RoutedRequest) -> Seconds:
+        """Return the time after which an answer to a request is of no use."""
+        return min(request.deadline, self._drain_end)
+
+    def _too_late(self, now: Seconds, request: RoutedRequest) -> NotRun:
+        """Return the refusal of a request that cannot be answered in time."""
+        if self._drain_end >= request.deadline:
+            return NotRun(ErrorKind.DEADLINE_UNREACHABLE)
+        retry_after_s = max(self._drain_end - now, MIN_RETRY_AFTER_S)
+        return NotRun(ErrorKind.SHUTTING_DOWN, retry_after_s)
+
     def _min_work_s(self, request: RoutedRequest) -> Seconds:
         """Return the minimum remaining time for which a request is sent, in seconds.
 
@@ -512,8 +534,8 @@
             waits_for_key = entry.ticket in self._waiting_for_key
             if waits_for_key and now - entry.arrived_at > KEY_WAIT_TIMEOUT_S:
                 self._refuse_waiting(entry, NotRun(ErrorKind.NOT_OWNER))
-            elif self._would_miss_deadline(now, entry.request):
-                self._refuse_waiting(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            elif self._would_end_too_late(now, entry.request):
+                self._refuse_waiting(entry, self._too_late(now, entry.request))
             elif not waits_for_key and self._has_exceeded_late_wait(now, entry):
                 self._refuse_overloaded(now, entry)
         self._refuse_unservable(now)
@@ -540,15 +562,14 @@
             else:
                 kept += 1
 
-    def _would_miss_deadline(self, now: Seconds, request: RoutedRequest) -> bool:
+    def _would_end_too_late(self, now: Seconds, request: RoutedRequest) -> bool:
         """Return whether a waiting request has to be refused now.
 
-        At the next call of `expire` its refusal could come after the deadline, or the
-        remaining time would not suffice for the target's work.
+        At the next call of `expire` its refusal could come too late, or the remaining
+        time would not suffice for the target's work.
         """
-        return (
-            now + max(EXPIRE_INTERVAL_S, self._min_work_s(request)) >= request.deadline
-        )
+        needed_s = max(EXPIRE_INTERVAL_S, self._min_work_s(request))
+        return now + needed_s >= self._latest_end(request)
 
     def _abandon(self, entry: _Entry) -> None:
         """Free the slot of a request that the target has not answered in time."""
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -121,6 +121,8 @@
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
         self._longest_timeout_by_route: dict[str, Seconds] = {}
+        #: Time at which the process exits, so that callers need outcomes by then.
+        self._drain_end: Seconds = float("inf")
 
     @property
     def in_flight(self) -> int:
@@ -191,7 +193,7 @@
             caller=self.caller_service,
             idempotent=route.idempotent,
             priority=route.priority,
-            deadline=now + time_limit_s,
+            deadline=min(now + time_limit_s, self._drain_end),
             target_latency_deadline=now + route.target_latency_s - spent_s,
             is_retry=spent_s > RETRY_DETECTION_S,
             max_attempts=route.max_attempts,
@@ -514,6 +516,22 @@
         self._cancel_send(now, pending)
         self._finish(now, pending, Unknown(ErrorKind.CALLER_GONE))
 
+    def drain(self, end: Seconds) -> None:
+        """Have all requests that are accepted from now on end by `end`."""
+        self._drain_end = end
+
+    def end_pending(self, now: Seconds) -> None:
+        """End all requests, as the process is about to exit.
+
+        A request that no target can have received is refused; the outcome of any other
+        is unknown.
+        """
+        for pending in list(self._pending_by_ticket.values()):
+            if not self._cancel_send(now, pending):
+                pending.may_have_run = True
+            refusal = NotRun(ErrorKind.SHUTTING_DOWN, NO_OWNER_RETRY_AFTER_S)
+            self._finish(now, pending, refusal)
+
     def _finish(self, now: Seconds, pending: PendingRequest, outcome: Outcome) -> None:
         del self._pending_by_ticket[pending.ticket]
         for timer in (pending.deadline_timer, pending.retry_timer):
--- a/rhubarbhall/core/traffic/shutdown.py
+++ b/rhubarbhall/core/traffic/shutdown.py
@@ -17,6 +17,9 @@
 #: Time before the end of the grace period at which requests that are still in flight
 #: get their outcome, in seconds.
 LAST_OUTCOMES_MARGIN_S = 0.6
+#: Time before the end of the grace period at which the process exits even if it could
+#: not send all answers, in seconds.
+EXIT_MARGIN_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,3 +51,8 @@
     def last_outcomes_at(self) -> Seconds:
         """Time at which every request that is still in flight gets an outcome."""
         return self.requested_at + self.grace_s - LAST_OUTCOMES_MARGIN_S
+
+    @property
+    def exit_at(self) -> Seconds:
+        """Time at which the process exits in any case."""
+        return self.requested_at + self.grace_s - EXIT_MARGIN_S
--- a/rhubarbhall/programs/router_shutdown.py
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -56,6 +56,8 @@
         if self.shutdown is None:
             now = self._advance_timers()
             self.shutdown = ShutdownSchedule(now, self.settings.grace_s)
+            self.request_router.drain(self.shutdown.last_outcomes_at)
+            self.admission_queue.drain(self.shutdown.last_outcomes_at)
             self.log_event(LogEvent(313, {"in_flight": self.request_router.in_flight}))
 
     def _check_stop(self, now: Seconds) -> None:
@@ -69,7 +71,9 @@
             self.callers.draining = True
             self.callers.stop_listening()
         self.callers.close_idle()
-        if self._has_no_work() or now > shutdown.last_outcomes_at:
+        if now >= shutdown.last_outcomes_at:
+            self.request_router.end_pending(now)
+        if self._has_no_work() or now >= shutdown.exit_at:
             self._end()
 
     def _has_no_work(self) -> bool:
--- /dev/null
+++ b/tests/core/traffic/test_shutdown.py
@@ -0,0 +1,108 @@
+"""Requests at a router that stops: each gets an outcome before the process exits."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.requests import NotRun, Unknown
+from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
+from tests.core.traffic.test_admission_queue import ANSWER, AdmissionQueueCase
+from tests.core.traffic.test_request_router import NEAR, RequestRouterCase
+
+GRACE_S = 6.0
+#: End of the work of a router whose stop is requested at 0.
+END = ShutdownSchedule(0.0, GRACE_S).last_outcomes_at
+
+
+class ScheduleTests(unittest.TestCase):
+    def test_every_step_comes_in_order_and_before_the_kill(self):
+        schedule = ShutdownSchedule(10.0, GRACE_S)
+        steps = [
+            10.0,
+            schedule.notice_at,
+            schedule.accepting_until,
+            schedule.last_outcomes_at,
+            schedule.exit_at,
+            10.0 + GRACE_S,
+        ]
+        self.assertEqual(steps, sorted(set(steps)))
+
+
+# Requests that waited for a slot when the daemon exited were cut without an answer.
+class DrainingQueueTests(AdmissionQueueCase):
+    SLOTS = 1
+
+    def test_a_request_that_would_outlast_the_drain_is_refused_at_once(self):
+        self.learn("long", 4.0)
+        self.queue.drain(END)
+        self.submit(2.0, "late", route="long", deadline=20.0)
+        self.assertEqual(self.outcomes["late"].kind, ErrorKind.SHUTTING_DOWN)
+        self.assertAlmostEqual(self.outcomes["late"].retry_after_s, END - 2.0)
+
+    def test_a_request_that_ends_before_is_served(self):
+        self.learn("short", 0.5)
+        self.queue.drain(END)
+        self.submit(2.0, "q", route="short", deadline=20.0)
+        self.finish(2.5, "q")
+        self.assertEqual(self.outcomes["q"], ANSWER)
+
+    def test_a_waiting_request_is_refused_once_its_work_would_end_too_late(self):
+        self.learn("r", 1.0)
+        self.submit(0.0, "works", deadline=20.0, target_latency_deadline=20.0)
+        self.submit(0.0, "waits", deadline=20.0, target_latency_deadline=20.0)
+        self.queue.drain(END)
+        self.queue.expire(END - 2.0)
+        self.assertNotIn("waits", self.outcomes)
+        self.queue.expire(END - 0.7)
+        self.assertEqual(self.outcomes["waits"].kind, ErrorKind.SHUTTING_DOWN)
+        self.assertNotIn("works", self.outcomes)
+        self.finish(END - 0.1, "works")
+        self.assertEqual(self.outcomes["works"], ANSWER)
+        self.assertEqual(self.sent_ids(), [])
+
+    def test_a_request_that_waits_for_its_key_is_refused_in_time(self):
+        self.keys.awaited = {5}
+        self.queue.drain(END)
+        self.submit(END - 0.3, "keyed", key=5, deadline=20.0)
+        self.queue.expire(END - 0.05)
+        self.assertEqual(self.outcomes["keyed"].kind, ErrorKind.SHUTTING_DOWN)
+
+    def test_an_earlier_deadline_is_named_as_the_reason(self):
+        self.learn("r", 1.0)
+        self.submit(0.0, "works", deadline=20.0, target_latency_deadline=20.0)
+        self.submit(0.0, "waits", deadline=3.0, target_latency_deadline=3.0)
+        self.queue.drain(END)
+        self.queue.expire(2.5)
+        self.assertEqual(self.outcomes["waits"], NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+
+
+# Callers whose requests outlasted the grace period got no answer at all.
+class DrainingRouterTests(RequestRouterCase):
+    def test_a_request_at_another_daemon_ends_as_unknown(self):
+        self.submit("/credit/1", timeout_s=20.0)
+        self.router.drain(END)
+        self.router.end_pending(END)
+        self.assertEqual(self.replies, [Unknown(ErrorKind.ANSWER_LOST)])
+        self.assertEqual(self.peers.cancelled, self.peers.sent)
+        self.assertEqual(self.router.in_flight, 0)
+
+    def test_a_request_that_was_not_sent_is_refused_as_not_run(self):
+        self.peers.opening = {NEAR}
+        self.submit("/look/1", timeout_s=20.0)
+        self.assertEqual(self.peers.sent, [])
+        self.router.end_pending(0.1)
+        self.assertIsInstance(self.replies[0], NotRun)
+        self.assertEqual(self.replies[0].kind, ErrorKind.SHUTTING_DOWN)
+
+    def test_a_late_outcome_changes_nothing(self):
+        self.submit("/credit/1", timeout_s=20.0)
+        self.router.end_pending(END)
+        self.outcome(END + 0.1, ANSWER)
+        self.assertEqual(len(self.replies), 1)
+
+    def test_requests_accepted_during_a_stop_end_with_it(self):
+        self.router.drain(END)
+        self.submit("/look/1", now=2.0, timeout_s=20.0)
+        (pending,) = self.router._pending_by_ticket.values()
+        self.assertEqual(pending.request.deadline, END)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -68,6 +68,8 @@
 class RouterTestCase(unittest.TestCase):
     #: How targets take keys, as the settings file names it.
     GRANTS = "heartbeat"
+    #: Time that the platform gives a stopping process, as the settings file names it.
+    GRACE = "6s"
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -151,6 +153,7 @@
                     "service": service,
                     "platform": {"address": STORE},
                     "grants": self.GRANTS,
+                    "bounds": [f"grace={self.GRACE}"],
                 }
             )
         )
@@ -291,6 +294,40 @@
             self.assertIn(expected, results[0].body)
 
 
+class PlannedStopTests(RouterTestCase):
+    GRACE = "3s"
+
+    def setUp(self):
+        super().setUp()
+        body = configuration(3, timeout="20s").replace(b"h.example", HOST.encode())
+        self.store.put("keyed.op", "config", body)
+        self.tick_until(
+            lambda: all(r.request_router.routing.version == 3 for r in self.routers),
+            4.0,
+        )
+
+    # A daemon exited at the end of its grace period with requests that had no outcome
+    # yet, and their callers' connections were closed without an answer.
+    def test_callers_get_an_answer_if_their_requests_outlast_the_grace_period(self):
+        results: dict[str, list] = {"/credit/works": [], "/credit/waits": []}
+        for target in self.targets:
+            target.behaviour.work_s = 9.0
+        for router in self.routers:
+            router.admission_queue.limit.resize(1)
+        for path, answers in results.items():
+            headers = (("Request-Id", path), ("Timeout-Ms", "15000"))
+            self.client.fetch(
+                address(0, 2), "POST", path, headers, b"", 15.0, answers.append
+            )
+        self.tick_until(lambda: self.run_count("/credit/works") == 1, 2.0)
+        self.routers[0].request_stop()
+        self.tick_until(lambda: self.ended == [0], 4.0)
+        for path, answers in results.items():
+            with self.subTest(path=path):
+                self.assertIsInstance(answers[0], Response)
+                self.assertEqual(answers[0].status, 502)
+
+
 class GrantsByRequestTests(RouterPathTests):
     """The same for targets that take their keys by requests of their daemons."""
 
