Tell later peers of a shutdown too, and linger before the exit

What callers saw: 502 for requests that never ran, so that clients may not repeat those that are not idempotent; work that had been accepted was lost.

Cause: a stopping daemon announces its shutdown once, over the connections that are open at that moment. Since links are opened on demand, most daemons of a large fleet connect later; they were told nothing and sent requests until the process exited. Its exit reset connections with requests, or last outcomes, still on their way, and the sender can only call these unknown. Class of fault: a state that is told to those who happen to be connected, and not to those who come later. Fleets of up to 18 daemons keep all links open, so the smaller deployments never showed it.

Ruled out: to close the port for peers at the announcement (a broken connection could not be resumed, and a port that refuses for the whole grace period reads as a lost daemon, whose keys would be taken over); to write the stop to the store (two writes for each restart).

Why this works: each connection that opens during the shutdown gets the notice at once, so its peer sends no further request. Once nothing waits for an answer, the port closes after all waiting connections were accepted, and the daemon goes on answering for 0.25 s, longer than a round trip between regions: whatever was sent before the notice arrived is refused as not run.

Tests: test_a_peer_that_connects_during_a_shutdown_sends_no_requests (before: True is not false) and test_a_daemon_refuses_new_connections_of_peers_before_it_exits (before: the port stayed open until the exit; condition not met in time) failed before; ShutdownTests on a virtual clock.

--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -146,6 +146,7 @@
         )
         self._session_by_sock: dict[socket.socket, Session] = {}
         self._broken_by_peer: dict[tuple[Address, int], Session] = {}
+        self._is_shutting_down = False
         self.rejected = 0
 
     def cancel_orphans(self) -> None:
@@ -165,7 +166,11 @@
             self._handler.on_cancel(session.ticket_by_number.pop(number))
 
     def announce_shutdown(self) -> None:
-        """Announce the shutdown to all peers, so that they send no more requests."""
+        """Announce the shutdown to all peers, so that they send no more requests.
+
+        Peers that connect later are told as well.
+        """
+        self._is_shutting_down = True
         for session in list(self._session_by_sock.values()):
             self._send(session, ShutdownNotice())
 
@@ -250,6 +255,8 @@
             session = self._session_by_sock[session.sock] = earlier
         session.address, session.service = hello.address, hello.service
         session.session_number = hello.session
+        if self._is_shutting_down:
+            self._send(session, ShutdownNotice())
 
     def _on_resume(self, session: Session, resume: Resume) -> None:
         """Send the outcomes of requests that were sent over an earlier connection."""
--- a/rhubarbhall/core/traffic/shutdown.py
+++ b/rhubarbhall/core/traffic/shutdown.py
@@ -20,11 +20,14 @@
 #: Time before the end of the grace period at which the process exits even if it could
 #: not send all answers, in seconds.
 EXIT_MARGIN_S = 0.3
+#: Time for which the daemon answers its peers after it has stopped to accept their
+#: connections, in seconds: a round trip between regions, with what is sent on it.
+LINGER_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class ShutdownSchedule:
-    """The times of a planned stop, on the local clock, in seconds.
+@dataclass(slots=True)
+class Shutdown:
+    """A planned stop; all times are on the local clock, in seconds.
 
     Parameters
     ----------
@@ -32,10 +35,13 @@
         Time of the stop signal.
     grace_s : float
         Time after the signal at which the platform kills the process.
+    lingers_since : float, optional
+        Time since when no connections of peers are accepted any more.
     """
 
     requested_at: Seconds
     grace_s: Seconds
+    lingers_since: Seconds | None = None
 
     @property
     def notice_at(self) -> Seconds:
@@ -56,3 +62,23 @@
     def exit_at(self) -> Seconds:
         """Time at which the process exits in any case."""
         return self.requested_at + self.grace_s - EXIT_MARGIN_S
+
+    def may_linger(self, now: Seconds, has_work: bool) -> bool:
+        """Return whether connections of peers should be accepted no more.
+
+        Parameters
+        ----------
+        has_work : bool
+            Whether somebody waits for an answer of this daemon.
+        """
+        return not has_work or now >= self.exit_at - LINGER_S
+
+    def may_exit(self, now: Seconds) -> bool:
+        """Return whether the process may exit.
+
+        A request that a peer has sent before it learned of the stop has been refused by
+        then, so the peer knows that it has not run.
+        """
+        if self.lingers_since is None:
+            return False
+        return now >= min(self.lingers_since + LINGER_S, self.exit_at)
--- a/rhubarbhall/programs/router_shutdown.py
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -7,7 +7,7 @@
 
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ConfigurationError
-from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
+from rhubarbhall.core.traffic.shutdown import Shutdown
 from rhubarbhall.platform.settings import read_settings
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
         """Start to drain the daemon and then exit; a second call has no effect."""
         if self.shutdown is None:
             now = self._advance_timers()
-            self.shutdown = ShutdownSchedule(now, self.settings.grace_s)
+            self.shutdown = Shutdown(now, self.settings.grace_s)
             self.request_router.drain(self.shutdown.last_outcomes_at)
             self.admission_queue.drain(self.shutdown.last_outcomes_at)
             self.log_event(LogEvent(313, {"in_flight": self.request_router.in_flight}))
@@ -73,15 +73,19 @@
         self.callers.close_idle()
         if now >= shutdown.last_outcomes_at:
             self.request_router.end_pending(now)
-        if self._has_no_work() or now >= shutdown.exit_at:
+        if shutdown.lingers_since is None:
+            if shutdown.may_linger(now, self._has_work()):
+                shutdown.lingers_since = now
+                self.sessions.acceptor.stop_listening()
+        elif shutdown.may_exit(now):
             self._end()
 
-    def _has_no_work(self) -> bool:
-        """Return whether nobody waits for an answer of this daemon any more."""
-        return (
-            not self.request_router.in_flight
-            and self.admission_queue.is_idle
-            and not self.callers.connections
+    def _has_work(self) -> bool:
+        """Return whether somebody waits for an answer of this daemon."""
+        return bool(
+            self.request_router.in_flight
+            or not self.admission_queue.is_idle
+            or self.callers.connections
         )
 
     def _end(self) -> None:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -80,7 +80,7 @@
     from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.traffic.pending_requests import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
-    from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
+    from rhubarbhall.core.traffic.shutdown import Shutdown
     from rhubarbhall.types import Address, Seconds
 
 #: Minimum time between two reads of the directory from the store, in seconds.
@@ -149,7 +149,7 @@
         self._settings_path = settings_path
         self._settings_version = file_version(settings_path)
         self._on_exit = on_exit
-        self.shutdown: ShutdownSchedule | None = None
+        self.shutdown: Shutdown | None = None
         self._shutdown_announced = False
         self._ended = False
         started_at = self.now()
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -260,6 +260,40 @@
         self.assertEqual(self.links.awaited_peers(), [])
 
 
+# Only connections that were open at the time of the notice carried it, so daemons that
+# connected later sent requests until the stopping one exited, and lost them.
+class ShutdownNoticeTests(ResumeCase):
+    def test_a_peer_that_connects_during_a_shutdown_sends_no_requests(self):
+        self.sessions.announce_shutdown()
+        self.deliver()
+        self.cut()
+        self.links.check()
+        self.connect()
+        self.deliver()
+        self.assertFalse(self.forward(1))
+
+    def test_a_session_is_resumed_during_a_shutdown(self):
+        self.forward(1)
+        self.deliver()
+        self.sessions.announce_shutdown()
+        self.cut()
+        self.links.check()
+        self.connect()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+
+    def test_a_peer_that_connects_after_the_restart_sends_requests(self):
+        self.sessions.announce_shutdown()
+        self.deliver()
+        self.cut()
+        self.restart_receiver()
+        self.links.check()
+        self.connect()
+        self.deliver()
+        self.assertTrue(self.forward(1))
+
+
 class ResumeTests(ResumeCase):
     def test_a_request_continues_over_the_next_connection(self):
         self.forward(1)
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -6,28 +6,44 @@
 
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import NotRun, Unknown
-from rhubarbhall.core.traffic.shutdown import ShutdownSchedule
+from rhubarbhall.core.traffic.shutdown import LINGER_S, Shutdown
 from tests.core.traffic.test_admission_queue import ANSWER, AdmissionQueueCase
 from tests.core.traffic.test_request_router import NEAR, RequestRouterCase
 
 GRACE_S = 6.0
 #: End of the work of a router whose stop is requested at 0.
-END = ShutdownSchedule(0.0, GRACE_S).last_outcomes_at
+END = Shutdown(0.0, GRACE_S).last_outcomes_at
 
 
-class ScheduleTests(unittest.TestCase):
+class ShutdownTests(unittest.TestCase):
     def test_every_step_comes_in_order_and_before_the_kill(self):
-        schedule = ShutdownSchedule(10.0, GRACE_S)
+        shutdown = Shutdown(10.0, GRACE_S)
         steps = [
             10.0,
-            schedule.notice_at,
-            schedule.accepting_until,
-            schedule.last_outcomes_at,
-            schedule.exit_at,
+            shutdown.notice_at,
+            shutdown.accepting_until,
+            shutdown.last_outcomes_at,
+            shutdown.exit_at,
             10.0 + GRACE_S,
         ]
         self.assertEqual(steps, sorted(set(steps)))
 
+    # A daemon that exited at once reset connections with requests still on their way.
+    def test_the_process_lingers_before_it_exits(self):
+        shutdown = Shutdown(0.0, GRACE_S)
+        self.assertFalse(shutdown.may_linger(3.0, has_work=True))
+        self.assertTrue(shutdown.may_linger(3.0, has_work=False))
+        self.assertFalse(shutdown.may_exit(3.0))
+        shutdown.lingers_since = 3.0
+        self.assertFalse(shutdown.may_exit(3.0 + 0.9 * LINGER_S))
+        self.assertTrue(shutdown.may_exit(3.0 + LINGER_S))
+
+    def test_work_that_does_not_end_delays_the_exit_no_further(self):
+        shutdown = Shutdown(0.0, GRACE_S)
+        self.assertTrue(shutdown.may_linger(shutdown.exit_at - LINGER_S, has_work=True))
+        shutdown.lingers_since = shutdown.exit_at - 0.1
+        self.assertTrue(shutdown.may_exit(shutdown.exit_at))
+
 
 # Requests that waited for a slot when the daemon exited were cut without an answer.
 class DrainingQueueTests(AdmissionQueueCase):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -327,6 +327,15 @@
                 self.assertIsInstance(answers[0], Response)
                 self.assertEqual(answers[0].status, 502)
 
+    # A daemon that exited reset connections on which requests or outcomes were still on
+    # their way, and the senders could not tell whether their requests had run.
+    def test_a_daemon_refuses_new_connections_of_peers_before_it_exits(self):
+        stopping = self.routers[2]
+        stopping.request_stop()
+        self.tick_until(lambda: stopping.sessions.acceptor.host is None, 4.0)
+        self.assertEqual(self.ended, [])
+        self.tick_until(lambda: self.ended == [2], 2.0)
+
 
 class GrantsByRequestTests(RouterPathTests):
     """The same for targets that take their keys by requests of their daemons."""
