Begin no work that might outlast a planned stop

Cause: the queue judges by the mean duration whether work ends in time. One in thirty reports takes seven times as long. Class of fault: an average used where a promise needs a bound.

Change: while it drains, the queue begins only work that ends before the exit even if it takes as long as the longest recent request of its route, or until its deadline if that is earlier. What it refuses has not run and goes to another target. Work that was given up counts with the time that it took.

Ruled out: to refuse all work from the signal on (short work of a key has no other target); the route's timeout alone (30 s where none is stated).

Tests: test_work_that_might_outlast_the_drain_is_not_begun and two more failed before (the work was begun).

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -201,7 +201,7 @@
         self._refuse_all_waiting(kind)
 
     def drain(self, end: Seconds) -> None:
-        """Refuse the requests whose work would not be done by `end`.
+        """Refuse the requests whose work might not be done by `end`.
 
         Refused at once, they can still be served by another target.
         """
@@ -269,9 +269,9 @@
             # Requests that meet the target latency will arrive and be sent first.
             wait_s *= LATE_WAIT_FACTOR
             wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
+        if self._may_outlast_drain(now, request, wait_s):
+            return self._shutdown_refusal(now)
         needed_s = wait_s + self.durations.mean_s(request.route)
-        if now + needed_s > self._drain_end:
-            return self._too_late(now, request)
         if self._queued >= self._max_waiting() or now + needed_s > request.deadline:
             retry_after_s = min(wait_s, self._room_after_s(now, request))
             return NotRun(ErrorKind.OVERLOADED, max(retry_after_s, MIN_RETRY_AFTER_S))
@@ -383,8 +383,11 @@
 
     def _send(self, now: Seconds, entry: _Entry) -> None:
         request = entry.request
-        if self._latest_end(request) - now < self._min_work_s(request):
-            self._refuse_dequeued(entry, self._too_late(now, request))
+        if request.deadline - now < self._min_work_s(request):
+            self._refuse_dequeued(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            return
+        if self._may_outlast_drain(now, request):
+            self._refuse_dequeued(entry, self._shutdown_refusal(now))
             return
         if request.key is not None and not self._key_ownership.may_work_on(
             now, request.key
@@ -398,14 +401,15 @@
         self._long_running += entry.is_long
         self._target.send(entry.ticket, request, now)
 
-    def _latest_end(self, request: RoutedRequest) -> Seconds:
-        """Return the time after which an answer to a request is of no use."""
-        return min(request.deadline, self._drain_end)
+    def _may_outlast_drain(
+        self, now: Seconds, request: RoutedRequest, wait_s: Seconds = 0.0
+    ) -> bool:
+        """Return whether the work on a request could last until the process exits."""
+        longest_s = self.durations.longest_s(request.route)
+        work_s = min(longest_s, request.deadline - now)
+        return now + wait_s + work_s > self._drain_end
 
-    def _too_late(self, now: Seconds, request: RoutedRequest) -> NotRun:
-        """Return the refusal of a request that cannot be answered in time."""
-        if self._drain_end >= request.deadline:
-            return NotRun(ErrorKind.DEADLINE_UNREACHABLE)
+    def _shutdown_refusal(self, now: Seconds) -> NotRun:
         retry_after_s = max(self._drain_end - now, MIN_RETRY_AFTER_S)
         return NotRun(ErrorKind.SHUTTING_DOWN, retry_after_s)
 
@@ -529,13 +533,15 @@
         for entry in list(self._entry_by_ticket.values()):
             if entry.sent_at is not None:
                 if now > entry.request.deadline + ANSWER_GRACE_S:
-                    self._abandon(entry)
+                    self._abandon(now, entry)
                 continue
             waits_for_key = entry.ticket in self._waiting_for_key
             if waits_for_key and now - entry.arrived_at > KEY_WAIT_TIMEOUT_S:
                 self._refuse_waiting(entry, NotRun(ErrorKind.NOT_OWNER))
-            elif self._would_end_too_late(now, entry.request):
-                self._refuse_waiting(entry, self._too_late(now, entry.request))
+            elif self._would_miss_deadline(now, entry.request):
+                self._refuse_waiting(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+            elif self._may_outlast_drain(now, entry.request):
+                self._refuse_waiting(entry, self._shutdown_refusal(now))
             elif not waits_for_key and self._has_exceeded_late_wait(now, entry):
                 self._refuse_overloaded(now, entry)
         self._refuse_unservable(now)
@@ -562,17 +568,19 @@
             else:
                 kept += 1
 
-    def _would_end_too_late(self, now: Seconds, request: RoutedRequest) -> bool:
+    def _would_miss_deadline(self, now: Seconds, request: RoutedRequest) -> bool:
         """Return whether a waiting request has to be refused now.
 
-        At the next call of `expire` its refusal could come too late, or the remaining
-        time would not suffice for the target's work.
+        At the next call of `expire` its refusal could come after the deadline, or the
+        remaining time would not suffice for the target's work.
         """
-        needed_s = max(EXPIRE_INTERVAL_S, self._min_work_s(request))
-        return now + needed_s >= self._latest_end(request)
+        return (
+            now + max(EXPIRE_INTERVAL_S, self._min_work_s(request)) >= request.deadline
+        )
 
-    def _abandon(self, entry: _Entry) -> None:
+    def _abandon(self, now: Seconds, entry: _Entry) -> None:
         """Free the slot of a request that the target has not answered in time."""
+        self.durations.record_unfinished(entry.request.route, now - entry.sent_at)
         self._target.cancel(entry.ticket)
         self._release_slot(entry)
         entry.on_outcome(Unknown(ErrorKind.DEADLINE_PASSED))
--- a/rhubarbhall/core/traffic/queue_estimates.py
+++ b/rhubarbhall/core/traffic/queue_estimates.py
@@ -10,6 +10,9 @@
 
 #: Weight of a new sample in the mean duration of a route.
 SMOOTHING = 0.1
+#: Factor by which the longest duration of a route shrinks with each shorter one, so
+#: that it follows recent requests.
+LONGEST_DECAY = 0.99
 #: A route counts as long work when its mean duration is at least this many times that
 #: of the shortest route with a share of `MIN_SHORT_ROUTE_SHARE` or more.
 LONG_WORK_FACTOR = 3.0
@@ -26,21 +29,28 @@
 
 
 class RouteDurations:
-    """Smoothed mean durations of requests by route, in seconds."""
+    """Mean and longest durations of recent requests by route, in seconds."""
 
     def __init__(self) -> None:
         self._mean_by_route: dict[str, Seconds] = {}
+        self._longest_by_route: dict[str, Seconds] = {}
         self._count_by_route: dict[str, int] = {}
 
     def record(self, route: str, took_s: Seconds) -> None:
         """Record how long a request of a route took, in seconds."""
         self._count(route)
+        self.record_unfinished(route, took_s)
         mean = self._mean_by_route.get(route)
         if mean is None:
             self._mean_by_route[route] = took_s
         else:
             self._mean_by_route[route] = mean + SMOOTHING * (took_s - mean)
 
+    def record_unfinished(self, route: str, took_s: Seconds) -> None:
+        """Record for how long a request was worked on, whether it ended or not."""
+        longest_s = LONGEST_DECAY * self._longest_by_route.get(route, 0.0)
+        self._longest_by_route[route] = max(longest_s, took_s)
+
     def _count(self, route: str) -> None:
         """Count a request of a route; older requests lose weight."""
         counts = self._count_by_route
@@ -62,6 +72,10 @@
         means = self._mean_by_route.values()
         return sum(means) / len(means) if means else 0.05
 
+    def longest_s(self, route: str) -> Seconds:
+        """Return the longest recent duration of a route; infinite while unknown."""
+        return self._longest_by_route.get(route, float("inf"))
+
     def is_long(self, route: str) -> bool:
         """Return whether a route is long work compared with the other routes.
 
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -77,6 +77,30 @@
         self.assertEqual(self.outcomes["works"], ANSWER)
         self.assertEqual(self.sent_ids(), [])
 
+    # A stopping daemon began work of a route whose requests mostly end in time, and cut
+    # the ones that did not.
+    def test_work_that_might_outlast_the_drain_is_not_begun(self):
+        self.learn("report", 4.0)
+        self.learn("report", 1.0)
+        self.queue.drain(END)
+        self.submit(END - 2.0, "q", route="report", deadline=20.0)
+        self.assertEqual(self.outcomes["q"].kind, ErrorKind.SHUTTING_DOWN)
+        self.submit(END - 2.0, "short", route="report", deadline=END - 0.5)
+        self.assertEqual(self.sent_ids(), ["short"])
+
+    def test_work_of_unknown_length_is_begun_only_if_its_deadline_is_earlier(self):
+        self.queue.drain(END)
+        self.submit(0.0, "q", route="new", deadline=END + 0.1)
+        self.assertEqual(self.outcomes["q"].kind, ErrorKind.SHUTTING_DOWN)
+        self.submit(0.0, "early", route="new", deadline=END - 0.1)
+        self.assertEqual(self.sent_ids(), ["early"])
+
+    def test_work_that_was_given_up_counts_with_the_time_that_it_took(self):
+        self.learn("report", 1.0)
+        self.submit(0.0, "slow", route="report", deadline=3.0)
+        self.queue.expire(3.3)
+        self.assertGreater(self.queue.durations.longest_s("report"), 3.0)
+
     def test_a_request_that_waits_for_its_key_is_refused_in_time(self):
         self.keys.awaited = {5}
         self.queue.drain(END)
