Fire all due timers even if one of them fails

What callers could see: nothing at all until they gave up. An exception in the handler of one timer took all timers with it that were due at the same time and came after it: deadlines of requests, retries that wait for a key or a connection, the steps of a planned stop.

Cause: `list(timers.due(now))` takes all due timers out of the heap before the first one fires. Now each failure is logged as event 117 with its trace, and the others fire.

--- a/rhubarbhall/adapters/clock.py
+++ b/rhubarbhall/adapters/clock.py
@@ -25,6 +25,28 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def fire_due(
+    timers: TimerService, now: Seconds, on_failure: Callable[[Exception], None]
+) -> None:
+    """Fire the timers that are due.
+
+    Parameters
+    ----------
+    timers : TimerService
+        The timers.
+    now : float
+        Present time on the clock of the timers, in seconds.
+    on_failure : callable
+        Called with each exception that a timer raises; the other timers fire all the
+        same.
+    """
+    for event in list(timers.due(now)):
+        try:
+            event.fire(timers.now())
+        except Exception as error:  # Any fault in one handler must not stop the rest.
+            on_failure(error)
+
+
 class TimerRunner(BaseComponent):
     """Calls `on_due` whenever a timer is due.
 
--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -48,6 +48,11 @@
     ),
     113: LogEventSpec("store_lost", "The store does not answer reads.", ("reason",)),
     114: LogEventSpec("store_regained", "The store answers reads again.", ()),
+    117: LogEventSpec(
+        "timer_failed",
+        "A timer of the router raised an exception; the others went on.",
+        ("reason", "trace"),
+    ),
     201: LogEventSpec("joined", "The member has read its own join back.", ("member",)),
     202: LogEventSpec("target_unreachable", "The target could not be fenced yet.", ()),
     203: LogEventSpec(
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -8,6 +8,7 @@
 
 import random
 import time
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -17,7 +18,7 @@
 
 from rhubarbhall.adapters.callers import CallerServer
 from rhubarbhall.adapters.client import SWEEP_INTERVAL_S, HttpClient
-from rhubarbhall.adapters.clock import TimerRunner, boot_time
+from rhubarbhall.adapters.clock import TimerRunner, boot_time, fire_due
 from rhubarbhall.adapters.log_writer import write_log_event
 from rhubarbhall.adapters.peer_links import CHECK_INTERVAL_S, PeerLinks
 from rhubarbhall.adapters.peer_sessions import PeerSessions
@@ -113,6 +114,8 @@
 #: Maximum number of inbound connections from the target to the heartbeat port, and from
 #: the platform to the readiness port.
 MAX_CONTROL_CONNECTIONS = 32
+#: Frames of the stack that the log shows of a timer's failure.
+FAILURE_FRAMES = 4
 #: Bits of the random number that distinguishes this run of the process from others.
 SESSION_BITS = 63
 
@@ -366,8 +369,11 @@
         )
 
     def _fire_due_timers(self) -> None:
-        for event in list(self.timers.due(self.now())):
-            event.fire(self.timers.now())
+        fire_due(self.timers, self.now(), self._on_timer_failure)
+
+    def _on_timer_failure(self, error: Exception) -> None:
+        trace = traceback.format_exception(error, limit=-FAILURE_FRAMES)
+        self.log_event(LogEvent(117, {"reason": repr(error), "trace": "".join(trace)}))
 
     def _advance_timers(self) -> Seconds:
         """Return the present time and set the timers to it.
