Do not take a cancelled connection for an unreachable target

What callers could see: 503 for all requests that waited for a healthy target, and for new ones for 0.4 s, after one caller had left, or one request had been given up, while the connection for it was being opened. In the second case the check of deadlines also failed with a KeyError (found by the review; not seen in a log).

Cause: `HttpTargetClient.on_closed` reported the target as unreachable for each connection that ended before it was open, also for those that `cancel` closes itself. That refuses everything that waits, under the feet of `expire`, which went on over its own copy of the entries.

Only a connection that still has its request tells of the target now, and loops over copies of entries skip those that an earlier outcome has ended.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -209,7 +209,7 @@
 
     def _refuse_all_waiting(self, kind: ErrorKind) -> None:
         for entry in list(self._entry_by_ticket.values()):
-            if entry.sent_at is None:
+            if entry.sent_at is None and entry.ticket in self._entry_by_ticket:
                 self._refuse_waiting(entry, NotRun(kind))
 
     def submit(
@@ -517,6 +517,9 @@
         own.
         """
         for entry in list(self._waiting_for_key.values()):
+            if entry.ticket not in self._waiting_for_key:
+                # The outcome of another request has ended this one as well.
+                continue
             key = entry.request.key
             if self._key_ownership.may_work_on(now, key):
                 del self._waiting_for_key[entry.ticket]
@@ -531,6 +534,9 @@
         Has to be called at least every `EXPIRE_INTERVAL_S`.
         """
         for entry in list(self._entry_by_ticket.values()):
+            if entry.ticket not in self._entry_by_ticket:
+                # The outcome of another request has ended this one as well.
+                continue
             if entry.sent_at is not None:
                 if now > entry.request.deadline + ANSWER_GRACE_S:
                     self._abandon(now, entry)
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -527,6 +527,9 @@
         is unknown.
         """
         for pending in list(self._pending_by_ticket.values()):
+            if pending.ticket not in self._pending_by_ticket:
+                # The outcome of another request has ended this one as well.
+                continue
             if not self._cancel_send(now, pending):
                 pending.may_have_run = True
             refusal = NotRun(ErrorKind.SHUTTING_DOWN, NO_OWNER_RETRY_AFTER_S)
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -284,11 +284,13 @@
             return
         if sock in self._idle:
             self._idle.remove(sock)
-        if not connection.is_open:
-            self._on_unreachable(self.connect_error == ECONNREFUSED)
         exchange, connection.exchange = connection.exchange, None
         if exchange is None:
+            # Idle, or closed here because its request was cancelled: no sign of the
+            # target's state.
             return
+        if not connection.is_open:
+            self._on_unreachable(self.connect_error == ECONNREFUSED)
         if exchange.is_written:
             self._finish(exchange, Unknown(ErrorKind.ANSWER_LOST))
         else:
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -385,6 +385,22 @@
         self.assertEqual(self.queue.limit.value, self.SLOTS)
 
 
+class UnreachableTargetTests(AdmissionQueueCase):
+    # A request that was given up while its connection opened ended others as well, and
+    # the handler of the check failed on these: callers waited for nothing.
+    def test_a_request_given_up_may_end_those_that_wait(self):
+        def cancel(ticket):
+            self.queue.record_unreachable(1.5)
+
+        self.target.cancel = cancel
+        for id in "abc":
+            self.submit(0.0, id)
+        self.submit(0.0, "d", deadline=9.0, target_latency_deadline=9.0)
+        self.queue.expire(1.5)
+        self.assertEqual(set(self.outcomes), set("abcd"))
+        self.assertEqual(self.outcomes["d"].kind, ErrorKind.TARGET_UNREACHABLE)
+
+
 class LongWorkTests(AdmissionQueueCase):
     """Load pattern: long reports and short look-ups share the slots of one target."""
 
