Send peers their last outcomes before a stopped router exits

Cause: a stopping router exits once no request waits for an answer, and a request counts as answered once its outcome is handed to the connection. Bytes that the connection does not accept yet, outcomes kept for a peer whose connection has ended, and a request that has arrived in part did not count.

They count as work now, bounded as before by the time at which the process exits in any case.

--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -174,6 +174,21 @@
         for session in list(self._session_by_sock.values()):
             self._send(session, ShutdownNotice())
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether a peer has not been sent an outcome, or is sending a request.
+
+        Outcomes for a peer whose connection has ended are kept for `ORPHAN_TIMEOUT_S`.
+        """
+        return (
+            self.acceptor.has_unsent
+            or any(session.undelivered for session in self._broken_by_peer.values())
+            or any(
+                session.reader.is_within_frame
+                for session in self._session_by_sock.values()
+            )
+        )
+
     # Connections
 
     def connection_accepted(self, sock: socket.socket) -> None:
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -64,6 +64,11 @@
         self._inflate = zlib.decompressobj(wbits=RECORD_WINDOW_BITS)
         self._buffer = bytearray()
 
+    @property
+    def is_within_frame(self) -> bool:
+        """Whether a frame has been received in part."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield the frames that are complete.
 
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -132,6 +132,11 @@
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes are buffered that a connection does not accept yet."""
+        return any(self._buffers.values())
+
     def _send_now(self, sock: socket.socket, data: bytes) -> bytes:
         """Send what the socket accepts and return the rest; close it on an error."""
         try:
--- a/rhubarbhall/programs/router_shutdown.py
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -86,6 +86,7 @@
             self.request_router.in_flight
             or not self.admission_queue.is_idle
             or self.callers.connections
+            or self.sessions.has_undelivered
         )
 
     def _end(self) -> None:
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -8,6 +8,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from rhubarbhall.adapters import peer_links, peer_sessions
@@ -90,6 +91,8 @@
         if wire.is_open:
             wire.to_sender.append(data)
 
+    has_unsent = False
+
     def drop(self, wire):
         wire.to_receiver.clear()
         self.sessions.connection_closed(wire)
@@ -294,6 +297,44 @@
         self.assertTrue(self.forward(1))
 
 
+# A daemon exited while outcomes for its peers were still to be sent, and requests that
+# had ended were reported as possibly run.
+class UndeliveredTests(ResumeCase):
+    def test_outcomes_that_a_connection_does_not_accept_yet_are_undelivered(self):
+        self.assertFalse(self.sessions.has_undelivered)
+        self.sessions.acceptor.has_unsent = True
+        self.assertTrue(self.sessions.has_undelivered)
+
+    def test_an_outcome_without_a_connection_is_undelivered_until_it_is_sent(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.answer(1)
+        self.assertTrue(self.sessions.has_undelivered)
+        self.links.check()
+        self.connect()
+        self.deliver()
+        self.assertFalse(self.sessions.has_undelivered)
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+
+    def test_an_outcome_that_no_peer_comes_back_for_does_not_count_for_ever(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.answer(1)
+        self.pass_time(ORPHAN_TIMEOUT_S + 0.2)
+        self.assertFalse(self.sessions.has_undelivered)
+
+    def test_a_request_received_in_part_is_undelivered(self):
+        large = replace(request("q1"), body=random.Random(1).randbytes(50_000))
+        self.links.forward(self.now, RECEIVER, 1, large)
+        data = b"".join(self.take_all(self.wire.to_receiver))
+        self.sessions.receive(self.wire, data[:30_000])
+        self.assertTrue(self.sessions.has_undelivered)
+        self.sessions.receive(self.wire, data[30_000:])
+        self.assertFalse(self.sessions.has_undelivered)
+
+
 class ResumeTests(ResumeCase):
     def test_a_request_continues_over_the_next_connection(self):
         self.forward(1)
