Send requests on during a stop only for as long as callers can wait

What callers could see: 502 instead of a refusal that they may repeat, for a request that was accepted before the stop signal and sent to another target just before the exit (found by the review).

Cause: only requests that are accepted during the stop had their deadline cut to its end. Earlier ones were sent again, waited and were repeated by their whole deadline.

Each send during the stop now carries the cut deadline, so the other daemon refuses in time what it can't serve, and nothing is sent again without time for it.

Tests: test_a_request_is_not_sent_again_just_before_the_exit (before: no reply, sent a second time) and test_a_request_sent_again_during_a_stop_ends_with_it (before: 19.99 != 5.4). A request that waits in the queue of another daemon since before the stop still ends as unknown, although it has not run: to tell takes an answer to Cancel.

--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -8,6 +8,7 @@
 
 import itertools
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.errors import ErrorKind
@@ -300,7 +301,7 @@
         if pending.waiting_since is None:
             pending.waiting_since = now
         waited_s = now - pending.waiting_since
-        remaining_s = pending.request.deadline - now
+        remaining_s = self._remaining_s(now, pending.request)
         if waited_s >= SEND_WAIT_TIMEOUT_S or remaining_s < 2 * WAIT_POLL_INTERVAL_S:
             self._finish(
                 now, pending, NotRun(ErrorKind.NO_OWNER, NO_OWNER_RETRY_AFTER_S)
@@ -326,7 +327,14 @@
             pending.retry_timer = None
         self._send_to_next(now, pending)
 
+    def _remaining_s(self, now: Seconds, request: RoutedRequest) -> Seconds:
+        """Return the time that a request has left, in seconds."""
+        return min(request.deadline, self._drain_end) - now
+
     def _send(self, now: Seconds, pending: PendingRequest, address: Address) -> None:
+        if pending.request.deadline > self._drain_end:
+            # The other daemon has to know that nobody waits after this process exits.
+            pending.request = replace(pending.request, deadline=self._drain_end)
         request = pending.request
         if (
             now + self._chooser.min_answer_time_s(address, request.route)
@@ -446,7 +454,7 @@
         return (
             request.idempotent
             and pending.attempts < request.max_attempts
-            and request.deadline - now > MIN_REPEAT_TIME_S
+            and self._remaining_s(now, request) > MIN_REPEAT_TIME_S
             and self._budget(request.service).take(now)
         )
 
@@ -464,7 +472,7 @@
         if outcome.kind not in _NOT_TARGET_FAULTS:
             self._chooser.view(address).record_failure(now)
         no_attempts_left = pending.attempts >= request.max_attempts
-        no_time_left = request.deadline - now < MIN_REPEAT_TIME_S
+        no_time_left = self._remaining_s(now, request) < MIN_REPEAT_TIME_S
         # No other target may serve the key, so the refusal of its owner is final.
         refused_by_owner = request.key is not None and not seen_by_target
         if (
@@ -517,7 +525,7 @@
         self._finish(now, pending, Unknown(ErrorKind.CALLER_GONE))
 
     def drain(self, end: Seconds) -> None:
-        """Have all requests that are accepted from now on end by `end`."""
+        """Have all requests that are accepted or sent from now on end by `end`."""
         self._drain_end = end
 
     def end_pending(self, now: Seconds) -> None:
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -135,6 +135,24 @@
         self.assertIsInstance(self.replies[0], NotRun)
         self.assertEqual(self.replies[0].kind, ErrorKind.SHUTTING_DOWN)
 
+    # A request accepted before the stop was sent on to a target with its whole deadline
+    # although nobody would wait that long, and its outcome became unknown.
+    def test_a_request_is_not_sent_again_just_before_the_exit(self):
+        self.submit("/credit/1", timeout_s=20.0)
+        self.router.drain(END)
+        refusal = NotRun(ErrorKind.SHUTTING_DOWN)
+        self.outcome(END - 0.01, refusal)
+        self.assertEqual(self.replies, [refusal])
+        self.assertEqual(len(self.peers.sent), 1)
+
+    def test_a_request_sent_again_during_a_stop_ends_with_it(self):
+        self.submit("/credit/1", timeout_s=20.0)
+        self.router.drain(END)
+        self.outcome(2.0, NotRun(ErrorKind.SHUTTING_DOWN))
+        self.assertEqual(len(self.peers.sent), 2)
+        (pending,) = self.router._pending_by_ticket.values()
+        self.assertEqual(pending.request.deadline, END)
+
     def test_a_late_outcome_changes_nothing(self):
         self.submit("/credit/1", timeout_s=20.0)
         self.router.end_pending(END)
