Fit the steps of a stop into short grace periods

The users' deployments have 6 s or more.

Accepting now ends, at the latest, as long before the last outcomes as the other daemons are told before its end.

Test: test_every_step_comes_in_order_and_before_the_kill with grace periods of 2 to 10 s; before, 2 s and 3 s failed (accepting until 12.4 with the kill at 12.0).

--- a/rhubarbhall/core/traffic/shutdown.py
+++ b/rhubarbhall/core/traffic/shutdown.py
@@ -46,12 +46,14 @@
     @property
     def notice_at(self) -> Seconds:
         """Time at which the other daemons are asked to send no more requests."""
-        return self.accepting_until - NOTICE_LEAD_S
+        return max(self.requested_at, self.accepting_until - NOTICE_LEAD_S)
 
     @property
     def accepting_until(self) -> Seconds:
         """Time until which callers may open connections."""
-        return self.requested_at + ACCEPTING_S
+        return min(
+            self.requested_at + ACCEPTING_S, self.last_outcomes_at - NOTICE_LEAD_S
+        )
 
     @property
     def last_outcomes_at(self) -> Seconds:
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -16,17 +16,21 @@
 
 
 class ShutdownTests(unittest.TestCase):
+    # With a grace period of 3 s or less, the process was killed before the callers got
+    # their outcomes.
     def test_every_step_comes_in_order_and_before_the_kill(self):
-        shutdown = Shutdown(10.0, GRACE_S)
-        steps = [
-            10.0,
-            shutdown.notice_at,
-            shutdown.accepting_until,
-            shutdown.last_outcomes_at,
-            shutdown.exit_at,
-            10.0 + GRACE_S,
-        ]
-        self.assertEqual(steps, sorted(set(steps)))
+        for grace_s in (2.0, 3.0, GRACE_S, 10.0):
+            with self.subTest(grace_s=grace_s):
+                shutdown = Shutdown(10.0, grace_s)
+                steps = [
+                    10.0,
+                    shutdown.notice_at,
+                    shutdown.accepting_until,
+                    shutdown.last_outcomes_at,
+                    shutdown.exit_at,
+                    10.0 + grace_s,
+                ]
+                self.assertEqual(steps, sorted(set(steps)))
 
     # A daemon that exited at once reset connections with requests still on their way.
     def test_the_process_lingers_before_it_exits(self):
