Leave a connection open for its first request during a stop

Cause: the port for callers accepts all waiting connections when it closes, and the next statement closed those on which nothing had arrived yet; the first request was then on its way.

A connection without bytes for less than 0.1 s now stays open.

Test: test_a_request_over_a_connection_that_was_just_opened_is_answered (before: no answer).

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -30,6 +30,9 @@
 
 #: Limit of the requests of one connection that wait for the one being handled.
 MAX_PIPELINED = 32
+#: Time without bytes after which a draining server closes a connection, in seconds:
+#: longer than a caller on the same VM takes to send its first request.
+MIN_IDLE_S = 0.1
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -233,9 +236,14 @@
     def close_idle(self) -> None:
         """Close the connections without a pending request.
 
-        Bytes that have already arrived are read first, so that no request is lost.
+        Bytes that have already arrived are read first, so that no request is lost. A
+        connection that was just opened or used is left open for `MIN_IDLE_S`, since a
+        request may be on its way.
         """
+        now = time.monotonic()
         for sock, connection in list(self._connection_by_sock.items()):
             self._read(sock)
-            if connection.current is None and not connection.reader.in_message:
+            idle_s = now - connection.last_active_at
+            is_busy = connection.current is not None or connection.reader.in_message
+            if not is_busy and idle_s >= MIN_IDLE_S:
                 self.finish(sock)
