Order the operators' configuration by its version, not by offset

Cause: a configuration counted as known if the offset of its record was not above that of the one in force. A restored store gives offsets out again, so a newer version stood at a lower offset and was ignored, in reads from the store as in pongs, pushes and answers to sync requests. In the other direction, an older version at a higher offset was taken over as "known" and passed on, and its offset hid newer ones of peers.

Fix: what is compared is the version, which only grows. A version takes force if it is valid and higher than the one in force, whichever way it came. Pong, SyncRequest, SyncResponse and ConfigurationPush carry versions where they carried offsets, in the same places and types. A known version is told by the number in the frame, or by decoding nothing but the version. The version in the document counts where a frame says otherwise.

A configuration is now parsed before it is passed on; before, it was passed on first, also an invalid one, and its number stopped later ones.

Logs: event 413 names the version that was ignored as older and the one in force; 412 names the version too, if it can be read.

Ruled out: the follower. Open: a follower whose position is not beyond the restored log's end reads on from there and misses what is before; a restart at a new era is a change of its own.

Weighed: that only readers check a configuration before they pass it on, and the others pass on first. A wrong frame of a peer would then go through the region and stop later versions.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -169,7 +169,7 @@
     age_ms : int
         Time since the sender sent the read that confirmed `end`.
     configuration : int
-        Offset of the operators' configuration that the sender follows; -1 without one.
+        Version of the operators' configuration in force at the sender; -1 without one.
     utilization : int
         Slots that the requests by key of its target need, in thousandths of its slots.
     cost : int
@@ -192,7 +192,7 @@
     offset : int
         First offset of the directory that the sender lacks.
     configuration : int
-        Offset of the operators' configuration that the sender follows; -1 without one.
+        Version of the operators' configuration in force at the sender; -1 without one.
     """
 
     offset: int
@@ -207,6 +207,24 @@
     value: bytes
 
 
+class SyncConfiguration(msgspec.Struct, frozen=True, array_like=True):
+    """One operators' configuration.
+
+    Parameters
+    ----------
+    version : int
+        Its version.
+    key : str
+        Key of its record.
+    value : bytes
+        Its value.
+    """
+
+    version: int
+    key: str
+    value: bytes
+
+
 class SyncResponse(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Returns the records that a `SyncRequest` requested.
 
@@ -216,15 +234,15 @@
         Records of the directory.
     end, age_ms : int
         As in `Pong`.
-    configuration : SyncEntry, optional
-        The operators' configuration, if the sender follows a newer one than the
-        receiver.
+    configuration : SyncConfiguration, optional
+        The operators' configuration, if a newer one is in force at the sender than at
+        the receiver.
     """
 
     entries: list[SyncEntry]
     end: int
     age_ms: int
-    configuration: SyncEntry | None = None
+    configuration: SyncConfiguration | None = None
 
 
 class Push(msgspec.Struct, frozen=True, array_like=True, tag=10):
@@ -251,8 +269,8 @@
 
     Parameters
     ----------
-    offset : int
-        Offset of its record in the operators' topic.
+    version : int
+        Its version.
     key : str
         Key of its record.
     deflated : bytes
@@ -261,7 +279,7 @@
         As in `Push`.
     """
 
-    offset: int
+    version: int
     key: str
     deflated: bytes
     limit: str
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -490,8 +490,7 @@
         offset : int
             First offset of the directory that is missing here.
         configuration : int
-            Offset of the operators' configuration that this daemon follows; -1 without
-            one.
+            Version of the operators' configuration in force here; -1 without one.
         """
         link = self._link_by_address.get(address)
         now = self._clock()
--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -129,8 +129,15 @@
     ),
     412: LogEventSpec(
         "configuration_unreadable",
-        "A configuration cannot be read; the previous one stays in force.",
-        ("offset", "reason"),
+        "A configuration cannot be read; the previous one stays in force. `offset` is "
+        "null if a peer sent it, `version` if it cannot be read either.",
+        ("offset", "version", "reason"),
+    ),
+    413: LogEventSpec(
+        "configuration_ignored",
+        "A configuration is older than the one in force, whose version is in "
+        "`configuration`; it has no effect.",
+        ("version", "configuration"),
     ),
     414: LogEventSpec("settings_read", "The settings were read again.", ("changed",)),
     415: LogEventSpec(
--- a/rhubarbhall/core/ownership/peer_selection.py
+++ b/rhubarbhall/core/ownership/peer_selection.py
@@ -143,7 +143,17 @@
         self._limit_by_key: dict[str, tuple[Offset, Address]] = {}
 
     def extend(self, key: str, offset: Offset, limit: Address) -> bool:
-        """Return whether a record has to be passed on up to a limit, and record it."""
+        """Return whether a record has to be passed on up to a limit, and record it.
+
+        Parameters
+        ----------
+        key : str
+            Key of the record.
+        offset : int
+            Offset of the record, or version of a configuration: higher if newer.
+        limit : str
+            Address in the ring of the region before which it is to be passed on.
+        """
         known = self._limit_by_key.get(key)
         if known is not None:
             known_offset, known_limit = known
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -19,6 +19,8 @@
 from rhubarbhall.platform.names import parse_time
 
 _IDEMPOTENT = "idempotent"
+#: Messages between daemons carry versions as numbers of 64 bits.
+_Version = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 _DEFAULT_CALLERS = CallerRules()
 
 
@@ -34,8 +36,12 @@
     spec: dict[str, Any] = {}
 
 
+class _VersionOnly(msgspec.Struct, frozen=True):
+    version: _Version
+
+
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: _Version
     resources: list[_Resource]
 
 
@@ -71,6 +77,7 @@
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
+_VERSION_DECODER = msgspec.json.Decoder(_VersionOnly)
 
 
 def _route(resource: _Resource) -> HostRoute:
@@ -110,6 +117,17 @@
     )
 
 
+def read_version(data: bytes) -> int:
+    """Return the version of a configuration without decoding the rest.
+
+    Raises
+    ------
+    ValueError
+        If the data is not a JSON object with a version.
+    """
+    return _VERSION_DECODER.decode(data).version
+
+
 def parse_configuration(data: bytes) -> RoutingTable:
     """Decode the routes, services and limits of a configuration.
 
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -12,6 +12,7 @@
     ConfigurationPush,
     Pong,
     Push,
+    SyncConfiguration,
     SyncEntry,
     SyncRequest,
     SyncResponse,
@@ -22,6 +23,7 @@
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.key_load import TargetLoad
 from rhubarbhall.core.traffic.requests import NotRun
+from rhubarbhall.platform.names import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.peer_events import Origin
@@ -46,7 +48,8 @@
         Parameters
         ----------
         known_end, peer_end : int
-            Offsets up to which this daemon and the peer know the records.
+            Offsets up to which this daemon and the peer know the records, or their
+            versions of the configuration.
         """
         if peer_end <= known_end:
             return False
@@ -117,15 +120,13 @@
         self.balancer.record_load(now, address, load)
         if not self.directory.is_loaded:
             return
-        local_offset = (
-            self._configuration_entry.offset if self._configuration_entry else -1
-        )
-        if self._lacks_records(now, pong, local_offset):
-            self.links.request_sync(address, self.directory.end, local_offset)
+        version = self._configuration_version()
+        if self._lacks_records(now, pong, version):
+            self.links.request_sync(address, self.directory.end, version)
         elif pong.end <= self.directory.end:
             self.read_lease.confirm(asked_at - pong.age_ms / 1000)
 
-    def _lacks_records(self, now: Seconds, pong: Pong, configuration: Offset) -> bool:
+    def _lacks_records(self, now: Seconds, pong: Pong, version: int) -> bool:
         """Return whether records of a peer are missing here and have to be requested.
 
         A record takes a moment from its writer to all daemons, so a peer that is ahead
@@ -135,7 +136,7 @@
         return any(
             [
                 self._directory_gap.lasts(now, self.directory.end, pong.end),
-                self._configuration_gap.lasts(now, configuration, pong.configuration),
+                self._configuration_gap.lasts(now, version, pong.configuration),
             ]
         )
 
@@ -152,14 +153,17 @@
         self._on_directory_changed(now)
 
     def on_configuration_push(self, push: ConfigurationPush) -> None:
-        """Pass on an operators' configuration within the region and apply it."""
+        """Apply an operators' configuration and pass it on within the region.
+
+        Only the version in force is passed on: an older one is of no use, and one that
+        cannot be read must not stop a later one with a lower number.
+        """
         self._advance_timers()
-        # Passed on first, as it takes long to parse a large one.
-        if self.relayed.extend(push.key, push.offset, push.limit):
+        if self._is_newer_configuration(push.version):
+            self._apply_configuration(inflate_value(push.deflated))
+        is_in_force = push.version == self._configuration_version()
+        if is_in_force and self.relayed.extend(push.key, push.version, push.limit):
             self.links.relay_configuration(push)
-        if not self._knows_configuration(push.offset):
-            value = inflate_value(push.deflated)
-            self._apply_configuration(Entry(push.offset, push.key, value))
 
     def on_sync_request(self, ask: SyncRequest) -> SyncResponse:
         """Return the records that the requesting peer has not read yet."""
@@ -169,10 +173,12 @@
             for entry in self.directory.entries_from(ask.offset)
         ]
         age_ms = int(min(self.read_lease.age_s(now), 3600.0) * 1000)
-        known = self._configuration_entry
+        version = self._configuration_version()
         newer_configuration = None
-        if known is not None and known.offset > ask.configuration:
-            newer_configuration = SyncEntry(known.offset, known.key, known.value)
+        if version > ask.configuration:
+            newer_configuration = SyncConfiguration(
+                version, CONFIGURATION_KEY, self._configuration_value
+            )
         return SyncResponse(entries, self.directory.end, age_ms, newer_configuration)
 
     def on_sync_response(
@@ -181,8 +187,7 @@
         """Apply the records that a peer has sent on request."""
         now = self._advance_timers()
         if tell.configuration is not None:
-            sent = tell.configuration
-            self._apply_configuration(Entry(sent.offset, sent.key, sent.value))
+            self._apply_configuration(tell.configuration.value)
         entries = tuple(
             Entry(each.offset, each.key, each.value) for each in tell.entries
         )
@@ -196,13 +201,12 @@
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping: directory end and age, configuration, load."""
         age_s = min(self.read_lease.age_s(self._advance_timers()), 3600.0)
-        offset = self._configuration_entry.offset if self._configuration_entry else -1
         load = self.balancer.local_load(self.timers.now())
         return Pong(
             number,
             self.directory.end,
             int(age_s * 1000),
-            offset,
+            self._configuration_version(),
             int(load.utilization * 1000),
             int(load.cost * 1_000_000),
         )
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -12,14 +12,16 @@
 from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
-from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.platform.names import CONFIGURATION_KEY
-from rhubarbhall.platform.operator import parse_configuration
+from rhubarbhall.platform.operator import parse_configuration, read_version
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.directory import Rejected
+    from rhubarbhall.core.ownership.directory import Entry, Rejected
+    from rhubarbhall.core.traffic.routes import RoutingTable
     from rhubarbhall.types import Offset, Seconds
 
+#: Stands for no configuration, below all versions.
+NO_VERSION = -1
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
 
@@ -73,45 +75,71 @@
         pushed = SyncEntry(entry.offset, entry.key, entry.value)
         self.links.push(pushed)
 
+    def _configuration_version(self) -> int:
+        """Return the version of the configuration in force; -1 without one."""
+        routing = self.request_router.routing
+        return NO_VERSION if routing is None else routing.version
+
+    def _is_newer_configuration(self, version: int) -> bool:
+        """Return whether a version is newer than the one in force; log an older one.
+
+        Versions only grow. The offsets of their records do not: a store that is
+        restored from an older copy gives them out again.
+        """
+        known = self._configuration_version()
+        if version < known:
+            fields = {"version": version, "configuration": known}
+            self.log_event(LogEvent(413, fields))
+        return version > known
+
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
-            if entry.key != CONFIGURATION_KEY or not entry.value:
-                continue
-            if self._configuration_entry and not self._knows_configuration(
-                entry.offset
-            ):
-                self._push_configuration(entry)
-            self._apply_configuration(entry)
-
-    def _knows_configuration(self, offset: Offset) -> bool:
-        known = self._configuration_entry
-        return known is not None and known.offset >= offset
+            if entry.key == CONFIGURATION_KEY and entry.value:
+                self._on_stored_configuration(entry)
+
+    def _on_stored_configuration(self, entry: Entry) -> None:
+        """Apply a configuration from the store and pass it on if it is newer.
+
+        The first one is not passed on, as all daemons read it when they start.
+        """
+        is_first = self.request_router.routing is None
+        is_applied = self._apply_configuration(entry.value, entry.offset)
+        if is_applied and not is_first:
+            self._push_configuration(entry)
 
     def _push_configuration(self, entry: Entry) -> None:
-        """Pass a configuration that was read from the store on to the region."""
+        """Pass the configuration in force, read from the store, on to the region."""
+        version = self._configuration_version()
         deflated = deflate_value(entry.value)
-        push = ConfigurationPush(
-            entry.offset, entry.key, deflated, limit=self.local_address
-        )
-        if self.relayed.extend(entry.key, entry.offset, self.local_address):
+        push = ConfigurationPush(version, entry.key, deflated, limit=self.local_address)
+        if self.relayed.extend(entry.key, version, self.local_address):
             self.links.relay_configuration(push)
 
-    def _apply_configuration(self, entry: Entry) -> None:
-        if self._knows_configuration(entry.offset):
-            return
+    def _apply_configuration(self, value: bytes, offset: Offset | None = None) -> bool:
+        """Put a configuration in force if it is valid and newer; return whether it is.
+
+        Parameters
+        ----------
+        value : bytes
+            The configuration as the operators wrote it.
+        offset : int, optional
+            Offset of its record; none if a peer sent it.
+        """
+        version = None
         try:
-            routing = parse_configuration(entry.value)
+            version = read_version(value)
+            if not self._is_newer_configuration(version):
+                return False
+            routing = parse_configuration(value)
         except ValueError as error:
-            self.log_event(
-                LogEvent(412, {"offset": entry.offset, "reason": str(error)})
-            )
-            return
-        self._configuration_entry = entry
-        if (
-            self.request_router.routing
-            and routing.version < self.request_router.routing.version
-        ):
-            return
+            fields = {"offset": offset, "version": version, "reason": str(error)}
+            self.log_event(LogEvent(412, fields))
+            return False
+        self._configuration_value = value
+        self._put_in_force(routing)
+        return True
+
+    def _put_in_force(self, routing: RoutingTable) -> None:
         self.request_router.routing = routing
         rules = routing.services_by_name.get(self.settings.service)
         self.publisher.by_key = rules is not None and rules.by_key
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -24,7 +24,7 @@
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ConfigurationError, ErrorKind
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.liveness import Liveness
@@ -170,7 +170,7 @@
         self.target_keys = TargetKeys(
             self.local_address, started_at, settings.grants_by_request
         )
-        self._configuration_entry: Entry | None = None
+        self._configuration_value = b""
         self.relayed = RelayedLimits(self.local_address)
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
