Show in the simulated mesh what a restored store does to ownership

The store can come back from an older copy: it is away for some seconds, its logs are prefixes of what they were, and offsets are given out again. The fake log of the simulated mesh now does this (away 0.5 to 6 s, 1 to 10 s lost, reads past the end get "trimmed", appends on their way may be carried out in the restored log if their condition holds there). It keeps records by topic, as a fix may use several.

Cause: everything in core/ownership compares offsets, which go back.

--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -14,7 +14,7 @@
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.loss_reports import LossReports
-from rhubarbhall.core.ownership.publisher import RecordPublisher
+from rhubarbhall.core.ownership.publisher import TOPIC, RecordPublisher
 from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
 from rhubarbhall.core.ownership.range_witness import (
     RangeWitness,
@@ -34,6 +34,7 @@
     Conflict,
     NewestPage,
     Tail,
+    Trimmed,
     Unavailable,
 )
 from rhubarbhall.core.ownership.target_keys import Grant, Heartbeat, TargetKeys
@@ -66,21 +67,70 @@
 
 
 class FakeLog:
-    """A simulated log of the store, with its faults."""
+    """A simulated log of the store, with its faults.
 
-    def __init__(self, simulation: Simulation) -> None:
+    The store may be restored from an older copy: it is away for some time and then
+    holds what each topic held at an earlier time. The epoch counts these restores.
+    """
+
+    def __init__(self, simulation: Simulation, seed: int) -> None:
         self.simulation = simulation
-        self.entries: list[Entry] = []
         self.down = False
+        self.is_restoring = False
+        self.epoch = 0
         #: Share of the appends whose answer is lost and which may be carried out later.
         self.lose_answers = 0.0
+        #: Numbers for what happens in restores only, so that the schedules of seeds
+        #: without restores stay as they are.
+        self.restore_rng = random.Random(f"restore {seed}")
+        self._records: dict[str, list[tuple[float, str, bytes]]] = {}
+        self._late_appends: list[Callable[[], object]] = []
+
+    @property
+    def is_available(self) -> bool:
+        return not self.down and not self.is_restoring
+
+    def records(self, topic: str) -> list[tuple[str, bytes]]:
+        """Return the keys and values of a topic, by offset."""
+        return [(key, value) for _, key, value in self._records.get(topic, [])]
+
+    def append(self, topic: str, key: str, value: bytes, at: int | None) -> int | None:
+        """Append a record and return its offset, or none in case of a conflict."""
+        records = self._records.setdefault(topic, [])
+        if at is not None and at != len(records):
+            return None
+        records.append((self.simulation.now, key, value))
+        return len(records) - 1
+
+    def append_late(self, action: Callable[[], object]) -> None:
+        """Carry out some of the appends that are on their way after the restore."""
+        if self.restore_rng.random() < 0.4:
+            self._late_appends.append(action)
+
+    def restore(self, away_s: float, lost_s: float) -> None:
+        """Let the store go away and come back without its last records.
+
+        Parameters
+        ----------
+        away_s : float
+            Time for which it is away, in seconds.
+        lost_s : float
+            Age of the copy when the store goes away, in seconds.
+        """
+        if self.is_restoring:
+            return
+        self.is_restoring = True
+        copied_at = self.simulation.now - lost_s
+        self.simulation.after(away_s, lambda: self._return(copied_at))
 
-    def append(self, key: str, value: bytes, at: int | None):
-        if at is not None and at != len(self.entries):
-            return Conflict()
-        offset = len(self.entries)
-        self.entries.append(Entry(offset, key, value))
-        return Appended(offset)
+    def _return(self, copied_at: float) -> None:
+        self.is_restoring = False
+        self.epoch += 1
+        for topic, records in self._records.items():
+            self._records[topic] = [each for each in records if each[0] <= copied_at]
+        late, self._late_appends = self._late_appends, []
+        for action in late:
+            self.simulation.after(self.restore_rng.uniform(0.0, 1.5), action)
 
 
 class LogPort:
@@ -91,7 +141,7 @@
         self._daemon = daemon
 
     def _is_reachable(self) -> bool:
-        return not self._log.down and not self._daemon.is_cut_from_store
+        return self._log.is_available and not self._daemon.is_cut_from_store
 
     def _answer(self, on_done, result) -> None:
         simulation, daemon = self._log.simulation, self._daemon
@@ -106,43 +156,56 @@
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), arrive)
 
-    def _call(self, on_done, action) -> None:
+    def _call(self, on_done, action, is_append: bool = False) -> None:
         simulation = self._log.simulation
 
         def execute() -> None:
             if self._is_reachable():
                 self._answer(on_done, action())
-            else:
-                simulation.after(
-                    2.0, lambda: self._answer(on_done, Unavailable("down"))
-                )
+                return
+            lost = Unavailable("down", outcome_unknown=is_append)
+            if is_append and self._log.is_restoring:
+                self._log.append_late(action)
+            simulation.after(2.0, lambda: self._answer(on_done, lost))
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), execute)
 
+    def _entries(self, topic: str) -> list[Entry]:
+        records = self._log.records(topic)
+        return [Entry(offset, *record) for offset, record in enumerate(records)]
+
     def read_newest(self, topic, after, on_done) -> None:
         def read():
-            newest = {entry.key: entry for entry in self._log.entries}
-            return NewestPage(tuple(newest.values()), None, len(self._log.entries))
+            entries = self._entries(topic)
+            newest = {entry.key: entry for entry in entries}
+            return NewestPage(tuple(newest.values()), None, len(entries))
 
         self._call(on_done, read)
 
     def read_tail(self, topic, offset, wait_s, on_done) -> None:
         def read():
-            entries = tuple(self._log.entries[offset:])
-            end = len(self._log.entries)
-            return Tail(entries, end, end)
+            entries = self._entries(topic)
+            end = len(entries)
+            if offset > end:
+                return Trimmed()
+            return Tail(tuple(entries[offset:]), end, end)
 
         self._call(on_done, read)
 
     def append(self, topic, key, value, at, on_done) -> None:
         log, simulation = self._log, self._log.simulation
+
+        def append():
+            offset = log.append(topic, key, value, at)
+            return Conflict() if offset is None else Appended(offset)
+
         if simulation.rng.random() < log.lose_answers and self._is_reachable():
             late_s = simulation.rng.choice([0.0, 1.0, 4.0])
-            simulation.after(late_s, lambda: log.append(key, value, at))
+            simulation.after(late_s, append)
             lost = Unavailable("lost", outcome_unknown=True)
             simulation.after(2.0, lambda: self._answer(on_done, lost))
             return
-        self._call(on_done, lambda: log.append(key, value, at))
+        self._call(on_done, append, is_append=True)
 
 
 @dataclass
@@ -327,7 +390,7 @@
         rng = random.Random(f"{self.local_address} {self.life} {self.mesh.seed}")
         self.follower = TopicFollower(
             store,
-            "t",
+            TOPIC,
             self.timers,
             0.0,
             2.0,
@@ -591,7 +654,7 @@
         self.by_request = by_request
         self.reuses_ids = reuses_ids
         self.simulation = Simulation(seed)
-        self.log = FakeLog(self.simulation)
+        self.log = FakeLog(self.simulation, seed)
         self.late_heartbeats = 0.0
         #: Share of the grants and releases whose answer is lost.
         self.lost_grants = 0.0
@@ -604,6 +667,15 @@
             self.simulation.after(self.simulation.rng.uniform(0, 0.3), daemon.start)
             self.new_target(daemon)
 
+    def add_daemon(self) -> FakeDaemon:
+        """Start another daemon with a target, and return it."""
+        number = len(self.daemons) + 1
+        daemon = FakeDaemon(self, number, f"r{number % 2}")
+        self.daemons.append(daemon)
+        daemon.start()
+        self.new_target(daemon)
+        return daemon
+
     def new_target(self, daemon: FakeDaemon) -> None:
         if daemon.target is not None:
             daemon.target.is_up = False
@@ -789,3 +861,28 @@
         target = daemon.target
         target.state = TargetState.LEAVING
         self._after(duration_s, lambda: self.mesh.new_target(daemon))
+
+
+@dataclass
+class RestorePlan:
+    """Random restores of the store from older copies, beside the faults of a plan.
+
+    They are drawn from a generator of their own, so that the faults of a seed stay as
+    they are.
+    """
+
+    plan: FaultPlan
+
+    def schedule(self, start: float, end: float) -> None:
+        """Schedule one or two restores between two times."""
+        rng = random.Random(f"restores {self.plan.mesh.seed}")
+        for _ in range(rng.choice([1, 1, 2])):
+            at = rng.uniform(start, end)
+            away_s, lost_s = rng.uniform(0.5, 6.0), rng.uniform(1.0, 10.0)
+            self.plan.mesh.simulation.after(
+                at, lambda a=away_s, x=lost_s: self._restore(a, x)
+            )
+
+    def _restore(self, away_s: float, lost_s: float) -> None:
+        self.plan._record(f"restore, {lost_s:.1f} s lost,", None, away_s)
+        self.plan.mesh.log.restore(away_s, lost_s)
--- /dev/null
+++ b/tests/core/ownership/test_restored_store.py
@@ -0,0 +1,218 @@
+"""Ownership while the store is restored from an older copy, on a virtual clock."""
+
+from __future__ import annotations
+
+import unittest
+
+from rhubarbhall.core.ownership.key_table import KEY_COUNT
+from rhubarbhall.core.ownership.records import TargetState
+from tests.core.ownership.mesh import SERVICE, FaultPlan, OwnershipMesh, RestorePlan
+
+#: Virtual time of a run with random faults, in seconds. No fault begins after
+#: `FAULTS_END_S`, and no restore after `RESTORES_END_S`.
+RUN_S = 70.0
+FAULTS_END_S = 35.0
+RESTORES_END_S = 30.0
+SEEDS = range(10)
+#: Time after a restore without other faults in which the table can be written again and
+#: every key has a holder, in seconds.
+RECOVERY_S = 15.0
+#: Time between two checks whether every key has a holder, in seconds.
+CHECK_INTERVAL_S = 0.1
+
+
+def simulate(seed: int, by_request: bool = False) -> tuple[OwnershipMesh, FaultPlan]:
+    """Return a simulated mesh after random faults, restores and a time without any."""
+    mesh = OwnershipMesh(seed, by_request=by_request)
+    plan = FaultPlan(mesh)
+    plan.schedule(10, 6.0, FAULTS_END_S)
+    RestorePlan(plan).schedule(8.0, RESTORES_END_S)
+    mesh.simulation.run_until(RUN_S)
+    return mesh, plan
+
+
+class RandomRestoreTests(unittest.TestCase):
+    by_request = False
+
+    @classmethod
+    def setUpClass(cls):
+        cls.simulated = {
+            seed: simulate(seed, by_request=cls.by_request) for seed in SEEDS
+        }
+
+    def test_no_key_has_two_holders_and_fences_rise(self):
+        for seed, (mesh, plan) in self.simulated.items():
+            with self.subTest(seed=seed):
+                report = "\n".join(
+                    plan.injected + [str(each) for each in mesh.overlaps[:5]]
+                )
+                self.assertEqual(mesh.overlaps, [], report)
+
+    def test_every_key_has_a_holder_again_after_the_faults(self):
+        for seed, (mesh, plan) in self.simulated.items():
+            with self.subTest(seed=seed):
+                held = sum(mesh.owners().values())
+                self.assertEqual(held, KEY_COUNT, "\n".join(plan.injected))
+
+
+class RandomRestoreByRequestTests(RandomRestoreTests):
+    """The same for targets that take keys by requests, whose answers may be lost."""
+
+    by_request = True
+
+
+class RestoreTests(unittest.TestCase):
+    """A restore at 20 s, after changes of the table that the copy lacks."""
+
+    seeds = range(2)
+    by_request = False
+
+    def start(self, seed: int) -> OwnershipMesh:
+        """Return a mesh in which every target was restarted since the copy."""
+        mesh = OwnershipMesh(seed, by_request=self.by_request)
+        self.unheld: list[tuple[float, int]] = []
+        for index, daemon in enumerate(mesh.daemons):
+            self.run_until(mesh, 12.0 + 0.7 * index)
+            mesh.new_target(daemon)
+        self.run_until(mesh, 15.0)
+        return mesh
+
+    def run_until(self, mesh: OwnershipMesh, end: float, sampled: bool = False) -> None:
+        if not sampled:
+            mesh.simulation.run_until(end)
+        while mesh.simulation.now < end:
+            mesh.simulation.run_until(mesh.simulation.now + CHECK_INTERVAL_S)
+            unheld = KEY_COUNT - sum(mesh.owners().values())
+            if unheld:
+                self.unheld.append((round(mesh.simulation.now, 1), unheld))
+
+    def assert_sole(self, mesh: OwnershipMesh) -> None:
+        self.assertEqual(mesh.overlaps, [], [str(each) for each in mesh.overlaps[:5]])
+
+    def states(self, mesh: OwnershipMesh, address: str) -> list[TargetState]:
+        """Return the state of a target as each daemon knows it."""
+        directories = [each.directory for each in mesh.daemons if each.is_running]
+        return [each.member_by_address[address].state for each in directories]
+
+    def test_keys_are_held_throughout_a_restore_without_other_faults(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.5, 9.0)
+                self.run_until(mesh, 22.5 + 2 * RECOVERY_S, sampled=True)
+                self.assertEqual(self.unheld, [])
+                self.assert_sole(mesh)
+
+    def test_a_new_target_gets_keys_after_a_restore(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.0, 9.0)
+                self.run_until(mesh, 22.0)
+                daemon = mesh.add_daemon()
+                self.run_until(mesh, 22.0 + RECOVERY_S)
+                self.assertGreater(mesh.owners()[daemon.target.instance], 0)
+                self.assert_sole(mesh)
+
+    def test_a_lost_target_is_replaced_after_a_restore(self):
+        # A table that cannot be written any more leaves the keys without a holder.
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.0, 9.0)
+                self.run_until(mesh, 24.0)
+                mesh.daemons[1].kill()
+                mesh.daemons[1].target.is_up = False
+                self.run_until(mesh, 24.0 + RECOVERY_S)
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+                self.assert_sole(mesh)
+
+    def test_a_target_that_announced_leaving_before_the_restore_still_leaves(self):
+        # A daemon that starts later reads only what the store holds then.
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                leaving = mesh.daemons[1]
+                self.run_until(mesh, 16.0)
+                leaving.target.state = TargetState.LEAVING
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.0, 9.0)
+                self.run_until(mesh, 24.0)
+                mesh.add_daemon()
+                self.run_until(mesh, 22.0 + RECOVERY_S)
+                states = self.states(mesh, leaving.local_address)
+                self.assertEqual(set(states), {TargetState.LEAVING})
+                self.assertEqual(mesh.owners()[leaving.target.instance], 0)
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+                self.assert_sole(mesh)
+
+    def test_a_moved_key_does_not_go_back_to_its_former_owner(self):
+        # The copy names an owner that was replaced in the records that it lacks.
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                replaced = mesh.daemons[1]
+                replaced.is_cut_from_peers = replaced.is_cut_from_store = True
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(1.0, 9.0)
+                self.run_until(mesh, 21.2)
+                replaced.is_cut_from_peers = replaced.is_cut_from_store = False
+                mesh.daemons[2].kill()
+                self.run_until(mesh, 22.0)
+                mesh.daemons[2].start()
+                self.run_until(mesh, 22.0 + 2 * RECOVERY_S)
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+                self.assert_sole(mesh)
+
+    def test_all_daemons_started_again_after_a_restore(self):
+        # No daemon knows a table, and targets may still hold keys of the lost one.
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.0, 9.0)
+                self.run_until(mesh, 21.9)
+                for daemon in mesh.daemons:
+                    daemon.kill()
+                    daemon.start()
+                self.run_until(mesh, 22.0 + 2 * RECOVERY_S)
+                tables = {each._table() is not None for each in mesh.daemons}
+                self.assertEqual(tables, {True}, SERVICE)
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+                self.assert_sole(mesh)
+
+    def test_keys_are_held_throughout_two_restores(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(2.5, 9.0)
+                self.run_until(mesh, 28.0, sampled=True)
+                mesh.log.restore(2.5, 3.0)
+                self.run_until(mesh, 30.5 + RECOVERY_S, sampled=True)
+                self.assertEqual(self.unheld, [])
+                self.assert_sole(mesh)
+
+    def test_a_restore_right_after_another(self):
+        # Boot records of the first one are not written before the second one.
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.log.restore(1.0, 9.0)
+                self.run_until(mesh, 21.2 + 0.1 * seed)
+                mesh.log.restore(1.0, 3.0)
+                daemon = mesh.add_daemon()
+                self.run_until(mesh, mesh.simulation.now + 1.0 + RECOVERY_S)
+                self.assertGreater(mesh.owners()[daemon.target.instance], 0)
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+                self.assert_sole(mesh)
+
+
+class RestoreByRequestTests(RestoreTests):
+    """The same for targets that take keys by requests."""
+
+    by_request = True
