Keep ownership and key tables across a restore of the store

Cause: offsets tell old records from new ones everywhere in core/ownership, and a restored store gives them out again. A copy lacks the last records, so what it says of a moved key is wrong.

Fix: records have positions, the store epoch (number of restores, read from each answer by platform/store.py) above 40 bits of offset. They only grow, and equal the offset in epoch 0, where nothing changes on the wire or in the store. Each epoch has a topic of its own, empty at first. Whoever learns of an epoch, by an answer or a position of a peer, reads both topics from their newest records, writes its member record again, and a boot record that names the position of the newest table it knows. The old one goes on being used until then; nothing in it is changed and no read lease is renewed. Answers and records of an earlier epoch count for nothing (event 116), a restore is event 115.

What differs from the design, and why: - No pushes of tables and no fixed wait before the table is written. Boot records name the table's position in the log, and the conditional write makes its writer know all of them. Without another fault the table is back when all have booted; a push that is lost cannot hide a newer table. - A daemon grants and renews nothing between learning of an epoch and having read beyond its boot record, as after a start; witnesses renew only owners with a boot record. So an owner that named no table has no lease when the table is written. - Votes and witness changes of the old epoch are NOT let go of by the new log's end, but by the table's being written again (KeyDirectory.settled_end): they may have been carried out before the restore with one daemon knowing. - Present owners get new fences too unless every daemon has named a table: a target may have held a key by a write that is lost with its only reader. - The directory follower starts at once with the topic of epoch 0 and is restarted if the first answer names another epoch. That costs a read at a start after a restore and nothing otherwise.

Not covered, documented: an owner that alone knows the last change, without a boot record, with a majority of witnesses that are cut off from all others; a restore within about a second of another one leaves keys without a holder until the store is back.

--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -48,6 +48,18 @@
     ),
     113: LogEventSpec("store_lost", "The store does not answer reads.", ("reason",)),
     114: LogEventSpec("store_regained", "The store answers reads again.", ()),
+    115: LogEventSpec(
+        "store_restored",
+        "The store was restored from an older copy for the `epoch`th time; `end` is "
+        "the end of the directory that was known before.",
+        ("epoch", "end"),
+    ),
+    116: LogEventSpec(
+        "record_outdated",
+        "A peer has sent a record from before the restore of the store; it has no "
+        "effect.",
+        ("key", "offset"),
+    ),
     201: LogEventSpec("joined", "The member has read its own join back.", ("member",)),
     202: LogEventSpec("target_unreachable", "The target could not be fenced yet.", ()),
     203: LogEventSpec(
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -1,6 +1,8 @@
 """The members and key tables that a daemon knows from the records of the store.
 
-The newest record of each key counts.
+The newest record of each key counts. After a restore of the store from an older copy,
+records of earlier epochs that are known stay in use until newer ones replace them; no
+more of them are taken.
 """
 
 from __future__ import annotations
@@ -15,15 +17,19 @@
     MEMBER_PREFIX,
     TABLE_PREFIX,
     Member,
+    boot_key,
+    decode_known_table,
     decode_member,
     decode_table,
     lost_key,
     member_key,
+    table_key,
 )
+from rhubarbhall.core.ownership.store_port import epoch_of, position
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.key_table import KeyTable
-    from rhubarbhall.types import Address, Offset
+    from rhubarbhall.types import Address, Offset, StoreEpoch
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,10 @@
         #: Grows with each change of a member, and of which ones are lost.
         self.state_version = 0
         self._entry_by_key: dict[str, Entry] = {}
+        #: Known epoch of the store.
+        self.epoch: StoreEpoch = 0
+        #: The end that was reached in each earlier epoch.
+        self._end_by_epoch: dict[StoreEpoch, Offset] = {}
         #: Offset after the last known record; every record before it is known.
         self.end: Offset = 0
         #: Whether the log has been read up to its end at least once.
@@ -85,9 +95,72 @@
         #: Offsets of known records beyond `end`; some records before them are unknown.
         self._known_beyond_end: set[Offset] = set()
 
+    def begin_epoch(self, epoch: StoreEpoch) -> None:
+        """Record that the store was restored from an older copy."""
+        self._end_by_epoch[epoch_of(self.end)] = self.end
+        self.epoch = epoch
+
+    def is_earlier(self, position: Offset) -> bool:
+        """Return whether a position is of an earlier epoch than the known one."""
+        return epoch_of(position) < self.epoch
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the log has been read up to its end in the present epoch."""
+        return self.is_loaded and not self.is_earlier(self.end)
+
+    def is_written(self, key: str) -> bool:
+        """Return whether a record of a key was written in the present epoch."""
+        known = self._entry_by_key.get(key)
+        return known is not None and not self.is_earlier(known.offset)
+
+    def has_booted(self, address: Address) -> bool:
+        """Return whether a daemon is known to act in the present epoch.
+
+        It has written a boot record since the store was restored; without a restore
+        every daemon does.
+        """
+        return self.epoch == 0 or self.is_written(boot_key(address))
+
+    def known_table_of(self, address: Address) -> Offset:
+        """Return the position of the table that a daemon knew at its boot record.
+
+        It is -1 if the daemon knew none, or has written no such record in this epoch.
+        """
+        if not self.is_written(boot_key(address)):
+            return -1
+        try:
+            return decode_known_table(self._entry_by_key[boot_key(address)].value)
+        except ValueError:
+            return -1
+
+    def table_position(self, service: str) -> Offset:
+        """Return the position of the known table of a service; -1 without one."""
+        entry = self._entry_by_key.get(table_key(service))
+        return -1 if entry is None else entry.offset
+
+    def is_restoring(self, service: str) -> bool:
+        """Return whether the known table of a service is of an earlier epoch.
+
+        The restored store does not have it until a daemon writes it again.
+        """
+        known = self.table_position(service)
+        return known >= 0 and self.is_earlier(known)
+
+    def settled_end(self, service: str) -> Offset:
+        """Return the end of the log of the epoch that the table of a service is of.
+
+        What depends on a write of that epoch stays pending until the table is written
+        again: the write may have been carried out before the store was restored.
+        """
+        if not self.is_restoring(service):
+            return self.end
+        epoch = epoch_of(self.table_position(service))
+        return self._end_by_epoch.get(epoch, position(epoch, 0))
+
     def apply(self, entry: Entry) -> Rejected | None:
         """Apply one record; return it as `Rejected` if it cannot be decoded."""
-        if self.knows(entry.key, entry.offset):
+        if self.is_earlier(entry.offset) or self.knows(entry.key, entry.offset):
             return None
         self._entry_by_key[entry.key] = entry
         try:
@@ -134,6 +207,8 @@
 
     def advance_end(self, end: Offset) -> None:
         """Record that every record before `end` is known."""
+        if self.is_earlier(end):
+            return
         self.is_loaded = True
         self.end = max(self.end, end)
         self._advance_end()
@@ -144,7 +219,7 @@
         Records of several writers may arrive in another order than that of the log.
         """
         rejected = self.apply(entry)
-        if self.is_loaded:
+        if self.is_loaded and not self.is_earlier(entry.offset):
             self._known_beyond_end.add(entry.offset)
             self._advance_end()
         return rejected
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -97,6 +97,15 @@
         else:
             self._read_tail(now, wait_s=0.0)
 
+    def restart(self, now: Seconds, topic: str) -> None:
+        """Follow a topic from its newest records, as the store was restored.
+
+        The answer to a read under way is ignored.
+        """
+        self._topic = topic
+        self._position = None
+        self.start(now)
+
     def _read_newest(
         self, now: Seconds, after: str | None, first_end: Offset | None
     ) -> None:
--- a/rhubarbhall/core/ownership/key_table.py
+++ b/rhubarbhall/core/ownership/key_table.py
@@ -12,11 +12,14 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
-    from rhubarbhall.types import Address
+    from rhubarbhall.types import Address, StoreEpoch
 
 #: Number of keys of a service; keys run from 0 to ``KEY_COUNT - 1``.
 KEY_COUNT = 65536
 
+#: Bits of a fence below the epoch of the store in which it was given out.
+FENCE_BITS = 32
+
 #: First and last key of a range, both included.
 Range: TypeAlias = "tuple[int, int]"
 
@@ -317,6 +320,27 @@
 
         return replace(self._mapped(change), next_fence=fence + 1)
 
+    def in_epoch(self, epoch: StoreEpoch, renews_fences: bool) -> KeyTable:
+        """Return the table as it is written after a restore of the store.
+
+        All later fences are above those that were given out in writes that the store
+        has lost. Spans stay apart, also with new fences.
+
+        Parameters
+        ----------
+        renews_fences : bool
+            Whether the present owners get new fences too, since another target may have
+            been granted their keys in a write that is lost.
+        """
+
+        def raised(fence: int) -> int:
+            return epoch << FENCE_BITS | fence & (1 << FENCE_BITS) - 1
+
+        spans = self.spans
+        if renews_fences:
+            spans = tuple(replace(span, fence=raised(span.fence)) for span in spans)
+        return replace(self, spans=spans, next_fence=raised(self.next_fence))
+
     def with_new_fences(self, owner: Address, refused: Container[int]) -> KeyTable:
         """Return the table with a new fence for an owner's spans of refused fences."""
         fence = self.next_fence
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -9,13 +9,14 @@
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.records import (
     boot_key,
+    encode_known_table,
     encode_member,
     encode_table,
     lost_key,
     member_key,
     table_key,
 )
-from rhubarbhall.core.ownership.store_port import Appended, Conflict
+from rhubarbhall.core.ownership.store_port import Appended, Conflict, epoch_of
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
@@ -26,7 +27,7 @@
     from rhubarbhall.core.ownership.records import Member
     from rhubarbhall.core.ownership.store_port import AppendResult, Store
     from rhubarbhall.core.timers import TimerService
-    from rhubarbhall.types import Address, Seconds
+    from rhubarbhall.types import Address, Seconds, StoreEpoch
 
 #: Topic of the store that holds the records.
 TOPIC = "keyed.rhubarbhall"
@@ -37,6 +38,18 @@
 MAX_CONFLICT_FACTOR = 16
 #: Pause after a write that failed for another reason, in seconds.
 FAILURE_BACKOFF_S = 0.3
+#: Time after a boot record in which the records before it arrive from their writers;
+#: after a restore they are then read from the store, in seconds.
+BOOT_READ_DELAY_S = 0.3
+
+
+def directory_topic(epoch: StoreEpoch) -> str:
+    """Return the topic of the records in an epoch of the store.
+
+    Each epoch has a topic of its own, which is empty after the restore. So no record
+    that survived it, and no write that was still on its way, is mixed with new ones.
+    """
+    return TOPIC if epoch == 0 else f"{TOPIC}.{epoch}"
 
 
 class RecordPublisher:
@@ -104,6 +117,8 @@
         self._paused_until: Seconds = float("-inf")
         #: Number of conflicts since the last record that was written.
         self._conflicts = 0
+        #: When the records before the last boot record are to be read.
+        self._boot_read_at: Seconds = float("inf")
 
     def write_due(self, now: Seconds, member: Member | None) -> None:
         """Write the next record that is due, if any.
@@ -118,9 +133,7 @@
             return
         if not self._directory.is_loaded:
             return
-        known = self._directory.member_by_address.get(self._local_address)
-        is_reported_lost = self._directory.is_lost(self._local_address)
-        if member is not None and (known != member or is_reported_lost):
+        if member is not None and self._needs_member_record(member):
             value = encode_member(member)
             self._write(
                 now, member_key(self._local_address), value, False, member.state
@@ -133,10 +146,13 @@
         if not self.by_key:
             return
         if self._range_witness.boot_offset is None:
-            self._write(now, boot_key(self._local_address), b"1", False, "started")
+            self._write_boot_record(now, "started")
             return
         if self._reconciler.is_blocked(now):
-            self._write(now, boot_key(self._local_address), b"1", False, "stuck")
+            self._write_boot_record(now, "stuck")
+            return
+        self._read_to_boot_record(now)
+        if not self._directory.is_current:
             return
         change = self._reconciler.propose(now)
         if change is not None:
@@ -144,15 +160,49 @@
             self._reconciler.record_pending_write(now, change, self._directory.end)
             self._write(now, table_key(self._service), value, True, change.reason)
 
+    def _needs_member_record(self, member: Member) -> bool:
+        address = self._local_address
+        if self._directory.member_by_address.get(address) != member:
+            return True
+        is_written = self._directory.is_written(member_key(address))
+        return not is_written or self._directory.is_lost(address)
+
+    def _write_boot_record(self, now: Seconds, reason: str) -> None:
+        """Write a record that makes the log grow; it names the known table.
+
+        The table matters only after a restore of the store.
+        """
+        value = b"1"
+        if self._directory.epoch:
+            known = self._directory.table_position(self._service)
+            value = encode_known_table(known)
+        self._write(now, boot_key(self._local_address), value, False, reason)
+
+    def _read_to_boot_record(self, now: Seconds) -> None:
+        """Read the log if a boot record is not known to be complete in time.
+
+        After a restore the target is granted nothing until then.
+        """
+        if now < self._boot_read_at:
+            return
+        self._boot_read_at = float("inf")
+        if not self._range_witness.has_boot_record(self._directory.end):
+            self._boot_read_at = now + 2 * BOOT_READ_DELAY_S
+            self._on_conflict(now)
+
     def _write(
         self, now: Seconds, key: str, value: bytes, conditional: bool, reason: str
     ) -> None:
         self._is_writing = True
         at = self._directory.end if conditional else None
+        epoch = self._directory.epoch
 
         def on_done(result: AppendResult) -> None:
             self._is_writing = False
             later = self._timers.now()
+            if epoch != self._directory.epoch:
+                # The log that it was written to is not followed any more.
+                return
             if isinstance(result, Appended):
                 self._conflicts = 0
                 entry = Entry(result.offset, key, value)
@@ -167,7 +217,7 @@
             else:
                 self._paused_until = later + FAILURE_BACKOFF_S
 
-        self._store.append(TOPIC, key, value, at, on_done)
+        self._store.append(directory_topic(epoch), key, value, at, on_done)
 
     def _on_appended(
         self, now: Seconds, sent_at: Seconds, entry: Entry, at: int | None
@@ -178,6 +228,8 @@
             and self._range_witness.boot_offset is None
         ):
             self._range_witness.boot_offset = entry.offset
+            if epoch_of(entry.offset):
+                self._boot_read_at = now + BOOT_READ_DELAY_S
         if at is not None:
             # The write was conditional, so every record before it is known.
             self._directory.advance_end(entry.offset + 1)
--- a/rhubarbhall/core/ownership/range_witness.py
+++ b/rhubarbhall/core/ownership/range_witness.py
@@ -127,6 +127,10 @@
     def record_change(self, now: Seconds, at: Offset) -> None:
         """Record that a change of the witnesses is being written at an offset."""
         self._pending_at = at
+        self.excuse_witnesses(now)
+
+    def excuse_witnesses(self, now: Seconds) -> None:
+        """Record that the witnesses had a reason not to answer until now."""
         for witness in self._unanswered_since:
             self._unanswered_since[witness] = now
 
@@ -171,6 +175,13 @@
         #: Offset of a record that this daemon has written since its start.
         self.boot_offset: Offset | None = None
 
+    def begin_epoch(self) -> None:
+        """Record that the store was restored from an older copy.
+
+        Another record has to be written, which tells which table this daemon knows.
+        """
+        self.boot_offset = None
+
     def update_from_table(self, now: Seconds, table: KeyTable) -> None:
         """Update the owners that this daemon is a witness of from the table."""
         versions = {
@@ -194,16 +205,31 @@
         """
         return self.boot_offset is not None and directory_end > self.boot_offset
 
-    def try_renew(self, now: Seconds, owner: Address, directory_end: Offset) -> bool:
+    def try_renew(
+        self,
+        now: Seconds,
+        owner: Address,
+        directory_end: Offset,
+        settled_end: Offset | None = None,
+    ) -> bool:
         """Renew the lease of an owner and return `True`, or return `False`.
 
         A lease is not renewed if this daemon is no witness of the owner, or while a
         write of an earlier run or a replacement of the owner may still be carried out.
+
+        Parameters
+        ----------
+        directory_end : int
+            Offset before which every record of the log is known.
+        settled_end : int, optional
+            Offset before which the outcome of each write to the table is known, if that
+            differs; see `KeyDirectory.settled_end`.
         """
+        settled_end = directory_end if settled_end is None else settled_end
         if owner not in self._renewed_at or not self.has_boot_record(directory_end):
             return False
         pending_at = self._pending.get(owner)
-        if pending_at is not None and directory_end <= pending_at:
+        if pending_at is not None and settled_end <= pending_at:
             return False
         self._pending.pop(owner, None)
         self._renewed_at[owner] = now
--- a/rhubarbhall/core/ownership/read_lease.py
+++ b/rhubarbhall/core/ownership/read_lease.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -29,13 +30,23 @@
 
 
 class ReadLease:
-    """The time until which the contents of the directory may be relied on."""
+    """The time until which the contents of the directory may be relied on.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    is_renewable : callable
+        Returns whether the lease may be renewed. It may not while the known key table
+        is not in the store, as after a restore: another daemon may know a newer one.
+    """
+
+    def __init__(self, is_renewable: Callable[[], bool] = lambda: True) -> None:
+        self._is_renewable = is_renewable
         self._confirmed_at: Seconds = float("-inf")
 
     def confirm(self, sent_at: Seconds) -> None:
         """Record that a read sent at `sent_at` found no unknown records."""
+        if not self._is_renewable():
+            return
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
     def age_s(self, now: Seconds) -> Seconds:
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -22,6 +22,7 @@
 )
 from rhubarbhall.core.ownership.read_lease import takeover_wait_s
 from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.table_restore import TableRestore
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
@@ -143,6 +144,7 @@
         self._votes = votes
         self._witnessed_lease = witnessed_lease
         self._started_at = started_at
+        self._restore = TableRestore(service, directory)
         self._replaced: list[Address] = []
         self._freed: list[Range] = []
         self._witnesses_changed_at: Seconds = float("-inf")
@@ -175,6 +177,8 @@
         table = self._directory.table_by_service.get(self._service)
         if table is None:
             return self._create_table(now)
+        if self._directory.is_restoring(self._service):
+            return self._restore_table(now, table)
         self._update_lost_since(now, table)
         self._freed = []
         reasons: list[str] = []
@@ -218,6 +222,8 @@
         table = self._directory.table_by_service.get(self._service)
         if table is None or not table.owned_by(self._local_address):
             return False
+        if self._directory.is_restoring(self._service):
+            return False
         if self._witnessed_lease.remaining_s(now) > 0:
             self._lease_missing = None
             return False
@@ -298,7 +304,8 @@
         peers_discovered = (
             now - self._started_at > DISCOVERY_PERIOD_S and self._directory.is_loaded
         )
-        needed = bool(claims) and peers_discovered
+        may_found = self._restore.may_found(now)
+        needed = bool(claims) and peers_discovered and may_found
         if not self._rank_delay_passed(now, "found", needed) or not claims:
             return None
         table = KeyTable.divided(claims)
@@ -306,8 +313,24 @@
             table = table.with_witnesses(
                 claim.owner, self._witnesses_for(now, claim.owner)
             )
+        table = table.in_epoch(self._directory.epoch, renews_fences=True)
         return TableChange(table, "found")
 
+    # Table after a restore of the store
+
+    def _restore_table(self, now: Seconds, table: KeyTable) -> TableChange | None:
+        """Return the newest known table as it is to be written again, when it is due.
+
+        Every other change has to wait: the table that it would be based on is not in
+        the store. Until then some witnesses have no boot record and renew no lease.
+        """
+        self._witnessed_lease.excuse_witnesses(now)
+        restored = self._restore.due(now, table)
+        is_due = self._rank_delay_passed(now, "restore", restored is not None)
+        if not is_due or restored is None:
+            return None
+        return TableChange(restored, "restore")
+
     # Steps
 
     def _witnesses_for(
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from rhubarbhall.types import Address
+    from rhubarbhall.types import Address, Offset
 
 MEMBER_PREFIX = "member/"
 TABLE_PREFIX = "keys/"
@@ -106,6 +106,28 @@
     return f"{BOOT_PREFIX}{address}"
 
 
+def encode_known_table(position: Offset) -> bytes:
+    """Return the value of a boot record after a restore of the store.
+
+    Parameters
+    ----------
+    position : int
+        Position of the newest key table that the daemon knows; -1 if it knows none.
+    """
+    return str(position).encode()
+
+
+def decode_known_table(data: bytes) -> Offset:
+    """Return the position of the key table that a daemon knew; see the encoder.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not a whole number.
+    """
+    return int(data)
+
+
 def table_key(service: str) -> str:
     """Return the key of a service's table."""
     return f"{TABLE_PREFIX}{service}"
--- a/rhubarbhall/core/ownership/store_port.py
+++ b/rhubarbhall/core/ownership/store_port.py
@@ -1,4 +1,11 @@
-"""The port to the platform's store: records with keys in an append-only log."""
+"""The port to the platform's store: records with keys in an append-only log.
+
+The store may be restored from an older copy. Offsets that were given out after the copy
+was made are then given out again, for other records. The epoch of the store counts the
+restores, and a position combines it with the offset, so positions only grow. In epoch 0
+a position equals the offset. All offsets in this port, in the directory and between
+routers are positions.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +15,25 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Entry
-    from rhubarbhall.types import Offset, Seconds
+    from rhubarbhall.types import Offset, Seconds, StoreEpoch
+
+#: Bits of a position that hold the offset; the epoch is above them.
+OFFSET_BITS = 40
+
+
+def position(epoch: StoreEpoch, offset: int) -> Offset:
+    """Return the position of the record at an offset of the log in an epoch."""
+    return epoch << OFFSET_BITS | offset
+
+
+def epoch_of(position: Offset) -> StoreEpoch:
+    """Return the epoch of a position; 0 for -1, which stands for no record."""
+    return max(0, position) >> OFFSET_BITS
+
+
+def offset_of(position: Offset) -> int:
+    """Return the offset in the log of a position."""
+    return position & (1 << OFFSET_BITS) - 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -15,6 +15,9 @@
 KEY = "Shard-Key"
 RETRY_AFTER = "Retry-After"
 HANDOVER = "Handover"
+#: In each answer of the store: one more than the number of times that it was restored
+#: from an older copy.
+STORE_ERA = "Store-Era"
 
 # Paths.
 READINESS_PATH = "/readiness"
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -26,13 +26,15 @@
     Tail,
     Trimmed,
     Unavailable,
+    offset_of,
+    position,
 )
-from rhubarbhall.platform.names import PARTITION
+from rhubarbhall.platform.names import PARTITION, STORE_ERA
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.client import HttpClient
     from rhubarbhall.core.requests import Response
-    from rhubarbhall.types import Address, Offset, Seconds
+    from rhubarbhall.types import Address, Offset, Seconds, StoreEpoch
 
 #: Timeout for an answer, in seconds, beyond the time that the store may hold a read.
 ANSWER_TIMEOUT_S = 2.5
@@ -95,8 +97,8 @@
         yield content
 
 
-def _entry(offset: Offset, content: bytes) -> Entry | None:
-    """Decode a record; return none if its content is not a key and a value."""
+def _entry(at: Offset, content: bytes) -> Entry | None:
+    """Decode a record at a position; return none if it is not a key and a value."""
     if not content or len(content) < 1 + content[0]:
         return None
     end = 1 + content[0]
@@ -104,29 +106,41 @@
         key = content[1:end].decode()
     except UnicodeDecodeError:
         return None
-    return Entry(offset, key, content[end:])
+    return Entry(at, key, content[end:])
 
 
-def _parse_tail(offset: Offset, data: bytes) -> Tail:
+def _parse_tail(first: Offset, epoch: StoreEpoch, data: bytes) -> Tail:
     if len(data) < _TAIL_HEAD.size:
         raise ValueError(
             f"answer of {len(data)} bytes; allowed: at least the 16 bytes of the head"
         )
     end, _first = _TAIL_HEAD.unpack_from(data)
     contents = list(_records(data[_TAIL_HEAD.size :]))
-    entries = (_entry(offset + index, each) for index, each in enumerate(contents))
+    entries = (_entry(first + index, each) for index, each in enumerate(contents))
     known = tuple(entry for entry in entries if entry is not None)
-    return Tail(known, offset + len(contents), end)
+    return Tail(known, first + len(contents), position(epoch, end))
 
 
-def _parse_newest(data: bytes) -> NewestPage:
+def _parse_newest(epoch: StoreEpoch, data: bytes) -> NewestPage:
     reply = _NEWEST_DECODER.decode(data)
     entries = tuple(
-        Entry(item.offset, item.key, base64.b64decode(item.value, validate=True))
+        Entry(
+            position(epoch, item.offset),
+            item.key,
+            base64.b64decode(item.value, validate=True),
+        )
         for item in reply.items
     )
     after = entries[-1].key if reply.more and entries else None
-    return NewestPage(entries, after, reply.end)
+    return NewestPage(entries, after, position(epoch, reply.end))
+
+
+def _epoch(response: Response) -> StoreEpoch:
+    """Return the epoch of the store that an answer names; 0 if it names none."""
+    for name, value in response.headers:
+        if name.lower() == STORE_ERA.lower() and value.isdecimal():
+            return max(0, int(value) - 1)
+    return 0
 
 
 def _unavailable(result: Response | Failed) -> Unavailable:
@@ -138,6 +152,10 @@
 class LogStore:
     """Reads and writes keyed topics of the platform's log.
 
+    Offsets are positions: they contain the epoch of the store. A call that was sent in
+    another epoch than it is answered in, or that an earlier one is answered for, counts
+    as unavailable: its answer is about a log that is gone.
+
     Parameters
     ----------
     reads, writes : HttpClient
@@ -146,6 +164,9 @@
         Address of the store.
     on_call : callable
         Called with the method and the type of the result of each call, for counters.
+    on_epoch : callable
+        Called with the epoch when an answer shows that the store was restored from an
+        older copy, before the result of that call is passed on.
     """
 
     def __init__(
@@ -154,11 +175,34 @@
         writes: HttpClient,
         address: Address,
         on_call: Callable[[str, str], None] = lambda call, result: None,
+        on_epoch: Callable[[StoreEpoch], None] = lambda epoch: None,
     ) -> None:
         self._reads = reads
         self._writes = writes
         self._address = address
         self._on_call = on_call
+        self._on_epoch = on_epoch
+        #: Known epoch of the store.
+        self.epoch: StoreEpoch = 0
+
+    def begin_epoch(self, epoch: StoreEpoch) -> None:
+        """Record an epoch that was learned elsewhere; an earlier one is ignored."""
+        self.epoch = max(self.epoch, epoch)
+
+    def _outdated(
+        self, sent_in: StoreEpoch, result: Response | Failed
+    ) -> Unavailable | None:
+        """Return what a call counts as if its answer is of another epoch, else none."""
+        if isinstance(result, Failed):
+            return None
+        epoch = _epoch(result)
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._on_epoch(epoch)
+        if epoch == sent_in == self.epoch:
+            return None
+        reason = f"sent in store epoch {sent_in}, answered in {epoch}"
+        return Unavailable(f"{reason}; present: {self.epoch}", outcome_unknown=True)
 
     def read_newest(
         self, topic: str, after: str | None, on_done: Callable[[ReadResult], None]
@@ -167,9 +211,10 @@
         path = f"/log-newest?topic={topic}&part={PARTITION}"
         if after is not None:
             path += f"&after={quote(after, safe='')}"
+        epoch = self.epoch
 
         def on_reply(result: Response | Failed) -> None:
-            answer = _newest_result(result)
+            answer = self._outdated(epoch, result) or _newest_result(epoch, result)
             self._on_call("read_newest", type(answer).__name__)
             on_done(answer)
 
@@ -188,11 +233,14 @@
 
         If there are none, the store holds the read for up to `wait_s` seconds.
         """
-        path = f"/log-read?topic={topic}&part={PARTITION}&from={offset}"
+        path = f"/log-read?topic={topic}&part={PARTITION}&from={offset_of(offset)}"
         path += f"&wait_ms={int(wait_s * 1000)}"
+        epoch = self.epoch
 
         def on_reply(result: Response | Failed) -> None:
-            answer = _tail_result(offset, result)
+            answer = self._outdated(epoch, result) or _tail_result(
+                offset, epoch, result
+            )
             self._on_call("read_tail", type(answer).__name__)
             on_done(answer)
 
@@ -210,10 +258,11 @@
         """Append a record; if `at` is given, only if the log ends at that offset."""
         path = f"/log-append?topic={topic}&part={PARTITION}"
         if at is not None:
-            path += f"&at={at}"
+            path += f"&at={offset_of(at)}"
+        epoch = self.epoch
 
         def on_reply(result: Response | Failed) -> None:
-            answer = _append_result(result)
+            answer = self._outdated(epoch, result) or _append_result(epoch, result)
             self._on_call("append", type(answer).__name__)
             on_done(answer)
 
@@ -223,16 +272,18 @@
         )
 
 
-def _newest_result(result: Response | Failed) -> ReadResult:
+def _newest_result(epoch: StoreEpoch, result: Response | Failed) -> ReadResult:
     if isinstance(result, Failed) or result.status != HTTPStatus.OK:
         return _unavailable(result)
     try:
-        return _parse_newest(result.body)
+        return _parse_newest(epoch, result.body)
     except (ValueError, binascii.Error) as error:
         return Unavailable(f"unreadable answer: {error}")
 
 
-def _tail_result(offset: Offset, result: Response | Failed) -> ReadResult:
+def _tail_result(
+    offset: Offset, epoch: StoreEpoch, result: Response | Failed
+) -> ReadResult:
     if isinstance(result, Failed):
         return _unavailable(result)
     if result.status == HTTPStatus.GONE:
@@ -240,12 +291,12 @@
     if result.status != HTTPStatus.OK:
         return _unavailable(result)
     try:
-        return _parse_tail(offset, result.body)
+        return _parse_tail(offset, epoch, result.body)
     except ValueError as error:
         return Unavailable(f"unreadable answer: {error}")
 
 
-def _append_result(result: Response | Failed) -> AppendResult:
+def _append_result(epoch: StoreEpoch, result: Response | Failed) -> AppendResult:
     if isinstance(result, Failed):
         return _unavailable(result)
     if result.status == HTTPStatus.PRECONDITION_FAILED:
@@ -253,6 +304,7 @@
     if result.status != HTTPStatus.OK:
         return _unavailable(result)
     try:
-        return Appended(_APPEND_DECODER.decode(result.body).offset)
+        offset = _APPEND_DECODER.decode(result.body).offset
+        return Appended(position(epoch, offset))
     except ValueError as error:
         return Unavailable(f"unreadable answer: {error}", outcome_unknown=True)
--- a/rhubarbhall/programs/router_dump.py
+++ b/rhubarbhall/programs/router_dump.py
@@ -27,6 +27,9 @@
     service: str
     ready: bool
     configuration: int | None
+    store_epoch: int
+    #: Whether the key table is not in the store yet, after a restore.
+    restoring: bool
     directory_end: int
     directory_age_s: float
     lease_left_s: float
@@ -65,6 +68,8 @@
         service=daemon.settings.service,
         ready=daemon.is_ready(),
         configuration=routing.version if routing else None,
+        store_epoch=daemon.directory.epoch,
+        restoring=daemon.directory.is_restoring(daemon.settings.service),
         directory_end=daemon.directory.end,
         directory_age_s=round(min(daemon.read_lease.age_s(now), _MAX_AGE_S), 3),
         lease_left_s=round(max(0.0, daemon.lease_remaining_s(now)), 3),
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -136,6 +136,10 @@
             "Time since all of it was known.",
             age_s,
         ),
+        "store_epoch": (
+            "Restores of the store from an older copy.",
+            float(daemon.directory.epoch),
+        ),
         "keys_owned": (
             "Keys that the table gives the own target.",
             float(owned),
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -21,6 +21,7 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.key_load import TargetLoad
+from rhubarbhall.core.ownership.store_port import epoch_of
 from rhubarbhall.core.traffic.requests import NotRun
 
 if TYPE_CHECKING:
@@ -115,6 +116,7 @@
         now = self._advance_timers()
         load = TargetLoad(pong.utilization / 1000, pong.cost / 1_000_000)
         self.balancer.record_load(now, address, load)
+        self._begin_epoch(epoch_of(pong.end))
         if not self.directory.is_loaded:
             return
         local_offset = (
@@ -143,6 +145,11 @@
         """Pass on a record that a peer has just written, if requested, and apply it."""
         now = self._advance_timers()
         entry = Entry(push.entry.offset, push.entry.key, push.entry.value)
+        self._begin_epoch(epoch_of(entry.offset))
+        if self.directory.is_earlier(entry.offset):
+            fields = {"key": entry.key, "offset": entry.offset}
+            self.log_event(LogEvent(116, fields))
+            return
         limit = self.local_address if push.relay else push.limit
         if limit and self.relayed.extend(entry.key, entry.offset, limit):
             self.links.relay(push.entry, limit)
@@ -180,6 +187,7 @@
     ) -> None:
         """Apply the records that a peer has sent on request."""
         now = self._advance_timers()
+        self._begin_epoch(epoch_of(tell.end))
         if tell.configuration is not None:
             sent = tell.configuration
             self._apply_configuration(Entry(sent.offset, sent.key, sent.value))
@@ -208,19 +216,23 @@
         )
 
     def on_renewal_request(self, owner: Address) -> bool:
-        """Return whether this daemon, as a witness, renews an owner's lease."""
+        """Return whether this daemon, as a witness, renews an owner's lease.
+
+        After a restore of the store the owner has to act in the same epoch.
+        """
         now = self._advance_timers()
         table = self.local_table()
-        if table is None:
+        if table is None or not self.directory.has_booted(owner):
             return False
         self.range_witness.update_from_table(now, table)
-        return self.range_witness.try_renew(now, owner, self.directory.end)
+        ends = (self.directory.end, self.settled_end())
+        return self.range_witness.try_renew(now, owner, *ends)
 
     def on_lease_renewed(self, witness: Address, asked_at: Seconds) -> None:
         """Record that a witness of the local target has renewed its lease."""
         now = self._advance_timers()
         self._update_witnesses(now)
-        self.witnessed_lease.confirm(now, witness, asked_at, self.directory.end)
+        self.witnessed_lease.confirm(now, witness, asked_at, self.settled_end())
 
     def on_replacement_request(self, owner: Address, at: Offset) -> bool:
         """Return whether this daemon, as a witness, lets an owner be replaced.
@@ -254,13 +266,15 @@
         """Ask the witnesses of the local target to renew its lease."""
         for witness in self._update_witnesses(now):
             if witness == self.local_address:
-                self.witnessed_lease.confirm(now, witness, now, self.directory.end)
+                self.witnessed_lease.confirm(now, witness, now, self.settled_end())
             else:
                 self.links.request_renewal(witness)
 
     def _request_replacement_votes(self, now: Seconds) -> None:
         """Ask the other witnesses of unresponsive owners for votes to replace them."""
         table = self.local_table()
+        if self.directory.is_restoring(self.settings.service):
+            return
         if table is None or not self.range_witness.lapsed_owners(now):
             return
         end = self.directory.end
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -13,12 +13,13 @@
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.ownership.directory import Entry
-from rhubarbhall.platform.names import CONFIGURATION_KEY
+from rhubarbhall.core.ownership.publisher import directory_topic
+from rhubarbhall.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC
 from rhubarbhall.platform.operator import parse_configuration
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Rejected
-    from rhubarbhall.types import Offset, Seconds
+    from rhubarbhall.types import Offset, Seconds, StoreEpoch
 
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
@@ -30,6 +31,21 @@
     def _count_store_call(self, call: str, result: str) -> None:
         self.request_log.metrics.store_calls[call, result] += 1
 
+    def _begin_epoch(self, epoch: StoreEpoch) -> None:
+        """Read both topics again, as the store was restored from an older copy.
+
+        Requests go on being served by what is known. An epoch that is known is ignored.
+        """
+        if epoch <= self.directory.epoch:
+            return
+        now = self._advance_timers()
+        self.log_event(LogEvent(115, {"epoch": epoch, "end": self.directory.end}))
+        self.directory.begin_epoch(epoch)
+        self.range_witness.begin_epoch()
+        self._store.begin_epoch(epoch)
+        self._follower.restart(now, directory_topic(epoch))
+        self._configuration_follower.restart(now, OPERATOR_TOPIC)
+
     def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             self._log_rejected(self.directory.apply(entry))
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -181,7 +181,7 @@
             now,
             self.local_table(),
             remaining_s,
-            self.directory.end,
+            self.settled_end(),
             heartbeat_age_s,
         )
 
@@ -193,7 +193,7 @@
             now,
             self.local_table(),
             self.lease_remaining_s(now),
-            self.directory.end,
+            self.settled_end(),
         )
         for request in requests:
             self.key_requests.request(request)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -75,7 +75,7 @@
     from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.traffic.pending_requests import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
-    from rhubarbhall.types import Address, Seconds
+    from rhubarbhall.types import Address, Offset, Seconds
 
 #: Minimum time between two reads of the directory from the store, in seconds.
 MIN_DIRECTORY_READ_INTERVAL_S = 2.0
@@ -161,7 +161,9 @@
         self._rng = random.Random(f"{self.local_address} {time.time_ns()}")
         self.directory = KeyDirectory()
         self.liveness = Liveness(started_at)
-        self.read_lease = ReadLease()
+        self.read_lease = ReadLease(
+            lambda: not self.directory.is_restoring(settings.service)
+        )
         self.range_witness = RangeWitness(self.local_address, started_at)
         self.replacement_votes = ReplacementVotes(
             self.local_address, self.range_witness
@@ -248,7 +250,13 @@
             f"store-writes-{self.local_address}", STORE_CALL_CONNECTIONS
         )
         self._clients = (reads, writes)
-        store = LogStore(reads, writes, settings.store_address, self._count_store_call)
+        self._store = store = LogStore(
+            reads,
+            writes,
+            settings.store_address,
+            self._count_store_call,
+            self._begin_epoch,
+        )
         self.balancer = RangeLoadBalancer(self.local_address, KeyLoadSampler())
         self.reconciler = TableReconciler(
             self.local_address,
@@ -485,6 +493,10 @@
         """Return the key table of the local service, or none if there is none yet."""
         return self.directory.table_by_service.get(self.settings.service)
 
+    def settled_end(self) -> Offset:
+        """Return the end up to which the outcome of writes to the table is known."""
+        return self.directory.settled_end(self.settings.service)
+
     def _local_member(self, now: Seconds) -> Member | None:
         """Return the member record to publish; none while the target is unknown."""
         heartbeat = self.target_keys.heartbeat
--- a/rhubarbhall/programs/store_view.py
+++ b/rhubarbhall/programs/store_view.py
@@ -10,7 +10,7 @@
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.key_table import KeyTable
-from rhubarbhall.core.ownership.publisher import TOPIC
+from rhubarbhall.core.ownership.publisher import directory_topic
 from rhubarbhall.core.ownership.store_port import NewestPage, ReadResult, Unavailable
 from rhubarbhall.core.timers import TimerCallback, TimerService
 from rhubarbhall.core.traffic.routes import RoutingTable
@@ -18,7 +18,7 @@
 from rhubarbhall.platform.operator import parse_configuration
 from rhubarbhall.platform.store import LogStore
 from rhubarbhall.programs.mesh_client import MeshError
-from rhubarbhall.types import Address, Seconds
+from rhubarbhall.types import Address, Seconds, StoreEpoch
 
 #: Limit on the time to read all pages of a topic, in seconds.
 READ_TIMEOUT_S = 10.0
@@ -36,6 +36,8 @@
 
     def __init__(self, store: Address) -> None:
         self._address = store
+        #: Epoch of the store, as far as its answers have shown.
+        self._epoch: StoreEpoch = 0
 
     def read_newest(self, topic: str) -> list[Entry]:
         """Return the newest record of each key of a topic.
@@ -45,11 +47,28 @@
         MeshError
             If the store is unavailable or does not answer within `READ_TIMEOUT_S`.
         """
+        return self._read(lambda epoch: topic)
+
+    def _read(self, topic_in: Callable[[StoreEpoch], str]) -> list[Entry]:
+        """Read the topic of the present epoch, which the first answer tells."""
+        while True:
+            epoch = self._epoch
+            read = self._read_in_epoch(topic_in(epoch))
+            if epoch == self._epoch:
+                break
+        if read.failure is not None:
+            topic = topic_in(epoch)
+            raise MeshError(f"{self._address}: {topic}: {read.failure}")
+        return read.entries
+
+    def _read_in_epoch(self, topic: str) -> _TopicRead:
         loop = Loop()
         client = HttpClient("store-view", _CONNECTIONS)
         timers = TimerService()
         timers.advance_to(time.monotonic())
-        read = _TopicRead(LogStore(client, client, self._address), topic, loop.stop)
+        store = LogStore(client, client, self._address, on_epoch=self._set_epoch)
+        store.begin_epoch(self._epoch)
+        read = _TopicRead(store, topic, loop.stop)
         loop.add(client)
         loop.add(TimerRunner(timers, lambda: _fire_due_timers(timers)))
         timers.every(SWEEP_INTERVAL_S, TimerCallback(lambda now: client.sweep()))
@@ -57,9 +76,10 @@
         timers.at(timers.now() + READ_TIMEOUT_S, TimerCallback(read.abandon))
         loop.run()
         client.close()
-        if read.failure is not None:
-            raise MeshError(f"{self._address}: {topic}: {read.failure}")
-        return read.entries
+        return read
+
+    def _set_epoch(self, epoch: StoreEpoch) -> None:
+        self._epoch = epoch
 
     def directory(self) -> KeyDirectory:
         """Return a directory of the members and key tables in the store.
@@ -70,7 +90,7 @@
             If the store cannot be read; see `read_newest`.
         """
         directory = KeyDirectory()
-        for entry in self.read_newest(TOPIC):
+        for entry in self._read(directory_topic):
             directory.apply(entry)
         return directory
 
--- a/rhubarbhall/types.py
+++ b/rhubarbhall/types.py
@@ -11,6 +11,8 @@
 Offset: TypeAlias = int
 #: Counts the owners of a slice: each new owner gets a higher epoch.
 Epoch: TypeAlias = int
+#: Number of times that the platform's store was restored from an older copy.
+StoreEpoch: TypeAlias = int
 #: Number of a slice within its service.
 SliceIndex: TypeAlias = int
 ServiceName: TypeAlias = str
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -14,7 +14,11 @@
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.loss_reports import LossReports
-from rhubarbhall.core.ownership.publisher import TOPIC, RecordPublisher
+from rhubarbhall.core.ownership.publisher import (
+    TOPIC,
+    RecordPublisher,
+    directory_topic,
+)
 from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
 from rhubarbhall.core.ownership.range_witness import (
     RangeWitness,
@@ -36,9 +40,13 @@
     Tail,
     Trimmed,
     Unavailable,
+    epoch_of,
+    offset_of,
+    position,
 )
 from rhubarbhall.core.ownership.target_keys import Grant, Heartbeat, TargetKeys
 from rhubarbhall.core.timers import TimerService
+from rhubarbhall.types import Offset
 
 SERVICE = "status"
 #: Mean time between two heartbeats of a target, in seconds.
@@ -143,15 +151,17 @@
     def _is_reachable(self) -> bool:
         return self._log.is_available and not self._daemon.is_cut_from_store
 
-    def _answer(self, on_done, result) -> None:
+    def _answer(self, on_done, result, is_from_store: bool = True) -> None:
         simulation, daemon = self._log.simulation, self._daemon
-        life = daemon.life
+        life, epoch = daemon.life, self._log.epoch
 
         def arrive() -> None:
             if daemon.is_frozen:
                 simulation.after(0.05, arrive)
             elif daemon.life == life:
                 daemon.timers.advance_to(simulation.now)
+                if is_from_store:
+                    daemon.begin_epoch(epoch)
                 on_done(result)
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), arrive)
@@ -166,29 +176,36 @@
             lost = Unavailable("down", outcome_unknown=is_append)
             if is_append and self._log.is_restoring:
                 self._log.append_late(action)
-            simulation.after(2.0, lambda: self._answer(on_done, lost))
+            simulation.after(2.0, lambda: self._answer(on_done, lost, False))
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), execute)
 
     def _entries(self, topic: str) -> list[Entry]:
         records = self._log.records(topic)
-        return [Entry(offset, *record) for offset, record in enumerate(records)]
+        return [
+            Entry(self._position(offset), *record)
+            for offset, record in enumerate(records)
+        ]
+
+    def _position(self, offset: int) -> Offset:
+        return position(self._log.epoch, offset)
 
     def read_newest(self, topic, after, on_done) -> None:
         def read():
             entries = self._entries(topic)
             newest = {entry.key: entry for entry in entries}
-            return NewestPage(tuple(newest.values()), None, len(entries))
+            end = self._position(len(entries))
+            return NewestPage(tuple(newest.values()), None, end)
 
         self._call(on_done, read)
 
     def read_tail(self, topic, offset, wait_s, on_done) -> None:
         def read():
             entries = self._entries(topic)
-            end = len(entries)
-            if offset > end:
+            first, end = offset_of(offset), self._position(len(entries))
+            if first > len(entries):
                 return Trimmed()
-            return Tail(tuple(entries[offset:]), end, end)
+            return Tail(tuple(entries[first:]), end, end)
 
         self._call(on_done, read)
 
@@ -196,14 +213,16 @@
         log, simulation = self._log, self._log.simulation
 
         def append():
-            offset = log.append(topic, key, value, at)
-            return Conflict() if offset is None else Appended(offset)
+            offset = log.append(
+                topic, key, value, None if at is None else offset_of(at)
+            )
+            return Conflict() if offset is None else Appended(self._position(offset))
 
         if simulation.rng.random() < log.lose_answers and self._is_reachable():
             late_s = simulation.rng.choice([0.0, 1.0, 4.0])
             simulation.after(late_s, append)
             lost = Unavailable("lost", outcome_unknown=True)
-            simulation.after(2.0, lambda: self._answer(on_done, lost))
+            simulation.after(2.0, lambda: self._answer(on_done, lost, False))
             return
         self._call(on_done, append, is_append=True)
 
@@ -365,7 +384,7 @@
         self.timers = TimerService()
         self.timers.advance_to(now)
         self.directory = KeyDirectory()
-        self.lease = ReadLease()
+        self.lease = ReadLease(lambda: not self.directory.is_restoring(SERVICE))
         self.liveness = Liveness(now)
         self.target_keys = TargetKeys(self.local_address, now, self.mesh.by_request)
         self.connected_target = None
@@ -418,6 +437,14 @@
         life = self.life
         self.mesh.simulation.after(0.1, lambda: self._tick(life))
 
+    def begin_epoch(self, epoch: int) -> None:
+        if epoch <= self.directory.epoch:
+            return
+        now = self.mesh.simulation.now
+        self.directory.begin_epoch(epoch)
+        self.range_witness.begin_epoch()
+        self.follower.restart(now, directory_topic(epoch))
+
     def kill(self) -> None:
         self.is_running = False
         self.life += 1
@@ -437,6 +464,7 @@
 
     def on_push(self, entry: Entry) -> None:
         if self.is_running and not self.is_frozen:
+            self.begin_epoch(epoch_of(entry.offset))
             self.directory.apply_next(entry)
             self._request_keys(self.mesh.simulation.now)
 
@@ -446,7 +474,10 @@
         if not self.mesh.by_request:
             return
         requests = self.target_keys.due_requests(
-            now, self._table(), self._lease_remaining_s(now), self.directory.end
+            now,
+            self._table(),
+            self._lease_remaining_s(now),
+            self.directory.settled_end(SERVICE),
         )
         for request in requests:
             self._send_to_target(request)
@@ -550,19 +581,19 @@
     def _request_renewals(self, now: float) -> None:
         witnesses = self._set_witnesses(now)
         if self.local_address in witnesses:
-            self.witnessed_lease.confirm(
-                now, self.local_address, now, self.directory.end
-            )
+            end = self.directory.settled_end(SERVICE)
+            self.witnessed_lease.confirm(now, self.local_address, now, end)
         for peer in self.mesh.reachable_peers(self):
             if peer.local_address in witnesses:
                 self._send(peer, lambda p=peer: p.on_renewal_request(self, now))
 
     def on_renewal_request(self, owner: FakeDaemon, requested_at: float) -> None:
         now, table = self.mesh.simulation.now, self._table()
-        if table is None:
+        if table is None or not self.directory.has_booted(owner.local_address):
             return
         self.range_witness.update_from_table(now, table)
-        if self.range_witness.try_renew(now, owner.local_address, self.directory.end):
+        ends = (self.directory.end, self.directory.settled_end(SERVICE))
+        if self.range_witness.try_renew(now, owner.local_address, *ends):
             self._send(
                 owner, lambda: owner.on_lease_renewed(self.local_address, requested_at)
             )
@@ -570,11 +601,12 @@
     def on_lease_renewed(self, witness: str, requested_at: float) -> None:
         now = self.mesh.simulation.now
         self._set_witnesses(now)
-        self.witnessed_lease.confirm(now, witness, requested_at, self.directory.end)
+        end = self.directory.settled_end(SERVICE)
+        self.witnessed_lease.confirm(now, witness, requested_at, end)
 
     def _request_votes(self, now: float) -> None:
         table, end = self._table(), self.directory.end
-        if table is None:
+        if table is None or self.directory.is_restoring(SERVICE):
             return
         peers = {peer.local_address: peer for peer in self.mesh.reachable_peers(self)}
         for witness, owner in self.votes.vote_requests(now, table, end):
@@ -597,6 +629,7 @@
         if not peers or not self.directory.is_loaded:
             return
         peer = self.mesh.simulation.rng.choice(peers)
+        self.begin_epoch(epoch_of(peer.directory.end))
         if peer.directory.is_loaded and peer.directory.end <= self.directory.end:
             self.lease.confirm(now - peer.lease.age_s(now))
 
@@ -619,7 +652,7 @@
             return None
         remaining_s = self._lease_remaining_s(now)
         return self.target_keys.grant(
-            now, self._table(), remaining_s, self.directory.end
+            now, self._table(), remaining_s, self.directory.settled_end(SERVICE)
         )
 
     def _lease_remaining_s(self, now: float) -> float:
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -14,8 +14,10 @@
 class FakeStore:
     def __init__(self):
         self.calls: list[tuple] = []
+        self.topics: list[str] = []
 
     def read_newest(self, topic, after, on_done):
+        self.topics.append(topic)
         self.calls.append(("newest", after, on_done))
 
     def read_tail(self, topic, offset, wait_s, on_done):
@@ -73,6 +75,19 @@
         self.store.answer(Tail((), 5, 5))
         self.assertEqual(self.complete[-1], (2.0, 5))
 
+    def test_a_restart_reads_another_topic_from_its_newest_records(self):
+        # Guards against: a read goes on from an offset of a log that is gone.
+        self.load_directory()
+        self.fire_timers(2.0)
+        late = self.store.calls[-1][2]
+        self.follower.restart(2.1, "t.1")
+        self.assertEqual(self.store.calls[-1][:2], ("newest", None))
+        self.assertEqual(self.store.topics[-1], "t.1")
+        late(Tail((Entry(5, "a", b""),), 6, 6))
+        self.assertEqual(len(self.complete), 1)
+        self.store.answer(NewestPage((), None, 1))
+        self.assertEqual(self.store.calls[-1][:2], ("tail", 1))
+
     def test_after_records_were_deleted_the_newest_are_read_again(self):
         self.load_directory()
         self.fire_timers(2.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,7 @@
     Tail,
     Trimmed,
     Unavailable,
+    position,
 )
 from rhubarbhall.core.requests import Response
 from rhubarbhall.platform.store import LogStore
@@ -90,6 +91,49 @@
         self.assertIn("at=5", self.http.calls[0][1])
         self.assertEqual(self.append(Response(412)), Conflict())
 
+    def test_offsets_are_positions_in_the_epoch_that_an_answer_names(self):
+        self.store.begin_epoch(2)
+        restored = (("store-era", "3"),)
+        body = struct.pack(">QQ", 9, 0) + record(b"a", b"1")
+        self.http.replies.append(Response(200, restored, body))
+        self.store.read_tail("t", position(2, 7), 0.0, self.results.append)
+        entry = Entry(position(2, 7), "a", b"1")
+        expected = Tail((entry,), position(2, 8), position(2, 9))
+        self.assertEqual(self.results[-1], expected)
+        self.assertIn("from=7&", self.http.calls[-1][1])
+        items = [{"key": "k", "value": "", "offset": 4}]
+        body = msgspec.json.encode({"items": items, "end": 6})
+        self.http.replies.append(Response(200, restored, body))
+        self.store.read_newest("t", None, self.results.append)
+        entry = Entry(position(2, 4), "k", b"")
+        self.assertEqual(self.results[-1], NewestPage((entry,), None, position(2, 6)))
+        done = msgspec.json.encode({"offset": 6, "end": 7})
+        self.http.replies.append(Response(200, restored, done))
+        self.store.append("t", "k", b"v", position(2, 6), self.results.append)
+        self.assertEqual(self.results[-1], Appended(position(2, 6)))
+        self.assertTrue(self.http.calls[-1][1].endswith("at=6"))
+
+    def test_a_new_epoch_is_reported_before_the_call_that_shows_it_ends(self):
+        # Guards against: an append that the restored store has lost, or that went into
+        # another log, counts as written.
+        order: list = []
+        store = LogStore(self.http, self.http, "10.0.0.9:1", on_epoch=order.append)
+        done = msgspec.json.encode({"offset": 5, "end": 6})
+        for era in ("1", "2", "2"):
+            self.http.replies.append(Response(200, (("Store-Era", era),), done))
+            store.append("t", "k", b"v", None, order.append)
+        self.assertEqual(order[:2], [Appended(5), 1])
+        self.assertIsInstance(order[2], Unavailable)
+        self.assertTrue(order[2].outcome_unknown)
+        self.assertEqual(order[3:], [Appended(position(1, 5))])
+
+    def test_an_answer_of_an_earlier_epoch_counts_as_none(self):
+        self.store.begin_epoch(1)
+        for headers in ((), (("Store-Era", "1"),), (("Store-Era", "x"),)):
+            self.http.replies.append(Response(410, headers))
+            self.store.read_tail("t", position(1, 7), 0.0, self.results.append)
+            self.assertIsInstance(self.results[-1], Unavailable)
+
     def test_an_append_may_be_done_after_a_lost_answer_but_not_a_refusal(self):
         lost = self.append(Failed(True, ErrorKind.ANSWER_LOST))
         self.assertTrue(lost.outcome_unknown)
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -49,6 +49,9 @@
     def lease_remaining_s(self, now):
         return 10.0
 
+    def settled_end(self):
+        return self.directory.end
+
     def _local_member(self, now):
         return None
 
