Let the stand-in for the store be restored from an older copy

What was missing: the platform's store can come back from a copy some seconds old. Its logs are then a prefix of what they were, offsets are given out again, a read from an offset that the log does not have gets 410, and each answer names the era, which has risen by one. The stand-in could do none of this, so no test showed what a router makes of it. A read beyond the end of a log waited at the stand-in or returned nothing.

copy() and restore() do it for records, newest records, trims and the state of producers. Reads that wait at that moment lose their connection: a store is stopped to be restored, which ends its connections. The other way, calls without any answer, is StoreFaults.unresponsive.

Not covered: refusals that the HTTP server writes by itself (malformed requests, too many connections) name no era, since they never reach the store.

--- a/rhubarbhall/standins/platform_store.py
+++ b/rhubarbhall/standins/platform_store.py
@@ -1,15 +1,17 @@
 """A stand-in for the platform's store, for tests.
 
 It keeps topics of records with keys in memory, serves them over the HTTP interface of
-the platform, and can inject the faults that `StoreFaults` lists.
+the platform, and can inject the faults that `StoreFaults` lists. It can also be
+restored from an older copy of itself.
 """
 
 from __future__ import annotations
 
 import base64
+import copy
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
@@ -30,6 +32,8 @@
 RESERVED_TOPICS = ("keyed.op", "keyed.servers")
 #: Limit of the keys in one answer to ``/log-newest``.
 MAX_PAGE_ITEMS = 500
+#: Header of each answer: one more than the number of times that the store was restored.
+ERA_HEADER = "Store-Era"
 #: Start of an answer to ``/log-read``: the end of the partition and its first offset.
 _TAIL_HEADER = struct.Struct(">QQ")
 #: Length of a record in bytes, written before each record in a body.
@@ -65,6 +69,19 @@
         return len(self.records)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All that the store held at one moment, for `PlatformStore.restore`.
+
+    Parameters
+    ----------
+    partitions : dict of (str, int) to _Partition
+        Partitions by topic and number.
+    """
+
+    partitions: dict[tuple[str, int], _Partition]
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Faults that the store injects while they are set.
@@ -142,6 +159,9 @@
         The faults to inject.
     calls : int
         Number of calls received so far.
+    era : int
+        One more than the number of times that the store was restored from a copy; each
+        answer to a call names it.
     port : CallerServer
         The server; the owner of the store adds it to an event loop and closes it.
     """
@@ -151,6 +171,7 @@
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._waiting: list[_WaitingRead] = []
         self.calls = 0
+        self.era = 1
         self.port = CallerServer(
             bind, f"platform-store-{bind[1]}", self, CallerLimits(max_body=2 << 20)
         )
@@ -167,7 +188,7 @@
             return
         if self.faults.refuses:
             response = Response(HTTPStatus.SERVICE_UNAVAILABLE)
-            self.port.answer(request_id, response)
+            self._answer(request_id, response)
             return
         url = urlsplit(raw.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -176,7 +197,7 @@
         if handle is not None:
             response = handle(request_id, query, raw.body)
         if response is not None:
-            self.port.answer(request_id, response)
+            self._answer(request_id, response)
 
     def caller_disconnected(self, request_id: RequestId) -> None:
         """Drop the waiting read of a caller that has disconnected."""
@@ -184,6 +205,11 @@
             each for each in self._waiting if each.request_id != request_id
         ]
 
+    def _answer(self, request_id: RequestId, response: Response) -> None:
+        era = (ERA_HEADER, str(self.era))
+        named = replace(response, headers=(*response.headers, era))
+        self.port.answer(request_id, named)
+
     def _partition(self, query: dict[str, str]) -> _Partition:
         part = int(query["part"])
         if not 0 <= part < PARTITION_COUNT:
@@ -243,7 +269,7 @@
         answerable = [each for each in self._waiting if each.partition is partition]
         self._waiting = [each for each in self._waiting if each not in answerable]
         for each in answerable:
-            self.port.answer(each.request_id, self._tail(partition, each.offset))
+            self._answer(each.request_id, self._tail(partition, each.offset))
 
     @staticmethod
     def _tail(partition: _Partition, offset: int) -> Response:
@@ -257,9 +283,9 @@
     def _read(self, request_id, query, body) -> Response | None:
         partition = self._partition(query)
         offset = int(query["from"])
-        if offset < partition.first:
+        if not partition.first <= offset <= partition.end:
             return _json({"first": partition.first}, HTTPStatus.GONE)
-        if offset >= partition.end and int(query.get("wait_ms", "0")) > 0:
+        if offset == partition.end and int(query.get("wait_ms", "0")) > 0:
             self._waiting.append(_WaitingRead(request_id, offset, partition))
             return None
         return self._tail(partition, offset)
@@ -291,3 +317,23 @@
         """
         partition = self._partition({"topic": topic, "part": "0"})
         partition.first = partition.end
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds now."""
+        return StoreCopy(copy.deepcopy(self._partitions))
+
+    def restore(self, older: StoreCopy) -> None:
+        """Replace all that the store holds by a copy, and begin the next era.
+
+        Records and states of producers since the copy are gone, and the offsets of
+        those records are given out again. A store is stopped to be restored, which ends
+        its connections; so the reads that wait get no answer, as their connections are
+        closed.
+        """
+        self._partitions = copy.deepcopy(older.partitions)
+        self.era += 1
+        for each in list(self._waiting):
+            sock = self.port.sock_of(each.request_id)
+            if sock is not None:
+                self.port.drop(sock)
+        self._waiting.clear()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -240,6 +240,7 @@
         "Not-Executed",
         "Caller-Service",
         "Timeout-Ms",
+        "Store-Era",
         "log-append",
         "log-newest",
         "log-read",
