--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -48,6 +48,18 @@
     ),
     113: LogEventSpec("store_lost", "The store does not answer reads.", ("reason",)),
     114: LogEventSpec("store_regained", "The store answers reads again.", ()),
+    115: LogEventSpec(
+        "store_restored",
+        "The store was restored from an older copy for the `epoch`th time; `end` is "
+        "the end of the directory that was known before.",
+        ("epoch", "end"),
+    ),
+    116: LogEventSpec(
+        "record_outdated",
+        "A peer has sent a record from before the restore of the store; it has no "
+        "effect.",
+        ("key", "offset"),
+    ),
     117: LogEventSpec(
         "timer_failed",
         "A timer of the router raised an exception; the others went on.",
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -12,13 +12,15 @@
 from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
-from rhubarbhall.platform.names import CONFIGURATION_KEY
+from rhubarbhall.core.ownership.publisher import directory_topic
+from rhubarbhall.core.ownership.store_port import offset_of
+from rhubarbhall.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC
 from rhubarbhall.platform.operator import parse_configuration, read_version
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Entry, Rejected
     from rhubarbhall.core.traffic.routes import RoutingTable
-    from rhubarbhall.types import Offset, Seconds
+    from rhubarbhall.types import Offset, Seconds, StoreEpoch
 
 #: Stands for no configuration, below all versions.
 NO_VERSION = -1
@@ -32,6 +34,21 @@
     def _count_store_call(self, call: str, result: str) -> None:
         self.request_log.metrics.store_calls[call, result] += 1
 
+    def _begin_epoch(self, epoch: StoreEpoch) -> None:
+        """Read both topics again, as the store was restored from an older copy.
+
+        Requests go on being served by what is known. An epoch that is known is ignored.
+        """
+        if epoch <= self.directory.epoch:
+            return
+        now = self._advance_timers()
+        self.log_event(LogEvent(115, {"epoch": epoch, "end": self.directory.end}))
+        self.directory.begin_epoch(epoch)
+        self.range_witness.begin_epoch()
+        self._store.begin_epoch(epoch)
+        self._follower.restart(now, directory_topic(epoch))
+        self._configuration_follower.restart(now, OPERATOR_TOPIC)
+
     def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             self._log_rejected(self.directory.apply(entry))
@@ -103,7 +120,7 @@
         The first one is not passed on, as all daemons read it when they start.
         """
         is_first = self.request_router.routing is None
-        is_applied = self._apply_configuration(entry.value, entry.offset)
+        is_applied = self._apply_configuration(entry.value, offset_of(entry.offset))
         if is_applied and not is_first:
             self._push_configuration(entry)
 
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -14,7 +14,11 @@
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.loss_reports import LossReports
-from rhubarbhall.core.ownership.publisher import RecordPublisher
+from rhubarbhall.core.ownership.publisher import (
+    TOPIC,
+    RecordPublisher,
+    directory_topic,
+)
 from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
 from rhubarbhall.core.ownership.range_witness import (
     RangeWitness,
@@ -23,7 +27,7 @@
 )
 from rhubarbhall.core.ownership.read_lease import ReadLease
 from rhubarbhall.core.ownership.reconciler import TableReconciler
-from rhubarbhall.core.ownership.records import Member, TargetState
+from rhubarbhall.core.ownership.records import TABLE_PREFIX, Member, TargetState
 from rhubarbhall.core.ownership.requested_holdings import (
     GrantRequest,
     KeyRequest,
@@ -34,10 +38,15 @@
     Conflict,
     NewestPage,
     Tail,
+    Trimmed,
     Unavailable,
+    epoch_of,
+    offset_of,
+    position,
 )
 from rhubarbhall.core.ownership.target_keys import Grant, Heartbeat, TargetKeys
 from rhubarbhall.core.timers import TimerService
+from rhubarbhall.types import Offset
 
 SERVICE = "status"
 #: Mean time between two heartbeats of a target, in seconds.
@@ -66,21 +75,72 @@
 
 
 class FakeLog:
-    """A simulated log of the store, with its faults."""
+    """A simulated log of the store, with its faults.
+
+    The store may be restored from an older copy: it is away for some time and then
+    holds what each topic held at an earlier time. The epoch counts these restores.
+    """
 
-    def __init__(self, simulation: Simulation) -> None:
+    def __init__(self, simulation: Simulation, seed: int) -> None:
         self.simulation = simulation
-        self.entries: list[Entry] = []
         self.down = False
+        self.is_restoring = False
+        self.epoch = 0
         #: Share of the appends whose answer is lost and which may be carried out later.
         self.lose_answers = 0.0
+        #: Numbers for what happens in restores only, so that the schedules of seeds
+        #: without restores stay as they are.
+        self.restore_rng = random.Random(f"restore {seed}")
+        #: Called with the writer when a key table has been written.
+        self.on_table: Callable[[FakeDaemon], None] = lambda writer: None
+        self._records: dict[str, list[tuple[float, str, bytes]]] = {}
+        self._late_appends: list[Callable[[], object]] = []
+
+    @property
+    def is_available(self) -> bool:
+        return not self.down and not self.is_restoring
+
+    def records(self, topic: str) -> list[tuple[str, bytes]]:
+        """Return the keys and values of a topic, by offset."""
+        return [(key, value) for _, key, value in self._records.get(topic, [])]
 
-    def append(self, key: str, value: bytes, at: int | None):
-        if at is not None and at != len(self.entries):
-            return Conflict()
-        offset = len(self.entries)
-        self.entries.append(Entry(offset, key, value))
-        return Appended(offset)
+    def append(self, topic: str, key: str, value: bytes, at: int | None) -> int | None:
+        """Append a record and return its offset, or none in case of a conflict."""
+        records = self._records.setdefault(topic, [])
+        if at is not None and at != len(records):
+            return None
+        records.append((self.simulation.now, key, value))
+        return len(records) - 1
+
+    def append_late(self, action: Callable[[], object]) -> None:
+        """Carry out some of the appends that are on their way after the restore."""
+        if self.restore_rng.random() < 0.4:
+            self._late_appends.append(action)
+
+    def restore(self, away_s: float, lost_s: float) -> None:
+        """Let the store go away and come back without its last records.
+
+        Parameters
+        ----------
+        away_s : float
+            Time for which it is away, in seconds.
+        lost_s : float
+            Age of the copy when the store goes away, in seconds.
+        """
+        if self.is_restoring:
+            return
+        self.is_restoring = True
+        copied_at = self.simulation.now - lost_s
+        self.simulation.after(away_s, lambda: self._return(copied_at))
+
+    def _return(self, copied_at: float) -> None:
+        self.is_restoring = False
+        self.epoch += 1
+        for topic, records in self._records.items():
+            self._records[topic] = [each for each in records if each[0] <= copied_at]
+        late, self._late_appends = self._late_appends, []
+        for action in late:
+            self.simulation.after(self.restore_rng.uniform(0.0, 1.5), action)
 
 
 class LogPort:
@@ -91,58 +151,87 @@
         self._daemon = daemon
 
     def _is_reachable(self) -> bool:
-        return not self._log.down and not self._daemon.is_cut_from_store
+        return self._log.is_available and not self._daemon.is_cut_from_store
 
-    def _answer(self, on_done, result) -> None:
+    def _answer(self, on_done, result, is_from_store: bool = True) -> None:
         simulation, daemon = self._log.simulation, self._daemon
-        life = daemon.life
+        life, epoch = daemon.life, self._log.epoch
 
         def arrive() -> None:
             if daemon.is_frozen:
                 simulation.after(0.05, arrive)
             elif daemon.life == life:
                 daemon.timers.advance_to(simulation.now)
+                if is_from_store:
+                    daemon.begin_epoch(epoch)
                 on_done(result)
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), arrive)
 
-    def _call(self, on_done, action) -> None:
+    def _call(self, on_done, action, is_append: bool = False) -> None:
         simulation = self._log.simulation
 
         def execute() -> None:
             if self._is_reachable():
                 self._answer(on_done, action())
-            else:
-                simulation.after(
-                    2.0, lambda: self._answer(on_done, Unavailable("down"))
-                )
+                return
+            lost = Unavailable("down", outcome_unknown=is_append)
+            if is_append and self._log.is_restoring:
+                self._log.append_late(action)
+            simulation.after(2.0, lambda: self._answer(on_done, lost, False))
 
         simulation.after(simulation.rng.uniform(0.005, 0.07), execute)
 
+    def _entries(self, topic: str) -> list[Entry]:
+        records = self._log.records(topic)
+        return [
+            Entry(self._position(offset), *record)
+            for offset, record in enumerate(records)
+        ]
+
+    def _position(self, offset: int) -> Offset:
+        return position(self._log.epoch, offset)
+
     def read_newest(self, topic, after, on_done) -> None:
         def read():
-            newest = {entry.key: entry for entry in self._log.entries}
-            return NewestPage(tuple(newest.values()), None, len(self._log.entries))
+            entries = self._entries(topic)
+            newest = {entry.key: entry for entry in entries}
+            end = self._position(len(entries))
+            return NewestPage(tuple(newest.values()), None, end)
 
         self._call(on_done, read)
 
     def read_tail(self, topic, offset, wait_s, on_done) -> None:
         def read():
-            entries = tuple(self._log.entries[offset:])
-            end = len(self._log.entries)
-            return Tail(entries, end, end)
+            entries = self._entries(topic)
+            first, end = offset_of(offset), self._position(len(entries))
+            if first > len(entries):
+                return Trimmed()
+            return Tail(tuple(entries[first:]), end, end)
 
         self._call(on_done, read)
 
     def append(self, topic, key, value, at, on_done) -> None:
         log, simulation = self._log, self._log.simulation
+
+        def append():
+            offset = log.append(
+                topic, key, value, None if at is None else offset_of(at)
+            )
+            if offset is None:
+                return Conflict()
+            result = Appended(self._position(offset))
+            if key.startswith(TABLE_PREFIX):
+                log.on_table(self._daemon)
+            return result
+
         if simulation.rng.random() < log.lose_answers and self._is_reachable():
             late_s = simulation.rng.choice([0.0, 1.0, 4.0])
-            simulation.after(late_s, lambda: log.append(key, value, at))
+            simulation.after(late_s, append)
             lost = Unavailable("lost", outcome_unknown=True)
-            simulation.after(2.0, lambda: self._answer(on_done, lost))
+            simulation.after(2.0, lambda: self._answer(on_done, lost, False))
             return
-        self._call(on_done, lambda: log.append(key, value, at))
+        self._call(on_done, append, is_append=True)
 
 
 @dataclass
@@ -302,7 +391,7 @@
         self.timers = TimerService()
         self.timers.advance_to(now)
         self.directory = KeyDirectory()
-        self.lease = ReadLease()
+        self.lease = ReadLease(lambda: not self.directory.is_restoring(SERVICE))
         self.liveness = Liveness(now)
         self.target_keys = TargetKeys(self.local_address, now, self.mesh.by_request)
         self.connected_target = None
@@ -327,7 +416,7 @@
         rng = random.Random(f"{self.local_address} {self.life} {self.mesh.seed}")
         self.follower = TopicFollower(
             store,
-            "t",
+            TOPIC,
             self.timers,
             0.0,
             2.0,
@@ -355,6 +444,14 @@
         life = self.life
         self.mesh.simulation.after(0.1, lambda: self._tick(life))
 
+    def begin_epoch(self, epoch: int) -> None:
+        if epoch <= self.directory.epoch:
+            return
+        now = self.mesh.simulation.now
+        self.directory.begin_epoch(epoch)
+        self.range_witness.begin_epoch()
+        self.follower.restart(now, directory_topic(epoch))
+
     def kill(self) -> None:
         self.is_running = False
         self.life += 1
@@ -374,6 +471,7 @@
 
     def on_push(self, entry: Entry) -> None:
         if self.is_running and not self.is_frozen:
+            self.begin_epoch(epoch_of(entry.offset))
             self.directory.apply_next(entry)
             self._request_keys(self.mesh.simulation.now)
 
@@ -383,7 +481,10 @@
         if not self.mesh.by_request:
             return
         requests = self.target_keys.due_requests(
-            now, self._table(), self._lease_remaining_s(now), self.directory.end
+            now,
+            self._table(),
+            self._lease_remaining_s(now),
+            self.directory.settled_end(SERVICE),
         )
         for request in requests:
             self._send_to_target(request)
@@ -487,19 +588,19 @@
     def _request_renewals(self, now: float) -> None:
         witnesses = self._set_witnesses(now)
         if self.local_address in witnesses:
-            self.witnessed_lease.confirm(
-                now, self.local_address, now, self.directory.end
-            )
+            end = self.directory.settled_end(SERVICE)
+            self.witnessed_lease.confirm(now, self.local_address, now, end)
         for peer in self.mesh.reachable_peers(self):
             if peer.local_address in witnesses:
                 self._send(peer, lambda p=peer: p.on_renewal_request(self, now))
 
     def on_renewal_request(self, owner: FakeDaemon, requested_at: float) -> None:
         now, table = self.mesh.simulation.now, self._table()
-        if table is None:
+        if table is None or not self.directory.has_booted(owner.local_address):
             return
         self.range_witness.update_from_table(now, table)
-        if self.range_witness.try_renew(now, owner.local_address, self.directory.end):
+        ends = (self.directory.end, self.directory.settled_end(SERVICE))
+        if self.range_witness.try_renew(now, owner.local_address, *ends):
             self._send(
                 owner, lambda: owner.on_lease_renewed(self.local_address, requested_at)
             )
@@ -507,11 +608,12 @@
     def on_lease_renewed(self, witness: str, requested_at: float) -> None:
         now = self.mesh.simulation.now
         self._set_witnesses(now)
-        self.witnessed_lease.confirm(now, witness, requested_at, self.directory.end)
+        end = self.directory.settled_end(SERVICE)
+        self.witnessed_lease.confirm(now, witness, requested_at, end)
 
     def _request_votes(self, now: float) -> None:
         table, end = self._table(), self.directory.end
-        if table is None:
+        if table is None or self.directory.is_restoring(SERVICE):
             return
         peers = {peer.local_address: peer for peer in self.mesh.reachable_peers(self)}
         for witness, owner in self.votes.vote_requests(now, table, end):
@@ -534,6 +636,7 @@
         if not peers or not self.directory.is_loaded:
             return
         peer = self.mesh.simulation.rng.choice(peers)
+        self.begin_epoch(epoch_of(peer.directory.end))
         if peer.directory.is_loaded and peer.directory.end <= self.directory.end:
             self.lease.confirm(now - peer.lease.age_s(now))
 
@@ -556,7 +659,7 @@
             return None
         remaining_s = self._lease_remaining_s(now)
         return self.target_keys.grant(
-            now, self._table(), remaining_s, self.directory.end
+            now, self._table(), remaining_s, self.directory.settled_end(SERVICE)
         )
 
     def _lease_remaining_s(self, now: float) -> float:
@@ -591,7 +694,7 @@
         self.by_request = by_request
         self.reuses_ids = reuses_ids
         self.simulation = Simulation(seed)
-        self.log = FakeLog(self.simulation)
+        self.log = FakeLog(self.simulation, seed)
         self.late_heartbeats = 0.0
         #: Share of the grants and releases whose answer is lost.
         self.lost_grants = 0.0
@@ -604,6 +707,15 @@
             self.simulation.after(self.simulation.rng.uniform(0, 0.3), daemon.start)
             self.new_target(daemon)
 
+    def add_daemon(self) -> FakeDaemon:
+        """Start another daemon with a target, and return it."""
+        number = len(self.daemons) + 1
+        daemon = FakeDaemon(self, number, f"r{number % 2}")
+        self.daemons.append(daemon)
+        daemon.start()
+        self.new_target(daemon)
+        return daemon
+
     def new_target(self, daemon: FakeDaemon) -> None:
         if daemon.target is not None:
             daemon.target.is_up = False
@@ -789,3 +901,66 @@
         target = daemon.target
         target.state = TargetState.LEAVING
         self._after(duration_s, lambda: self.mesh.new_target(daemon))
+
+
+@dataclass
+class RestorePlan:
+    """Random restores of the store from older copies, beside the faults of a plan.
+
+    They are drawn from a generator of their own, so that the faults of a seed stay as
+    they are.
+    """
+
+    plan: FaultPlan
+
+    def schedule(self, start: float, end: float) -> None:
+        """Schedule one or two restores between two times."""
+        rng = random.Random(f"restores {self.plan.mesh.seed}")
+        for _ in range(rng.choice([1, 1, 2])):
+            at = rng.uniform(start, end)
+            away_s, lost_s = rng.uniform(0.5, 6.0), rng.uniform(1.0, 10.0)
+            self.plan.mesh.simulation.after(
+                at, lambda a=away_s, x=lost_s: self.restore(a, x)
+            )
+
+    def schedule_at_change(self, start: float) -> None:
+        """Schedule a restore when the next table after `start` has been written.
+
+        The copy lacks it, and faults of its writer keep most others from learning of
+        it.
+        """
+        mesh = self.plan.mesh
+        rng = random.Random(f"restore at change {mesh.seed}")
+        is_done = False
+
+        def disturb(writer: FakeDaemon) -> None:
+            nonlocal is_done
+            if is_done or mesh.simulation.now < start:
+                return
+            is_done = True
+            self.restore(rng.uniform(0.2, 2.0), rng.uniform(0.5, 4.0))
+            faults = [
+                self.plan._cut_peers,
+                self.plan._cut_all,
+                self.plan._freeze,
+                self.plan._kill_daemon,
+            ]
+            for _ in range(rng.choice([1, 1, 2])):
+                fault, duration_s = rng.choice(faults), rng.uniform(0.3, 6.0)
+                mesh.simulation.after(
+                    rng.choice([0.0, 0.05, 0.1, 1.0, 2.0, 4.0]),
+                    lambda f=fault, s=duration_s: f(writer, s),
+                )
+            other = rng.choice(mesh.daemons)
+            duration_s = rng.uniform(0.3, 6.0)
+            fault = rng.choice(faults)
+            mesh.simulation.after(
+                rng.uniform(0.0, 3.0), lambda: fault(other, duration_s)
+            )
+
+        mesh.log.on_table = disturb
+
+    def restore(self, away_s: float, lost_s: float) -> None:
+        """Restore the store from a copy of some age; see `FakeLog.restore`."""
+        self.plan._record(f"restore, {lost_s:.1f} s lost,", None, away_s)
+        self.plan.mesh.log.restore(away_s, lost_s)
