Part entries and ports from the admission queue

The entries of the queue with their order, and the two ports, are modules of their own; names lose their underscore and get doc comments.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -10,16 +10,20 @@
 
 from __future__ import annotations
 
-import enum
 import heapq
 import itertools
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from operator import itemgetter
-from typing import TYPE_CHECKING, Protocol, TypeAlias
+from typing import TYPE_CHECKING
 
 from rhubarbhall.core.admission import ConcurrencyLimit
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.queue_entries import (
+    QueueEntry,
+    QueuePosition,
+    Urgency,
+    queue_position,
+)
 from rhubarbhall.core.traffic.queue_estimates import LateService, RouteDurations
 from rhubarbhall.core.traffic.requests import (
     Load,
@@ -30,6 +34,7 @@
 )
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.traffic.queue_ports import KeyOwnership, TargetClient
     from rhubarbhall.types import Seconds
 
 #: Maximum number of waiting requests per slot of the target.
@@ -65,72 +70,6 @@
 MIN_WORK_S = 0.005
 
 
-class TargetClient(Protocol):
-    """Port for sending requests to the local target."""
-
-    def send(self, ticket: int, request: RoutedRequest, now: Seconds) -> None:
-        """Send a request; its outcome is reported to `AdmissionQueue.finish`."""
-
-    def cancel(self, ticket: int) -> None:
-        """Abort a request that was sent; no outcome is reported for it."""
-
-
-class KeyOwnership(Protocol):
-    """Port for the ownership of keys; also receives load samples by key."""
-
-    def record_request(self, now: Seconds, key: int) -> None:
-        """Record a request for a key, whatever its outcome."""
-
-    def record_duration(self, took_s: Seconds) -> None:
-        """Record how long the target worked on a request for a key."""
-
-    def record_refusal(self) -> None:
-        """Record that the target refused a request for a key."""
-
-    def record_rejection(self, now: Seconds, key: int) -> None:
-        """Record that the target has answered that it does not hold a key."""
-
-    def may_work_on(self, now: Seconds, key: int) -> bool:
-        """Return whether the target may work on requests for a key now."""
-
-    def is_assigned(self, key: int) -> bool:
-        """Return whether the key table assigns a key to the target.
-
-        The target may still have to be granted the key.
-        """
-
-
-class _Urgency(enum.IntEnum):
-    """Order in which waiting requests of equal priority are sent.
-
-    IN_TIME : the answer can still meet the target latency of the route.
-    RETRIED : it cannot, and the caller seems to have been refused before.
-    LATE : it cannot, and this seems to be the caller's first attempt.
-    """
-
-    IN_TIME = 0
-    RETRIED = 1
-    LATE = 2
-
-
-#: Position of a waiting request in the heap: priority, urgency, the time by which it
-#: should be answered (target latency or deadline) and its ticket.
-_QueuePosition: TypeAlias = "tuple[int, _Urgency, Seconds, int]"
-
-
-@dataclass(slots=True)
-class _Entry:
-    """A request that waits for a slot or a key, or that was sent to the target."""
-
-    ticket: int
-    request: RoutedRequest
-    arrived_at: Seconds
-    on_outcome: Callable[[Outcome], None]
-    urgency: _Urgency = _Urgency.IN_TIME
-    sent_at: Seconds | None = None
-    is_long: bool = False
-
-
 class AdmissionQueue:
     """Queues requests for the local target and limits how many run at a time.
 
@@ -164,9 +103,9 @@
         self._target = target
         self._key_ownership = key_ownership
         self._tickets = itertools.count(1)
-        self._waiting: list[_QueuePosition] = []
-        self._entry_by_ticket: dict[int, _Entry] = {}
-        self._waiting_for_key: dict[int, _Entry] = {}
+        self._waiting: list[QueuePosition] = []
+        self._entry_by_ticket: dict[int, QueueEntry] = {}
+        self._waiting_for_key: dict[int, QueueEntry] = {}
         self._queued = 0
         self._late_service = LateService()
         self._running = 0
@@ -235,7 +174,7 @@
         int
             Ticket for `cancel`.
         """
-        entry = _Entry(next(self._tickets), request, now, on_outcome)
+        entry = QueueEntry(next(self._tickets), request, now, on_outcome)
         if request.key is not None and self._key_ownership.is_assigned(request.key):
             self._key_ownership.record_request(now, request.key)
         refusal = self._refusal(now, request)
@@ -265,7 +204,7 @@
             return None
         urgency = self._urgency(now, request)
         wait_s = self.expected_wait_s(request, urgency)
-        if urgency is not _Urgency.IN_TIME:
+        if urgency is not Urgency.IN_TIME:
             # Requests that meet the target latency will arrive and be sent first.
             wait_s *= LATE_WAIT_FACTOR
             wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
@@ -283,43 +222,43 @@
         return max(0.0, RETRY_AFTER_SHARE * (request.deadline - now))
 
     def _late_wait_s(
-        self, now: Seconds, request: RoutedRequest, urgency: _Urgency
+        self, now: Seconds, request: RoutedRequest, urgency: Urgency
     ) -> Seconds:
         """Return the estimated wait of a request that misses the target latency."""
         if self._running < self.limit.value:
             return 0.0
-        position = _queue_position(request, urgency, 0)
+        position = queue_position(request, urgency, 0)
         ahead = sum(
-            entry.urgency is not _Urgency.IN_TIME and other[:3] <= position[:3]
+            entry.urgency is not Urgency.IN_TIME and other[:3] <= position[:3]
             for other, entry in self._waiting_entries()
         )
         return self._late_service.wait_s(now, ahead)
 
-    def _waiting_entries(self) -> Iterator[tuple[_QueuePosition, _Entry]]:
+    def _waiting_entries(self) -> Iterator[tuple[QueuePosition, QueueEntry]]:
         """Yield the requests that wait for a slot, in no particular order."""
         for position in self._waiting:
             entry = self._entry_by_ticket.get(position[-1])
             if entry is not None:
                 yield position, entry
 
-    def _urgency(self, now: Seconds, request: RoutedRequest) -> _Urgency:
+    def _urgency(self, now: Seconds, request: RoutedRequest) -> Urgency:
         """Return the urgency of a request among those of equal priority."""
-        wait_s = self.expected_wait_s(request, _Urgency.IN_TIME)
+        wait_s = self.expected_wait_s(request, Urgency.IN_TIME)
         done_at = now + wait_s + self.durations.mean_s(request.route)
         if done_at <= request.target_latency_deadline:
-            return _Urgency.IN_TIME
-        return _Urgency.RETRIED if request.is_retry else _Urgency.LATE
+            return Urgency.IN_TIME
+        return Urgency.RETRIED if request.is_retry else Urgency.LATE
 
     def _max_waiting(self) -> int:
         return MAX_WAITING_PER_SLOT * self.limit.value
 
     def expected_wait_s(
-        self, request: RoutedRequest, urgency: _Urgency = _Urgency.IN_TIME
+        self, request: RoutedRequest, urgency: Urgency = Urgency.IN_TIME
     ) -> Seconds:
         """Return the estimated time that a request waits for a slot, in seconds."""
         if self._running < self.limit.value:
             return 0.0
-        position = _queue_position(request, urgency, 0)
+        position = queue_position(request, urgency, 0)
         ahead = [
             self._entry_by_ticket[other[-1]].request.route
             for other in self._waiting
@@ -329,15 +268,15 @@
         this_s = self.durations.mean_s(request.route)
         return (work_s + 0.5 * this_s) / self.limit.value
 
-    def _enqueue(self, now: Seconds, entry: _Entry) -> None:
+    def _enqueue(self, now: Seconds, entry: QueueEntry) -> None:
         entry.urgency = self._urgency(now, entry.request)
-        position = _queue_position(entry.request, entry.urgency, entry.ticket)
+        position = queue_position(entry.request, entry.urgency, entry.ticket)
         heapq.heappush(self._waiting, position)
         self._queued += 1
 
     def dispatch(self, now: Seconds) -> None:
         """Send waiting requests in order while slots are free."""
-        held_back: list[_QueuePosition] = []
+        held_back: list[QueuePosition] = []
         while self._waiting and self._running < self.limit.value:
             position = heapq.heappop(self._waiting)
             entry = self._entry_by_ticket.get(position[-1])
@@ -346,7 +285,7 @@
             if self._demote_if_late(now, entry):
                 heapq.heappush(
                     self._waiting,
-                    _queue_position(entry.request, entry.urgency, entry.ticket),
+                    queue_position(entry.request, entry.urgency, entry.ticket),
                 )
             elif self._is_held_back(entry):
                 held_back.append(position)
@@ -357,7 +296,7 @@
             heapq.heappush(self._waiting, position)
         self._late_service.record_backlog(now, self._queued > 0)
 
-    def _demote_if_late(self, now: Seconds, entry: _Entry) -> bool:
+    def _demote_if_late(self, now: Seconds, entry: QueueEntry) -> bool:
         """Lower the urgency of a request that can no longer meet the target latency.
 
         Returns
@@ -368,20 +307,20 @@
         request = entry.request
         done_at = now + self.durations.mean_s(request.route)
         if (
-            entry.urgency is not _Urgency.IN_TIME
+            entry.urgency is not Urgency.IN_TIME
             or done_at <= request.target_latency_deadline
         ):
             return False
-        entry.urgency = _Urgency.RETRIED if request.is_retry else _Urgency.LATE
+        entry.urgency = Urgency.RETRIED if request.is_retry else Urgency.LATE
         return True
 
-    def _is_held_back(self, entry: _Entry) -> bool:
+    def _is_held_back(self, entry: QueueEntry) -> bool:
         """Return whether long work would take the slots reserved for short work."""
         entry.is_long = self.durations.is_long(entry.request.route)
         allowed = max(1, int(MAX_LONG_WORK_SHARE * self.limit.value))
         return entry.is_long and self._long_running >= allowed
 
-    def _send(self, now: Seconds, entry: _Entry) -> None:
+    def _send(self, now: Seconds, entry: QueueEntry) -> None:
         request = entry.request
         if request.deadline - now < self._min_work_s(request):
             self._refuse_dequeued(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
@@ -395,7 +334,7 @@
             self._refuse_dequeued(entry, NotRun(ErrorKind.NOT_OWNER))
             return
         entry.sent_at = now
-        if entry.urgency is not _Urgency.IN_TIME:
+        if entry.urgency is not Urgency.IN_TIME:
             self._late_service.record_sent(now)
         self._running += 1
         self._long_running += entry.is_long
@@ -420,17 +359,17 @@
         """
         return max(MIN_WORK_S, MIN_WORK_SHARE * self.durations.mean_s(request.route))
 
-    def _refuse_dequeued(self, entry: _Entry, outcome: NotRun) -> None:
+    def _refuse_dequeued(self, entry: QueueEntry, outcome: NotRun) -> None:
         """Refuse a request that was already taken out of the queue."""
         del self._entry_by_ticket[entry.ticket]
         entry.on_outcome(outcome)
 
-    def _refuse_waiting(self, entry: _Entry, outcome: NotRun) -> None:
+    def _refuse_waiting(self, entry: QueueEntry, outcome: NotRun) -> None:
         """Take a waiting request out of the queue and refuse it."""
         self._remove(entry)
         entry.on_outcome(outcome)
 
-    def _remove(self, entry: _Entry) -> None:
+    def _remove(self, entry: QueueEntry) -> None:
         del self._entry_by_ticket[entry.ticket]
         if self._waiting_for_key.pop(entry.ticket, None) is None:
             self._queued -= 1
@@ -458,7 +397,7 @@
             self.dispatch(now)
         return False
 
-    def _release_slot(self, entry: _Entry) -> None:
+    def _release_slot(self, entry: QueueEntry) -> None:
         del self._entry_by_ticket[entry.ticket]
         self._running -= 1
         self._long_running -= entry.is_long
@@ -477,7 +416,7 @@
         self.dispatch(now)
 
     @staticmethod
-    def _reported(entry: _Entry, outcome: Outcome) -> Outcome:
+    def _reported(entry: QueueEntry, outcome: Outcome) -> Outcome:
         """Return the outcome as the daemon that sent the request gets it.
 
         The target has seen a request that it rejects for its key, so sending it again
@@ -488,7 +427,9 @@
             return NotRun(ErrorKind.TARGET_REFUSED, KEY_WAIT_TIMEOUT_S)
         return outcome
 
-    def _record_outcome(self, now: Seconds, entry: _Entry, outcome: Outcome) -> None:
+    def _record_outcome(
+        self, now: Seconds, entry: QueueEntry, outcome: Outcome
+    ) -> None:
         if isinstance(outcome, NotRun):
             if outcome.kind is ErrorKind.TARGET_REFUSED:
                 self.limit.record_overload(now)
@@ -553,7 +494,7 @@
         self._refuse_unservable(now)
         self.dispatch(now)
 
-    def _refuse_overloaded(self, now: Seconds, entry: _Entry) -> None:
+    def _refuse_overloaded(self, now: Seconds, entry: QueueEntry) -> None:
         retry_after_s = self._room_after_s(now, entry.request)
         self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
 
@@ -565,7 +506,7 @@
         kept = 0
         for _, entry in sorted(self._waiting_entries(), key=itemgetter(0)):
             is_waiting = entry.ticket in self._entry_by_ticket and entry.sent_at is None
-            if entry.urgency is _Urgency.IN_TIME or not is_waiting:
+            if entry.urgency is Urgency.IN_TIME or not is_waiting:
                 continue
             wait_s = self._late_service.wait_s(now, kept)
             needed_s = wait_s + self._min_work_s(entry.request)
@@ -584,7 +525,7 @@
             now + max(EXPIRE_INTERVAL_S, self._min_work_s(request)) >= request.deadline
         )
 
-    def _abandon(self, now: Seconds, entry: _Entry) -> None:
+    def _abandon(self, now: Seconds, entry: QueueEntry) -> None:
         """Free the slot of a request that the target has not answered in time."""
         self.durations.record_unfinished(entry.request.route, now - entry.sent_at)
         self._target.cancel(entry.ticket)
@@ -592,21 +533,13 @@
         entry.on_outcome(Unknown(ErrorKind.DEADLINE_PASSED))
 
     @staticmethod
-    def _has_exceeded_late_wait(now: Seconds, entry: _Entry) -> bool:
+    def _has_exceeded_late_wait(now: Seconds, entry: QueueEntry) -> bool:
         """Return whether a late request is better refused so that the caller retries.
 
         A retry is not refused for this reason: it waits until it would miss its
         deadline.
         """
-        if entry.urgency is not _Urgency.LATE:
+        if entry.urgency is not Urgency.LATE:
             return False
         total_s = entry.request.deadline - entry.arrived_at
         return now - entry.arrived_at > MAX_LATE_WAIT_SHARE * total_s
-
-
-def _queue_position(
-    request: RoutedRequest, urgency: _Urgency, ticket: int
-) -> _QueuePosition:
-    in_time = urgency is _Urgency.IN_TIME
-    due = request.target_latency_deadline if in_time else request.deadline
-    return request.priority, urgency, due, ticket
