Assign no keys to daemons without a lease after a restore

Cause: a daemon that cannot write a boot record into the restored store gets no lease. Its witnesses replace it, but its member record of before the restore still says ready and it answers peers, so it was taken for a new target and given an even share, again and again.

A daemon without a boot record in the present epoch has no claim to keys now. Without a restore nothing changes.

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -34,6 +34,7 @@
         ReplacementVotes,
         WitnessedLease,
     )
+    from rhubarbhall.core.ownership.records import Member
     from rhubarbhall.core.ownership.target_keys import TargetKeys
     from rhubarbhall.types import Address, Offset, Seconds
 
@@ -243,11 +244,20 @@
             if address == self._local_address:
                 if self._target_keys.state(now) is TargetState.READY:
                     yield self._target_keys.claim()
-            elif member.state is TargetState.READY and not self._is_unresponsive(
-                now, address
-            ):
+            elif self._may_claim(now, address, member):
                 yield Claim(address, member.run)
 
+    def _may_claim(self, now: Seconds, address: Address, member: Member) -> bool:
+        """Return whether the target beside another daemon may own keys.
+
+        After a restore of the store, a daemon that cannot write to it gets no lease.
+        """
+        return (
+            member.state is TargetState.READY
+            and self._directory.has_booted(address)
+            and not self._is_unresponsive(now, address)
+        )
+
     def _receivers(self, now: Seconds) -> list[Claim]:
         """Return the claims of targets that may get keys and witness other owners.
 
--- a/tests/core/ownership/test_restored_store.py
+++ b/tests/core/ownership/test_restored_store.py
@@ -231,6 +231,20 @@
                 self.assertGreater(mesh.owners()[daemon.target.instance], 0)
                 self.assert_sole(mesh)
 
+    # A daemon that the store turns away has no lease after a restore, but was assigned
+    # keys again and again, which then had no holder.
+    def test_a_daemon_that_cannot_reach_the_store_is_assigned_no_keys(self):
+        for seed in self.seeds:
+            with self.subTest(seed=seed):
+                mesh = self.start(seed)
+                self.run_until(mesh, 20.0)
+                mesh.daemons[1].is_cut_from_store = True
+                mesh.log.restore(1.0, 3.0)
+                self.run_until(mesh, 21.0 + RECOVERY_S)
+                self.run_until(mesh, 21.0 + 2 * RECOVERY_S, sampled=True)
+                self.assertEqual(self.unheld, [])
+                self.assert_sole(mesh)
+
     def test_a_lost_target_is_replaced_after_a_restore(self):
         # A table that cannot be written any more leaves the keys without a holder.
         for seed in self.seeds:
