Count the wait for a first table from when the restore was learned of

Cause: the wait for leases of earlier epochs began when a table was first to be proposed, which for such a service is when its configuration arrives.

It begins when the daemon learns of the epoch now. A daemon that starts in a restored store still waits, as it cannot know how long ago that was.

Test: test_the_wait_counts_from_when_the_epoch_was_learned_of (before: no such method; with the first call of may_found at 11 s + the wait, the wait began there).

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -173,6 +173,10 @@
             ("cool_down", self._shed_load),
         )
 
+    def begin_epoch(self, now: Seconds) -> None:
+        """Record that the store was restored from an older copy."""
+        self._restore.begin_epoch(now)
+
     def propose(self, now: Seconds) -> TableChange | None:
         """Return the change that is due, or `None` if the table needs none."""
         table = self._directory.table_by_service.get(self._service)
--- a/rhubarbhall/core/ownership/table_restore.py
+++ b/rhubarbhall/core/ownership/table_restore.py
@@ -66,7 +66,12 @@
         #: Since when each daemon is known to have a boot record in this epoch.
         self._booted_since: dict[Address, Seconds] = {}
 
+    def begin_epoch(self, now: Seconds) -> None:
+        """Record when the present epoch of the directory was learned of."""
+        self._age_s(now)
+
     def _age_s(self, now: Seconds) -> Seconds:
+        """Return for how long the present epoch has been known."""
         if self._directory.epoch != self._epoch:
             self._epoch = self._directory.epoch
             self._since = now
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -44,6 +44,7 @@
         now = self._advance_timers()
         self.log_event(LogEvent(115, {"epoch": epoch, "end": self.directory.end}))
         self.directory.begin_epoch(epoch)
+        self.reconciler.begin_epoch(now)
         self.range_witness.begin_epoch()
         self._store.begin_epoch(epoch)
         self._follower.restart(now, directory_topic(epoch))
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -449,6 +449,7 @@
             return
         now = self.mesh.simulation.now
         self.directory.begin_epoch(epoch)
+        self.reconciler.begin_epoch(now)
         self.range_witness.begin_epoch()
         self.follower.restart(now, directory_topic(epoch))
 
--- a/tests/core/ownership/test_table_restore.py
+++ b/tests/core/ownership/test_table_restore.py
@@ -239,6 +239,16 @@
         self.assertFalse(self.restore.may_found(10.0 + wait_s - 0.1))
         self.assertTrue(self.restore.may_found(10.01 + wait_s))
 
+    # A service that was divided by key long after a restore had no owners for 16 s.
+    def test_the_wait_counts_from_when_the_epoch_was_learned_of(self):
+        directory = KeyDirectory()
+        directory.begin_epoch(1)
+        restore = TableRestore("new", directory)
+        restore.begin_epoch(10.0)
+        wait_s = takeover_wait_s() + RESTORE_SETTLE_S
+        self.assertFalse(restore.may_found(10.0 + 0.9 * wait_s))
+        self.assertTrue(restore.may_found(11.0 + wait_s))
+
     def test_a_first_table_needs_no_wait_if_the_store_was_never_restored(self):
         restore = TableRestore("s", KeyDirectory())
         self.assertTrue(restore.may_found(0.0))
