Let only readers read the configuration at once after a restore

What callers could see, at hundreds of VMs: a new configuration that is not in force in time. An answer that takes longer than 2.5 s is dropped and read again.

Cause: the restart of a follower did not ask whether a read is needed, which is how four daemons of a region read for the others.

The daemons that read the store restart at once; the others when they would read. They get a newer configuration by push and by comparing versions, as before.

Tests: test_a_restart_that_can_wait_reads_only_once_a_read_is_needed and test_the_answer_to_a_read_before_such_a_restart_is_ignored, for a parameter that did not exist before.

--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -97,14 +97,25 @@
         else:
             self._read_tail(now, wait_s=0.0)
 
-    def restart(self, now: Seconds, topic: str) -> None:
+    def restart(self, now: Seconds, topic: str, at_once: bool = True) -> None:
         """Follow a topic from its newest records, as the store was restored.
 
         The answer to a read under way is ignored.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        at_once : bool
+            Whether to read now, or only once a read is needed.
         """
         self._topic = topic
         self._position = None
-        self.start(now)
+        if at_once:
+            self.start(now)
+        else:
+            self._generation += 1
+            self._schedule_read(now, SKIPPED_READ_INTERVAL_S, self._wait_s)
 
     def _read_newest(
         self, now: Seconds, after: str | None, first_end: Offset | None
@@ -166,10 +177,12 @@
         def read(later: Seconds) -> None:
             if generation != self._generation:
                 return
-            if self._needs_read(later):
-                self._read_tail(later, wait_s)
-            else:
+            if not self._needs_read(later):
                 self._schedule_read(later, SKIPPED_READ_INTERVAL_S, wait_s)
+            elif self._position is None:
+                self.start(later)
+            else:
+                self._read_tail(later, wait_s)
 
         self._timers.at(now + pause_s, TimerCallback(read))
 
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -48,7 +48,8 @@
         self.range_witness.begin_epoch()
         self._store.begin_epoch(epoch)
         self._follower.restart(now, directory_topic(epoch))
-        self._configuration_follower.restart(now, OPERATOR_TOPIC)
+        # The other daemons get a new configuration from those that read.
+        self._configuration_follower.restart(now, OPERATOR_TOPIC, self._reads_store)
 
     def _on_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -47,6 +47,32 @@
         )
         self.follower.start(0.0)
 
+    def restart_later(self) -> None:
+        """Restart a loaded follower that needs no read now."""
+        self.load_directory()
+        self.needed = False
+        self.follower._needs_read = lambda now: self.needed
+        self.follower.restart(1.0, "t.1", at_once=False)
+
+    # After a restore all daemons read the whole configuration at the same moment,
+    # although a few read it for the others.
+    def test_a_restart_that_can_wait_reads_only_once_a_read_is_needed(self):
+        self.restart_later()
+        calls = len(self.store.calls)
+        self.fire_timers(4.0)
+        self.assertEqual(len(self.store.calls), calls)
+        self.needed = True
+        self.fire_timers(5.0)
+        self.assertEqual(self.store.calls[calls:][0][:2], ("newest", None))
+        self.assertEqual(self.store.topics[-1], "t.1")
+
+    def test_the_answer_to_a_read_before_such_a_restart_is_ignored(self):
+        self.store.answer(NewestPage((Entry(3, "k", b"v"),), None, 5))
+        on_tail = self.store.calls[-1][2]
+        self.follower.restart(1.0, "t.1", at_once=False)
+        on_tail(Tail((Entry(5, "late", b""),), 6, 6))
+        self.assertEqual([entry.key for entry in self.entries], ["k"])
+
     def fire_timers(self, now: float) -> None:
         for event in list(self.timers.due(now)):
             event.fire(now)
