Let no write to a log before a restore hold up the next one

Cause: the publisher writes one record at a time, and an append that was left without an answer when the store went away counted as under way until its timeout. The boot record, without which a daemon has no lease in the restored store, had to wait for it.

A write to the log of an earlier epoch counts for nothing, whatever its answer, so it holds up nothing now.

Test: test_a_write_to_the_log_before_the_restore_holds_up_nothing (before: 1 != 2 appends).

--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership.directory import Entry
@@ -52,6 +53,13 @@
     return TOPIC if epoch == 0 else f"{TOPIC}.{epoch}"
 
 
+@dataclass(frozen=True, eq=False, slots=True)
+class _PendingWrite:
+    """A write whose answer has not come yet, and the epoch of the store it went to."""
+
+    epoch: StoreEpoch
+
+
 class RecordPublisher:
     """Writes one record at a time, and again until it is known to be written.
 
@@ -113,7 +121,8 @@
         self._on_conflict = on_conflict
         #: Whether the service is divided by key, so that it has a table.
         self.by_key = False
-        self._is_writing = False
+        #: The write whose answer is awaited.
+        self._pending_write: _PendingWrite | None = None
         self._paused_until: Seconds = float("-inf")
         #: Number of conflicts since the last record that was written.
         self._conflicts = 0
@@ -129,7 +138,7 @@
             The present member record of the local daemon; `None` while the state of
             its target is not known.
         """
-        if self._is_writing or now < self._paused_until:
+        if self._is_writing() or now < self._paused_until:
             return
         if not self._directory.is_loaded:
             return
@@ -160,6 +169,14 @@
             self._reconciler.record_pending_write(now, change, self._directory.end)
             self._write(now, table_key(self._service), value, True, change.reason)
 
+    def _is_writing(self) -> bool:
+        """Return whether a write to the log of the present epoch is under way.
+
+        One to an earlier log counts for nothing, whatever its answer.
+        """
+        pending = self._pending_write
+        return pending is not None and pending.epoch == self._directory.epoch
+
     def _needs_member_record(self, member: Member) -> bool:
         address = self._local_address
         if self._directory.member_by_address.get(address) != member:
@@ -193,12 +210,13 @@
     def _write(
         self, now: Seconds, key: str, value: bytes, conditional: bool, reason: str
     ) -> None:
-        self._is_writing = True
         at = self._directory.end if conditional else None
         epoch = self._directory.epoch
+        write = self._pending_write = _PendingWrite(epoch)
 
         def on_done(result: AppendResult) -> None:
-            self._is_writing = False
+            if self._pending_write is write:
+                self._pending_write = None
             later = self._timers.now()
             if epoch != self._directory.epoch:
                 # The log that it was written to is not followed any more.
--- a/tests/core/ownership/test_table_restore.py
+++ b/tests/core/ownership/test_table_restore.py
@@ -345,6 +345,19 @@
             self.assertEqual(self.store.appends[-1][0], directory_topic(1))
             self.setUp()
 
+    # An append left without an answer when the store went away held up the boot
+    # record, without which a daemon has no lease.
+    def test_a_write_to_the_log_before_the_restore_holds_up_nothing(self):
+        leaving = Member("s", "d", "r", "i@1", 9, TargetState.LEAVING)
+        self.publisher.write_due(9.0, leaving)
+        *_, late_answer = self.store.appends[-1]
+        self.begin_epoch()
+        self.publisher.write_due(9.1, leaving)
+        self.assertEqual(len(self.store.appends), 2)
+        late_answer(Appended(9))
+        self.publisher.write_due(9.2, leaving)
+        self.assertEqual(len(self.store.appends), 2)
+
     def test_no_table_is_written_before_the_new_log_was_read_to_its_end(self):
         self.begin_epoch()
         self.write_own_records()
