--- a/rhubarbhall/core/traffic/shutdown.py
+++ b/rhubarbhall/core/traffic/shutdown.py
@@ -65,8 +65,8 @@
         """Time at which the process exits in any case."""
         return self.requested_at + self.grace_s - EXIT_MARGIN_S
 
-    def may_linger(self, now: Seconds, has_work: bool) -> bool:
-        """Return whether connections of peers should be accepted no more.
+    def may_close_to_peers(self, now: Seconds, has_work: bool) -> bool:
+        """Return whether to accept no more connections of peers.
 
         Parameters
         ----------
--- a/rhubarbhall/programs/router_shutdown.py
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -74,7 +74,7 @@
         if now >= shutdown.last_outcomes_at:
             self.request_router.end_pending(now)
         if shutdown.lingers_since is None:
-            if shutdown.may_linger(now, self._has_work()):
+            if shutdown.may_close_to_peers(now, self._has_work()):
                 shutdown.lingers_since = now
                 self.sessions.acceptor.stop_listening()
         elif shutdown.may_exit(now):
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -35,8 +35,8 @@
     # A daemon that exited at once reset connections with requests still on their way.
     def test_the_process_lingers_before_it_exits(self):
         shutdown = Shutdown(0.0, GRACE_S)
-        self.assertFalse(shutdown.may_linger(3.0, has_work=True))
-        self.assertTrue(shutdown.may_linger(3.0, has_work=False))
+        self.assertFalse(shutdown.may_close_to_peers(3.0, has_work=True))
+        self.assertTrue(shutdown.may_close_to_peers(3.0, has_work=False))
         self.assertFalse(shutdown.may_exit(3.0))
         shutdown.lingers_since = 3.0
         self.assertFalse(shutdown.may_exit(3.0 + 0.9 * LINGER_S))
@@ -44,7 +44,9 @@
 
     def test_work_that_does_not_end_delays_the_exit_no_further(self):
         shutdown = Shutdown(0.0, GRACE_S)
-        self.assertTrue(shutdown.may_linger(shutdown.exit_at - LINGER_S, has_work=True))
+        self.assertTrue(
+            shutdown.may_close_to_peers(shutdown.exit_at - LINGER_S, has_work=True)
+        )
         shutdown.lingers_since = shutdown.exit_at - 0.1
         self.assertTrue(shutdown.may_exit(shutdown.exit_at))
 
