Be ready in a restored store only with the newest configuration

A change that had been confirmed comes back older.

Cause: ready meant that some configuration is known. The restored store holds an older one until operators write theirs again, and a peer was asked for a newer one only after its pings had been ahead for 0.3 s.

A daemon that starts in a restored store is ready once its version is at least that of one peer, whom it pings as soon as a connection is open, and asks at once if it is behind; at the latest 4.5 s after its start. In a store that was never restored nothing changes.

Tests: test_a_router_started_after_the_restore_is_ready_with_the_newest_version over real sockets (before: 2 != 3) and three unit tests.

--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -25,6 +25,7 @@
 from rhubarbhall.core.ownership.store_port import epoch_of
 from rhubarbhall.core.traffic.requests import NotRun
 from rhubarbhall.platform.names import CONFIGURATION_KEY
+from rhubarbhall.programs.router_store import NO_VERSION
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.peer_events import Origin
@@ -109,6 +110,8 @@
         self.log_event(LogEvent(311 if is_up else 312, {"peer": address}))
         if is_up:
             self.request_router.on_peer_connected(self._advance_timers(), address)
+            if self._may_be_outdated():
+                self.links.ping(address)
 
     def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
         """Record a peer's load, and compare its directory with the local one.
@@ -123,11 +126,18 @@
         if not self.directory.is_loaded:
             return
         version = self._configuration_version()
-        if self._lacks_records(now, pong, version):
+        self._compare_configurations(pong.configuration)
+        if self._may_be_outdated() or self._lacks_records(now, pong, version):
             self.links.request_sync(address, self.directory.end, version)
         elif pong.end <= self.directory.end:
             self.read_lease.confirm(asked_at - pong.age_ms / 1000)
 
+    def _compare_configurations(self, peer_version: int) -> None:
+        """Record whether the version in force is at least that of a peer."""
+        version = self._configuration_version()
+        if NO_VERSION < version and peer_version <= version:
+            self._is_configuration_compared = True
+
     def _lacks_records(self, now: Seconds, pong: Pong, version: int) -> bool:
         """Return whether records of a peer are missing here and have to be requested.
 
@@ -196,6 +206,7 @@
         self._begin_epoch(epoch_of(tell.end))
         if tell.configuration is not None:
             self._apply_configuration(tell.configuration.value)
+            self._compare_configurations(tell.configuration.version)
         entries = tuple(
             Entry(each.offset, each.key, each.value) for each in tell.entries
         )
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -24,6 +24,9 @@
 
 #: Stands for no configuration, below all versions.
 NO_VERSION = -1
+#: Time after the start for which a daemon waits for a peer to compare configurations
+#: with, in seconds: connections, and a ping to another region.
+COMPARISON_TIMEOUT_S = 4.5
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
 
@@ -111,6 +114,16 @@
             self.log_event(LogEvent(413, fields))
         return version > known
 
+    def _may_be_outdated(self) -> bool:
+        """Return whether a peer may know a newer configuration than this daemon.
+
+        A restored store holds an older one until operators write theirs again, so a
+        daemon that has just started compares its own with that of a peer first.
+        """
+        if self.directory.epoch == 0 or self._is_configuration_compared:
+            return False
+        return self._advance_timers() - self._started_at < COMPARISON_TIMEOUT_S
+
     def _on_operator_entries(self, now: Seconds, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if entry.key == CONFIGURATION_KEY and entry.value:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -155,7 +155,7 @@
         self.shutdown: Shutdown | None = None
         self._shutdown_announced = False
         self._ended = False
-        started_at = self.now()
+        self._started_at = started_at = self.now()
         self.timers = TimerService()
         self.timers.advance_to(started_at)
         self._rng = random.Random(f"{self.local_address} {time.time_ns()}")
@@ -173,6 +173,8 @@
             self.local_address, started_at, settings.grants_by_request
         )
         self._configuration_value = b""
+        #: Whether the version in force was at least that of a peer once.
+        self._is_configuration_compared = False
         self.relayed = RelayedLimits(self.local_address)
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
@@ -518,7 +520,7 @@
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this daemon."""
         known = self.directory.is_loaded and self.request_router.routing is not None
-        return known and self.shutdown is None
+        return known and self.shutdown is None and not self._may_be_outdated()
 
     def _metrics_page(self) -> tuple[str, bytes]:
         return render_metrics(
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -100,15 +100,19 @@
             target.begin()
         self.tick_until(self.is_converged, 12.0)
 
+    @staticmethod
+    def close_router(router: RoutingDaemon) -> None:
+        for port in (router.callers, router.sessions.acceptor, router.links.dialer):
+            port.close()
+        for port in (router._heartbeat_port, router._readiness_port, router.target):
+            port.close()
+        router.key_requests.close()
+        for client in router._clients:
+            client.close()
+
     def close(self):
         for router in self.routers:
-            for port in (router.callers, router.sessions.acceptor, router.links.dialer):
-                port.close()
-            for port in (router._heartbeat_port, router._readiness_port, router.target):
-                port.close()
-            router.key_requests.close()
-            for client in router._clients:
-                client.close()
+            self.close_router(router)
         for target in self.targets:
             target.port.close()
         self.client.close()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import time
 
+from rhubarbhall.programs.router_store import COMPARISON_TIMEOUT_S
 from tests.platform.test_path import VMS, RouterTestCase, configuration
 
 OPERATOR_TOPIC = "keyed.op"
@@ -74,3 +75,22 @@
             self.tick_until(
                 lambda version=version: self.is_everywhere(version), IN_FORCE_S
             )
+
+    # Guards against: a daemon that starts just after the restore ready with the older
+    # version of the copy, although its peers follow a newer one.
+    def test_a_router_started_after_the_restore_is_ready_with_the_newest_version(self):
+        self.end_router(2)
+        self.store.restore(self.older)
+        started = self.routers[2] = self.new_router(2)
+        self.seen_version[2] = 0
+        self.tick_until(started.is_ready, COMPARISON_TIMEOUT_S - 1.0)
+        self.assertEqual(started.request_router.routing.version, 3)
+
+    def end_router(self, vm: int) -> None:
+        """End a router as a process that is killed does, and let its peers notice."""
+        router = self.routers[vm]
+        self.close_router(router)
+        router.unregister()
+        end = time.monotonic() + 0.3
+        while time.monotonic() < end:
+            self.loop.manager.tick(0.01)
--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -19,11 +19,11 @@
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.peer_selection import RelayedLimits
 from rhubarbhall.core.ownership.read_lease import ReadLease
-from rhubarbhall.core.ownership.store_port import NewestPage, Tail, Trimmed
+from rhubarbhall.core.ownership.store_port import NewestPage, Tail, Trimmed, position
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.platform.names import CONFIGURATION_KEY
 from rhubarbhall.programs.router_peers import PUSH_GRACE_S, PeerHandlers, RecordGap
-from rhubarbhall.programs.router_store import StoreHandlers
+from rhubarbhall.programs.router_store import COMPARISON_TIMEOUT_S, StoreHandlers
 from tests.platform.test_path import configuration
 
 LOCAL, PEER, BEYOND = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
@@ -68,6 +68,8 @@
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
         self._configuration_value = b""
+        self._started_at = self.now
+        self._is_configuration_compared = False
 
     def _advance_timers(self) -> float:
         self.timers.advance_to(self.now)
@@ -282,6 +284,29 @@
         self.read(41, configuration(2))
         self.assertEqual(self.daemon.version, 3)
 
+    # Guards against: a daemon that starts just after a restore ready with the older
+    # version of the copy.
+    def test_after_a_restore_a_started_daemon_compares_its_version_first(self):
+        self.daemon.directory.begin_epoch(1)
+        self.daemon.directory.advance_end(position(1, 0))
+        self.read(40, configuration(2))
+        self.assertTrue(self.daemon._may_be_outdated())
+        self.on_pong(3)
+        self.assertTrue(self.daemon._may_be_outdated())
+        self.assertEqual(self.daemon.links.asked, [(PEER, 2)])
+        self.sync(3, configuration(3))
+        self.assertFalse(self.daemon._may_be_outdated())
+
+    def test_a_daemon_without_peers_waits_for_a_comparison_only_so_long(self):
+        self.daemon.directory.begin_epoch(1)
+        self.read(40, configuration(2))
+        self.daemon.now += COMPARISON_TIMEOUT_S
+        self.assertFalse(self.daemon._may_be_outdated())
+
+    def test_no_comparison_is_needed_if_the_store_was_never_restored(self):
+        self.read(40, configuration(2))
+        self.assertFalse(self.daemon._may_be_outdated())
+
     def test_a_peer_with_an_older_version_is_asked_for_nothing(self):
         self.read(1, configuration(7))
         self.assertEqual(self.wait_for_pong(6) + self.wait_for_pong(7), [])
