Keep the rate that a target states with one token bucket beside it

Cause: the header was read nowhere; the admission queue knew slots only, and a target in need goes on answering, so nothing else held requests back.

Now the client of the target reads the rate from each answer, also from refusals, and the admission queue keeps it with a token bucket: all requests for a target pass the daemon beside it, so the sum over all VMs is kept without messages. Waits are estimated from the tokens too, so what cannot be answered in time is refused at once, with the time when a token is there. Other daemons learn the rate with each outcome; it counts as load of keys. An answer without a rate ends the limit only if its request was sent after the last answer with one. Event 218, a gauge and the dump show the rate.

Before: tests.platform.test_path.TargetNoticeTests, 20 requests instead of at most 5 at the limited target, and 8 instead of 5 without keys.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -108,6 +108,8 @@
     running, waiting, slots : int
         Requests that the target works on, requests that wait for it, and requests
         that it can work on at a time.
+    rate : float, optional
+        Requests per second that the target takes; None if it states no limit.
     """
 
     number: int
@@ -117,6 +119,7 @@
     running: int
     waiting: int
     slots: int
+    rate: float | None = None
 
 
 class RequestFailed(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -132,7 +135,7 @@
         Whether the request has not run and never will; if false, it may have run.
     retry_after_ms : int
         Time after which the caller may try again.
-    running, waiting, slots : int
+    running, waiting, slots, rate
         As in `Reply`.
     """
 
@@ -143,6 +146,7 @@
     running: int
     waiting: int
     slots: int
+    rate: float | None = None
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -547,7 +547,7 @@
         outcome = decode_outcome(frame)
         ticket = link.pop_ticket(frame.number)
         if ticket is not None:
-            load = Load(frame.running, frame.waiting, frame.slots)
+            load = Load(frame.running, frame.waiting, frame.slots, frame.rate)
             self._handler.on_outcome(link.address, ticket, outcome, load)
 
     def connection_closed(self, sock: socket.socket, refused: bool) -> None:
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -65,6 +65,7 @@
             load.running,
             load.waiting,
             load.slots,
+            load.rate,
         )
     retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else 0.0
     return RequestFailed(
@@ -75,6 +76,7 @@
         load.running,
         load.waiting,
         load.slots,
+        load.rate,
     )
 
 
--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -121,6 +121,11 @@
         "The target has not carried out a grant or a release of keys.",
         ("first", "last", "result"),
     ),
+    218: LogEventSpec(
+        "target_rate_changed",
+        "The target states another rate that it takes; `rate` is null without a limit.",
+        ("run", "rate"),
+    ),
     301: LogEventSpec("drain_begun", "The member has begun to leave.", ("member",)),
     302: LogEventSpec(
         "drain_ended", "The member has left; no request was interrupted.", ("member",)
--- a/rhubarbhall/core/ownership/key_load.py
+++ b/rhubarbhall/core/ownership/key_load.py
@@ -36,8 +36,8 @@
     Parameters
     ----------
     utilization : float
-        Slots that its requests need, divided by the slots that it has; above 1,
-        requests pile up.
+        Slots that its requests need, divided by the slots that it has, or their rate
+        divided by the rate that it takes if that is more; above 1, requests pile up.
     cost : float
         Utilization that one more request per second adds.
     """
@@ -71,9 +71,23 @@
         while self._samples and self._samples[0][0] < now - WINDOW_S:
             self._samples.popleft()
 
-    def load(self, now: Seconds, slots: int) -> TargetLoad:
-        """Return the load of a target with a number of slots."""
+    def load(
+        self, now: Seconds, slots: int, rate_limit: float | None = None
+    ) -> TargetLoad:
+        """Return the load of a target.
+
+        Parameters
+        ----------
+        now : float
+            Present time, local clock, in seconds.
+        slots : int
+            Number of requests that the target works on at a time.
+        rate_limit : float, optional
+            Number of requests per second that it takes; None without a limit.
+        """
         cost = self._mean_s / max(1, slots)
+        if rate_limit is not None:
+            cost = max(cost, 1 / rate_limit)
         # A target that refuses requests counts as busy, whatever it works on.
         return TargetLoad(self.rate(now) * cost + self._refusals, cost)
 
--- a/rhubarbhall/core/ownership/range_load_balancer.py
+++ b/rhubarbhall/core/ownership/range_load_balancer.py
@@ -58,6 +58,8 @@
         self._local_address = local_address
         self.sampler = sampler
         self.slots = 1
+        #: Requests per second that the local target takes; None without a limit.
+        self.rate_limit: float | None = None
         self._load_by_owner: dict[Address, tuple[Seconds, TargetLoad]] = {}
         self._moved_at: Seconds = float("-inf")
         #: The last moves and the loads that they were based on, for the log.
@@ -69,7 +71,7 @@
 
     def local_load(self, now: Seconds) -> TargetLoad:
         """Return the load of the local target."""
-        return self.sampler.load(now, self.slots)
+        return self.sampler.load(now, self.slots, self.rate_limit)
 
     def is_busy(self, now: Seconds) -> bool:
         """Return whether the local target is so busy that the peers' loads matter."""
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -5,7 +5,8 @@
 was sent, so a refusal can say truthfully that the request has not run. Among requests
 of equal priority, those that can still meet the target latency of their route go first,
 then retries of refused requests, then the rest. Under peak load many requests are thus
-served in time, instead of all of them late.
+served in time, instead of all of them late. A target in need states a rate, which the
+queue does not exceed either.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     queue_position,
 )
 from rhubarbhall.core.traffic.queue_estimates import LateService, RouteDurations
+from rhubarbhall.core.traffic.rate_limit import RateLimit
 from rhubarbhall.core.traffic.requests import (
     Load,
     NotRun,
@@ -87,6 +89,8 @@
     ----------
     limit : ConcurrencyLimit
         Number of requests that may run at a time.
+    rate_limit : RateLimit
+        Rate that the target states, if it states one.
     durations : RouteDurations
         Mean durations by route.
     closed_reason : ErrorKind or None
@@ -111,6 +115,7 @@
         self._running = 0
         self._long_running = 0
         self.limit = ConcurrencyLimit(1)
+        self.rate_limit = RateLimit()
         self.durations = RouteDurations()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
@@ -120,7 +125,7 @@
     @property
     def load(self) -> Load:
         """Running and waiting requests, and the present limit of running ones."""
-        return Load(self._running, self._queued, self.limit.value)
+        return Load(self._running, self._queued, self.limit.value, self.rate_limit.rate)
 
     @property
     def is_idle(self) -> bool:
@@ -203,7 +208,7 @@
                 return NotRun(ErrorKind.NOT_OWNER)
             return None
         urgency = self._urgency(now, request)
-        wait_s = self.expected_wait_s(request, urgency)
+        wait_s = self.expected_wait_s(now, request, urgency)
         if urgency is not Urgency.IN_TIME:
             # Requests that meet the target latency will arrive and be sent first.
             wait_s *= LATE_WAIT_FACTOR
@@ -225,7 +230,7 @@
         self, now: Seconds, request: RoutedRequest, urgency: Urgency
     ) -> Seconds:
         """Return the estimated wait of a request that misses the target latency."""
-        if self._running < self.limit.value:
+        if self._may_send(now):
             return 0.0
         position = queue_position(request, urgency, 0)
         ahead = sum(
@@ -243,7 +248,7 @@
 
     def _urgency(self, now: Seconds, request: RoutedRequest) -> Urgency:
         """Return the urgency of a request among those of equal priority."""
-        wait_s = self.expected_wait_s(request, Urgency.IN_TIME)
+        wait_s = self.expected_wait_s(now, request, Urgency.IN_TIME)
         done_at = now + wait_s + self.durations.mean_s(request.route)
         if done_at <= request.target_latency_deadline:
             return Urgency.IN_TIME
@@ -252,11 +257,21 @@
     def _max_waiting(self) -> int:
         return MAX_WAITING_PER_SLOT * self.limit.value
 
+    def _has_free_slot(self) -> bool:
+        return self._running < self.limit.value
+
+    def _may_send(self, now: Seconds) -> bool:
+        """Return whether the target may get one more request now."""
+        return self._has_free_slot() and self.rate_limit.wait_s(now) <= 0
+
     def expected_wait_s(
-        self, request: RoutedRequest, urgency: Urgency = Urgency.IN_TIME
+        self,
+        now: Seconds,
+        request: RoutedRequest,
+        urgency: Urgency = Urgency.IN_TIME,
     ) -> Seconds:
-        """Return the estimated time that a request waits for a slot, in seconds."""
-        if self._running < self.limit.value:
+        """Return the estimated time until a request is sent, in seconds."""
+        if self._may_send(now):
             return 0.0
         position = queue_position(request, urgency, 0)
         ahead = [
@@ -264,9 +279,12 @@
             for other in self._waiting
             if other[-1] in self._entry_by_ticket and other[:3] <= position[:3]
         ]
+        rate_wait_s = self.rate_limit.wait_s(now, len(ahead))
+        if self._has_free_slot():
+            return rate_wait_s
         work_s = sum(self.durations.mean_s(route) for route in ahead)
         this_s = self.durations.mean_s(request.route)
-        return (work_s + 0.5 * this_s) / self.limit.value
+        return max(rate_wait_s, (work_s + 0.5 * this_s) / self.limit.value)
 
     def _enqueue(self, now: Seconds, entry: QueueEntry) -> None:
         entry.urgency = self._urgency(now, entry.request)
@@ -275,9 +293,9 @@
         self._queued += 1
 
     def dispatch(self, now: Seconds) -> None:
-        """Send waiting requests in order while slots are free."""
+        """Send waiting requests in order while the target may get more."""
         held_back: list[QueuePosition] = []
-        while self._waiting and self._running < self.limit.value:
+        while self._waiting and self._may_send(now):
             position = heapq.heappop(self._waiting)
             entry = self._entry_by_ticket.get(position[-1])
             if entry is None:
@@ -338,6 +356,7 @@
             self._late_service.record_sent(now)
         self._running += 1
         self._long_running += entry.is_long
+        self.rate_limit.record_sent(now)
         self._target.send(entry.ticket, request, now)
 
     def _may_outlast_drain(
@@ -415,6 +434,25 @@
         entry.on_outcome(self._reported(entry, outcome))
         self.dispatch(now)
 
+    def record_stated_rate(
+        self, now: Seconds, ticket: int, stated_rate: float | None
+    ) -> None:
+        """Take the rate that an answer states; `finish` follows for the same ticket.
+
+        Parameters
+        ----------
+        now : float
+            Time of the answer, local clock, in seconds.
+        ticket : int
+            Ticket of the request that is answered.
+        stated_rate : float or None
+            Requests per second that the target takes from all daemons together; None
+            if it states no limit.
+        """
+        entry = self._entry_by_ticket.get(ticket)
+        if entry is not None and entry.sent_at is not None:
+            self.rate_limit.record_answer(now, entry.sent_at, stated_rate)
+
     @staticmethod
     def _reported(entry: QueueEntry, outcome: Outcome) -> Outcome:
         """Return the outcome as the daemon that sent the request gets it.
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -76,11 +76,28 @@
         Number of requests that the target works on, and that wait for it.
     slots : int
         Number of requests that the target can work on at a time.
+    rate : float, optional
+        Requests per second that the target takes; None if it states no limit.
     """
 
     running: int = 0
     waiting: int = 0
     slots: int = 1
+    rate: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target says of itself in an answer.
+
+    Parameters
+    ----------
+    rate : float, optional
+        Requests per second that it takes from all daemons together; None if it states
+        no limit.
+    """
+
+    rate: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -273,6 +273,9 @@
         slots = max(1, member.slots)
         occupied = max(view.outstanding, view.load.running + view.load.waiting) + 1
         queue_s = work_s * max(0.0, occupied / slots - SLOWDOWN_UTILIZATION)
+        if view.load.rate is not None:
+            ahead = max(view.outstanding, view.load.waiting)
+            queue_s = max(queue_s, (ahead + 1) / view.load.rate)
         # Prefers the less occupied target while none has a queue.
         spread_s = 0.2 * work_s * occupied / slots
         refusal_s = REFUSAL_COST_S * view.unserved_share
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -14,6 +14,8 @@
 INSTANCE_ID = "Instance-Id"
 KEY = "Shard-Key"
 RETRY_AFTER = "Retry-After"
+#: Requests per second that a target in need takes from all daemons together.
+RATE_LIMIT = "Server-Limit"
 HANDOVER = "Handover"
 #: In each answer of the store: one more than the number of times that it was restored
 #: from an older copy.
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -22,6 +22,7 @@
     NotRun,
     Outcome,
     RoutedRequest,
+    TargetNotice,
     Unknown,
 )
 from rhubarbhall.platform import names
@@ -53,6 +54,8 @@
 
     ticket: int
     request: RoutedRequest
+    #: Name of the target instance that the request is meant for.
+    instance: str
     sock: socket.socket | None = None
     is_written: bool = False
 
@@ -88,6 +91,16 @@
     return None
 
 
+#: Requests per second in a header; longer numbers are no rate that a target serves.
+_RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")
+
+
+def _notice(response: Response) -> TargetNotice:
+    """Return what the target says of itself; a rate that is malformed is none."""
+    text = _header(response, names.RATE_LIMIT) or ""
+    return TargetNotice(float(text) if _RATE.fullmatch(text) else None)
+
+
 def _outcome(response: Response, instance: str) -> Outcome:
     """Return the outcome that a complete answer stands for.
 
@@ -134,6 +147,9 @@
         Called with the ticket of a request and its outcome.
     on_unreachable : callable
         Called when a connection cannot be opened, with whether it was refused.
+    on_notice : callable
+        Called before `on_outcome` for each answer, with the ticket of its request and
+        what the target says of itself.
     """
 
     def __init__(
@@ -142,9 +158,11 @@
         address: Address,
         on_outcome: Callable[[int, Outcome], None],
         on_unreachable: Callable[[bool], None],
+        on_notice: Callable[[int, TargetNotice], None],
     ) -> None:
         super().__init__(channel)
         self.address = address
+        self._on_notice = on_notice
         self._on_outcome = on_outcome
         self._on_unreachable = on_unreachable
         #: Name of the target instance that requests are meant for.
@@ -157,7 +175,7 @@
         self, ticket: int, request: RoutedRequest, now: Seconds
     ) -> None:
         """Send a request; `on_outcome` is called later, or at once if that fails."""
-        exchange = _Exchange(ticket, request)
+        exchange = _Exchange(ticket, request, self.instance)
         self._exchange_by_ticket[ticket] = exchange
         if self._idle:
             self._use(exchange, self._idle.pop(), now)
@@ -275,6 +293,8 @@
             self._idle.append(sock)
         else:
             self.drop(sock)
+        if exchange.instance == self.instance:
+            self._on_notice(exchange.ticket, _notice(response))
         self._finish(exchange, _outcome(response, self.instance))
 
     def on_closed(self, sock: socket.socket) -> None:
--- a/rhubarbhall/programs/router_dump.py
+++ b/rhubarbhall/programs/router_dump.py
@@ -39,6 +39,8 @@
     running: int
     waiting: int
     limit: int
+    #: Requests per second that the target takes; null without a limit.
+    rate_limit: float | None
     utilization: float
     in_flight: int
     members: dict[str, str]
@@ -79,6 +81,7 @@
         running=load.running,
         waiting=load.waiting,
         limit=load.slots,
+        rate_limit=load.rate,
         utilization=round(daemon.balancer.local_load(now).utilization, 3),
         in_flight=daemon.request_router.in_flight,
         members={
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -156,6 +156,10 @@
             "Requests that it gets at a time.",
             float(load.slots),
         ),
+        "target_rate_limit": (
+            "Requests a second that the target takes; 0 without a limit.",
+            load.rate or 0.0,
+        ),
         "utilization": (
             "Slots needed by requests by key, over those there are.",
             daemon.balancer.local_load(now).utilization,
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.target_keys import Grant
-    from rhubarbhall.core.traffic.requests import Outcome
+    from rhubarbhall.core.traffic.requests import Outcome, TargetNotice
     from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
     from rhubarbhall.types import Seconds
@@ -125,7 +125,9 @@
             return
         self._answer_heartbeat(now)
         previous = self.target_keys.heartbeat
-        self.target_keys.record_heartbeat(now, heartbeat)
+        if self.target_keys.record_heartbeat(now, heartbeat):
+            self.admission_queue.rate_limit.reset()
+            self._update_rate_limit()
         self.target.instance = self.key_requests.instance = heartbeat.instance
         if previous is None or (previous.run, previous.state) != (
             heartbeat.run,
@@ -242,5 +244,19 @@
     def _on_target_outcome(self, ticket: int, outcome: Outcome) -> None:
         self.admission_queue.finish(self._advance_timers(), ticket, outcome)
 
+    def _on_target_notice(self, ticket: int, notice: TargetNotice) -> None:
+        """Handle what the target says of itself in an answer."""
+        now = self._advance_timers()
+        self.admission_queue.record_stated_rate(now, ticket, notice.rate)
+        self._update_rate_limit()
+
+    def _update_rate_limit(self) -> None:
+        """Let the load of the target follow the rate that it states now."""
+        rate = self.admission_queue.rate_limit.rate
+        if rate != self.balancer.rate_limit:
+            self.balancer.rate_limit = rate
+            fields = {"run": self.target_keys.run, "rate": rate}
+            self.log_event(LogEvent(218, fields))
+
     def _on_target_unreachable(self, refused: bool) -> None:
         self.admission_queue.record_unreachable(self._advance_timers())
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -213,6 +213,7 @@
             settings.target_address,
             self._on_target_outcome,
             self._on_target_unreachable,
+            self._on_target_notice,
         )
         self.key_requests = KeyRequestClient(
             f"key-requests-{self.local_address}",
--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -74,6 +74,9 @@
     grants_by_request : bool
         Whether it takes keys by requests to its own port, and not from the answers to
         its heartbeats.
+    stated_rate : str
+        Requests per second that its answers state as its limit; it does not enforce
+        them. Empty without a limit.
     """
 
     work_s: Seconds = 0.01
@@ -83,6 +86,7 @@
     garbled_answer: str = ""
     unresponsive: bool = False
     grants_by_request: bool = False
+    stated_rate: str = ""
 
 
 @dataclass(slots=True)
@@ -318,7 +322,11 @@
 
     def _refusal(self, headers: dict[str, str]) -> Response | None:
         """Return the answer to a request that the target must not execute."""
-        not_run = (("Not-Executed", "1"), ("Request-Id", headers["request-id"]))
+        not_run = (
+            ("Not-Executed", "1"),
+            ("Request-Id", headers["request-id"]),
+            *self._notice_headers(),
+        )
         if headers.get("expected-instance") not in (None, self.instance):
             misdirected = (*not_run, ("Instance-Id", self.instance))
             return Response(HTTPStatus.MISDIRECTED_REQUEST, misdirected)
@@ -332,12 +340,18 @@
             return Response(HTTPStatus.SERVICE_UNAVAILABLE, not_run)
         return None
 
+    def _notice_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in which the target says what state it is in."""
+        rate = self.behaviour.stated_rate
+        return (("Server-Limit", rate),) if rate else ()
+
     def _answer(
         self, request_id: RequestId, platform_request_id: str, body: bytes
     ) -> None:
         headers = (
             ("Request-Id", platform_request_id),
             ("Server-Signature", self.instance),
+            *self._notice_headers(),
         )
         answer = Response(
             HTTPStatus.OK, headers, b"done " + platform_request_id.encode() + body
--- a/tests/core/ownership/test_range_load_balancer.py
+++ b/tests/core/ownership/test_range_load_balancer.py
@@ -114,6 +114,43 @@
         self.assertEqual(balancer.moves(11.1, table, [LOCAL, B]), [])
 
 
+class RateLimitTests(unittest.TestCase):
+    """The local target states that it takes fewer requests than it gets."""
+
+    RATE_LIMIT = 12.5
+
+    def setUp(self):
+        rng = random.Random(3)
+        keys = [rng.randrange(0, 21845) for _ in range(60)]
+        self.balancer = balancer_with(keys, rate=40, took_s=0.05)
+        self.table = KeyTable.divided([LOCAL, B, C])
+
+    def moved_share(self) -> dict[str, float]:
+        """Return the share of the sampled requests that each target gets."""
+        moves = self.balancer.moves(11.5, self.table, [LOCAL, B, C])
+        spans = self.balancer.sampler.keys_in(11.5, self.table.owned_by(LOCAL.owner))
+        keys = [key for _, held in spans for key in held]
+        return {
+            claim.owner: sum(first <= key <= last for key in keys) / len(keys)
+            for (first, last), claim in moves
+        }
+
+    def test_without_a_limit_the_target_keeps_its_keys(self):
+        self.balancer.record_load(11.4, B.owner, TargetLoad(0.1, 0.05 / SLOTS))
+        self.assertEqual(self.moved_share(), {})
+
+    def test_the_limit_counts_as_load(self):
+        self.balancer.rate_limit = self.RATE_LIMIT
+        load = self.balancer.local_load(11.5)
+        self.assertAlmostEqual(load.cost, 1 / self.RATE_LIMIT)
+        self.assertGreater(load.utilization, 2.5)
+
+    def test_what_the_limit_does_not_allow_moves_to_a_target_without_one(self):
+        self.balancer.rate_limit = self.RATE_LIMIT
+        self.balancer.record_load(11.4, B.owner, TargetLoad(0.1, 0.05 / SLOTS))
+        self.assertGreater(self.moved_share()[B.owner], 0.6)
+
+
 class ModerateLoadTests(unittest.TestCase):
     """Load pattern: demand swings by half; at peak load, slots are still free."""
 
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 import unittest
 from dataclasses import replace
 
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.admission_queue import EXPIRE_INTERVAL_S, AdmissionQueue
+from rhubarbhall.core.traffic.rate_limit import MIN_RATE
 from rhubarbhall.core.traffic.requests import Answered, NotRun, RoutedRequest, Unknown
 
 ANSWER = Answered(200, (), b"ok")
@@ -99,6 +101,104 @@
             self.queue.durations.record(route, took_s)
 
 
+class RateLimitTests(AdmissionQueueCase):
+    """A target that states how many requests a second it takes."""
+
+    SLOTS = 8
+
+    def state_rate(self, now: float, rate: float | None) -> None:
+        self.submit(now, f"states{now}")
+        ticket = self.ticket_of(f"states{now}")
+        self.queue.record_stated_rate(now, ticket, rate)
+        self.finish(now, f"states{now}")
+
+    def test_requests_beyond_the_rate_wait_although_slots_are_free(self):
+        self.state_rate(0.0, 10.0)
+        for id in "abc":
+            self.submit(0.01, id, deadline=9.0)
+        self.assertEqual(self.sent_ids(), [])
+        self.queue.expire(0.15)
+        self.assertEqual(self.sent_ids(), ["a"])
+        self.queue.expire(0.25)
+        self.assertEqual(self.sent_ids(), ["a", "b"])
+
+    def test_a_request_that_the_rate_does_not_allow_in_time_is_refused_at_once(self):
+        self.state_rate(0.0, 2.0)
+        for id in "abcd":
+            self.submit(0.01, id, deadline=1.21)
+        self.assertNotIn("a", self.outcomes)
+        refusal = self.outcomes["d"]
+        self.assertEqual(refusal.kind, ErrorKind.OVERLOADED)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+
+    def test_without_a_limit_any_more_waiting_requests_are_sent(self):
+        self.state_rate(0.0, 2.0)
+        for id in "abc":
+            self.submit(0.01, id, deadline=9.0)
+        self.queue.expire(0.55)
+        self.assertEqual(self.sent_ids(), ["a"])
+        self.queue.record_stated_rate(0.6, self.ticket_of("a"), None)
+        self.finish(0.6, "a")
+        self.assertEqual(self.sent_ids(), ["b", "c"])
+
+    def test_the_load_tells_the_rate(self):
+        self.assertIsNone(self.queue.load.rate)
+        self.state_rate(0.0, 2.5)
+        self.assertEqual(self.queue.load.rate, 2.5)
+
+    def test_a_rate_in_an_answer_to_an_unknown_ticket_is_ignored(self):
+        self.queue.record_stated_rate(0.0, 99, 2.5)
+        self.assertIsNone(self.queue.load.rate)
+
+    # A target that stated 12.5 requests a second got 295 in 4 s (LIMIT).
+    def test_under_any_traffic_the_target_gets_what_it_states(self):
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                self.setUp()
+                rng = random.Random(seed)
+                rate = rng.choice((0.4, 3.0, 12.5, 60.0))
+                sent = self.play(rng, rate, end=14.0)
+                bound = 1.5 * 4.0 * rate + 5
+                for start in sent:
+                    in_window = sum(start <= at < start + 4.0 for at in sent)
+                    self.assertLessEqual(in_window, bound)
+                used = max(rate, MIN_RATE)
+                self.assertGreaterEqual(len(sent), 0.85 * used * 13.0 - 2)
+
+    def play(self, rng: random.Random, rate: float, end: float) -> list[float]:
+        """Submit four times as many requests as the rate; return when some are sent."""
+        sent_at: dict[str, float] = {}
+        done_at: list[tuple[float, str]] = []
+        now, number, checked_at = 0.0, 0, 0.0
+        while now < end:
+            now += rng.expovariate(4 * rate + 2)
+            while done_at and done_at[0][0] <= now:
+                at, id = heapq.heappop(done_at)
+                self.queue.record_stated_rate(at, self.ticket_of(id), rate)
+                self.finish(at, id)
+                self.record_sent(at, rng, sent_at, done_at)
+            while checked_at + EXPIRE_INTERVAL_S <= now:
+                checked_at += EXPIRE_INTERVAL_S
+                self.queue.expire(checked_at)
+                self.record_sent(checked_at, rng, sent_at, done_at)
+            number += 1
+            self.submit(
+                now,
+                f"q{number}",
+                deadline=now + rng.choice((1.0, 2.0, 5.0)),
+                target_latency_deadline=now + 0.3,
+            )
+            self.record_sent(now, rng, sent_at, done_at)
+        first = min(at for at, _ in done_at) if done_at else end
+        return [at for at in sent_at.values() if at > min(1.0, first)]
+
+    def record_sent(self, now, rng, sent_at, done_at) -> None:
+        for id in self.sent_ids():
+            if id not in sent_at:
+                sent_at[id] = now
+                heapq.heappush(done_at, (now + rng.uniform(0.02, 0.15), id))
+
+
 class AdmissionQueueTests(AdmissionQueueCase):
     def test_no_more_requests_than_slots_are_sent(self):
         for id in "abc":
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -80,3 +80,17 @@
     def test_targets_tried_before_are_not_chosen(self):
         self.assertEqual(self.choose(1.5, tried=(NEAR, OTHER_NEAR)), FAR)
         self.assertIsNone(self.choose(1.5, tried=(NEAR, OTHER_NEAR, FAR)))
+
+
+class RateLimitTests(TargetChooserCase):
+    """Targets that state how many requests a second they take."""
+
+    def test_a_target_that_takes_few_requests_is_left_to_others(self):
+        self.chooser.view(NEAR).load = Load(1, 3, SLOTS, 4.0)
+        self.set_occupancy(OTHER_NEAR, 1.0)
+        self.assertEqual(self.choose(latency_budget_s=1.5), OTHER_NEAR)
+
+    def test_a_rate_that_is_high_enough_makes_no_difference(self):
+        self.chooser.view(NEAR).load = Load(1, 0, SLOTS, 400.0)
+        self.set_occupancy(OTHER_NEAR, 1.0)
+        self.assertEqual(self.choose(latency_budget_s=1.5), NEAR)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -298,6 +298,64 @@
             self.assertIn(expected, results[0].body)
 
 
+class TargetNoticeTests(RouterTestCase):
+    """Targets that say in their answers what state they are in."""
+
+    def setUp(self):
+        super().setUp()
+        body = configuration(3).replace(b"h.example", HOST.encode())
+        self.store.put("keyed.op", "config", body)
+        self.tick_until(
+            lambda: all(r.request_router.routing.version == 3 for r in self.routers),
+            4.0,
+        )
+
+    def send_many(self, path: str, count: int, **headers: str) -> list[Response]:
+        """Send requests from all VMs at the same time and return their answers."""
+        results: list = []
+        extra = tuple((name.replace("_", "-"), text) for name, text in headers.items())
+        for number in range(count):
+            id = f"{path}{number}"
+            sent = (("Request-Id", id), ("Timeout-Ms", "1000"), *extra)
+            vm = number % len(VMS)
+            self.client.fetch(address(vm, 2), "GET", id, sent, b"", 3.0, results.append)
+        self.tick_until(lambda: len(results) == count, 6.0)
+        return results
+
+    # A target that stated how many requests a second it takes got all that there were,
+    # several times as many (LIMIT).
+    def test_a_target_gets_no_more_requests_than_it_states(self):
+        self.targets[0].behaviour.stated_rate = "0.5"
+        self.send_request(0, "/status/first", Shard_Key="5")
+        answers = self.send_many("/status/more", 24, Shard_Key="5")
+        self.assertLessEqual(len(self.targets[0].executed_requests) - 1, 5)
+        refused = [answer for answer in answers if answer.status != 200]
+        self.assertGreaterEqual(len(refused), 19)
+        for answer in refused:
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", dict(answer.headers))
+
+    def test_requests_beyond_the_rate_go_to_another_target(self):
+        limited, other = self.targets[2], self.targets[3]
+        limited.behaviour.stated_rate = "0.5"
+        while not limited.executed_requests:
+            self.send_many("/look/first", 4)
+        ran = len(limited.executed_requests)
+        answers = self.send_many("/look/more", 16)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertLessEqual(len(limited.executed_requests) - ran, 5)
+        self.assertGreaterEqual(len(other.executed_requests), 11)
+
+    def test_the_limit_ends_with_the_answers_that_state_it(self):
+        target = self.targets[0]
+        target.behaviour.stated_rate = "4"
+        self.send_request(0, "/status/first", Shard_Key="5")
+        target.behaviour.stated_rate = ""
+        self.send_request(0, "/status/second", Shard_Key="5")
+        answers = self.send_many("/status/more", 12, Shard_Key="5")
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+
 class PlannedStopTests(RouterTestCase):
     GRACE = "3s"
 
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -4,24 +4,29 @@
 
 import socket
 import unittest
+from dataclasses import replace
 
 from rhubarbhall.adapters.loop import Loop
-from rhubarbhall.platform.target import HttpTargetClient
+from rhubarbhall.core.requests import Response
+from rhubarbhall.core.traffic.requests import TargetNotice
+from rhubarbhall.platform.target import HttpTargetClient, _notice
 from tests.core.traffic.test_admission_queue import REQUEST
 
 
-class UnreachableTests(unittest.TestCase):
+class TargetClientCase(unittest.TestCase):
     def setUp(self):
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(self.listener.close)
         port = self.listener.getsockname()[1]
         self.outcomes: list = []
         self.unreachable: list[bool] = []
+        self.notices: list[tuple[int, TargetNotice]] = []
         self.client = HttpTargetClient(
             "target-test",
             f"127.0.0.1:{port}",
             lambda ticket, outcome: self.outcomes.append(outcome),
             self.unreachable.append,
+            lambda ticket, notice: self.notices.append((ticket, notice)),
         )
         self.addCleanup(self.client.close)
         self.loop = Loop()
@@ -30,6 +35,8 @@
         for _ in range(20):
             self.loop.manager.tick(0.0)
 
+
+class UnreachableTests(TargetClientCase):
     # A caller that left while the connection for its request opened made the daemon
     # refuse all that waited for a healthy target.
     def test_a_request_cancelled_while_its_connection_opens_says_nothing_of_it(self):
@@ -44,3 +51,74 @@
             self.loop.manager.tick(0.01)
         self.assertEqual(len(self.unreachable), 1)
         self.assertEqual(len(self.outcomes), 1)
+
+
+class AnsweringTargetCase(TargetClientCase):
+    """A target whose answers the test writes byte by byte."""
+
+    INSTANCE = "i-1"
+
+    def setUp(self):
+        super().setUp()
+        self.listener.settimeout(2.0)
+        self.client.instance = self.INSTANCE
+
+    def tick(self, count: int = 20) -> None:
+        for _ in range(count):
+            self.loop.manager.tick(0.005)
+
+    def accept(self) -> socket.socket:
+        self.tick()
+        sock, _ = self.listener.accept()
+        sock.settimeout(2.0)
+        self.addCleanup(sock.close)
+        self.tick()
+        return sock
+
+    def send(self, ticket: int, id: str, sock: socket.socket | None = None):
+        """Send a request and return the connection on which the target receives it."""
+        self.client.send(ticket, replace(REQUEST, id=id), 0.0)
+        sock = sock or self.accept()
+        self.assertIn(f"Request-Id: {id}".encode(), sock.recv(4096))
+        return sock
+
+    def answer(self, sock: socket.socket, id: str, *headers: str, body="ok") -> None:
+        lines = ["HTTP/1.1 200 OK", f"Request-Id: {id}", "Server-Signature: s"]
+        lines += [*headers, f"Content-Length: {len(body)}", "", body]
+        sock.sendall("\r\n".join(lines).encode())
+        self.tick()
+
+
+class NoticeTests(AnsweringTargetCase):
+    def notice_of(self, *headers: str) -> TargetNotice:
+        self.answer(self.send(1, "q"), "q", *headers)
+        ((ticket, notice),) = self.notices
+        self.assertEqual(ticket, 1)
+        return notice
+
+    def test_an_answer_without_notices(self):
+        self.assertEqual(self.notice_of(), TargetNotice())
+
+    def test_the_rate_that_a_target_states(self):
+        self.assertEqual(self.notice_of("Server-Limit: 12.5"), TargetNotice(12.5))
+
+    def test_a_notice_in_a_refusal_counts(self):
+        notice = self.notice_of("Not-Executed: 1", "Server-Limit: 3")
+        self.assertEqual(notice, TargetNotice(3.0))
+
+    def test_an_answer_to_another_run_of_the_target_says_nothing(self):
+        sock = self.send(1, "q")
+        self.client.instance = "i-2"
+        self.answer(sock, "q", "Server-Limit: 1")
+        self.assertEqual(self.notices, [])
+        self.assertEqual(len(self.outcomes), 1)
+
+    def test_rates_that_cannot_be_read_are_none(self):
+        for text in ("", "x", "-1", "nan", "inf", "1e9", "1,5", "9" * 400, "\u0663"):
+            response = Response(200, (("Server-Limit", text),))
+            with self.subTest(text=text):
+                self.assertEqual(_notice(response), TargetNotice())
+
+    def test_rates_with_many_digits_are_read(self):
+        response = Response(200, (("server-limit", "12.499999999999998"),))
+        self.assertAlmostEqual(_notice(response).rate, 12.5)
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -9,6 +9,8 @@
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.ownership.target_keys import Heartbeat, TargetKeys
 from rhubarbhall.core.timers import TimerService
+from rhubarbhall.core.traffic.rate_limit import RateLimit
+from rhubarbhall.core.traffic.requests import TargetNotice
 from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
 from rhubarbhall.programs.router_target import GRANT_WAIT_S, TargetHandlers
 
@@ -23,6 +25,7 @@
         self.timers = TimerService()
         self.now = 100.0
         self.events: list[str] = []
+        self.logged: list[tuple[int, dict]] = []
         self.settings = SimpleNamespace(target_address=TARGET, service="s", drain_s=2.5)
         self.target_keys = TargetKeys(LOCAL, 0.0)
         self.target = SimpleNamespace(instance="")
@@ -31,7 +34,11 @@
             open=lambda slots: None,
             on_keys_changed=lambda now: self.events.append("keys changed"),
         )
-        self.balancer = SimpleNamespace(slots=1)
+        self.admission_queue.rate_limit = RateLimit()
+        self.admission_queue.record_stated_rate = lambda now, ticket, rate: (
+            self.admission_queue.rate_limit.record_answer(now, now - 0.1, rate)
+        )
+        self.balancer = SimpleNamespace(slots=1, rate_limit=None)
         self.publisher = SimpleNamespace(
             by_key=True, write_due=lambda now, member: None
         )
@@ -56,7 +63,48 @@
         return None
 
     def log_event(self, event):
-        pass
+        self.logged.append((event.code, event.fields))
+
+
+class StatedRateTests(unittest.TestCase):
+    """The rate that the target states in its answers."""
+
+    CHANGED = 218
+
+    def setUp(self):
+        self.daemon = FakeDaemon()
+        self.beat(born=1)
+
+    def beat(self, born: int):
+        heartbeat = Heartbeat("i", born, 1, TargetState.READY, 8)
+        received = ReceivedHeartbeat(TARGET, "s", heartbeat)
+        self.daemon.on_heartbeat(received, lambda grant: None)
+
+    def state_rate(self, rate: float | None):
+        self.daemon.now += 0.2
+        self.daemon._on_target_notice(1, TargetNotice(rate))
+
+    def logged_rates(self) -> list[float | None]:
+        return [
+            fields["rate"]
+            for code, fields in self.daemon.logged
+            if code == self.CHANGED
+        ]
+
+    def test_keys_are_shared_by_the_rate_and_each_change_is_logged_once(self):
+        for rate in (12.5, 12.5, 8.0):
+            self.state_rate(rate)
+            self.assertEqual(self.daemon.balancer.rate_limit, rate)
+        self.state_rate(None)
+        self.assertIsNone(self.daemon.balancer.rate_limit)
+        self.assertEqual(self.logged_rates(), [12.5, 8.0, None])
+
+    def test_another_run_of_the_target_has_no_limit(self):
+        self.state_rate(12.5)
+        self.beat(born=2)
+        self.assertIsNone(self.daemon.admission_queue.rate_limit.rate)
+        self.assertIsNone(self.daemon.balancer.rate_limit)
+        self.assertEqual(self.logged_rates(), [12.5, None])
 
 
 class HeartbeatAnswerTests(unittest.TestCase):
