Share keys by what each target takes, not by the number of targets

What callers saw: with most targets of a service stating a low rate, requests by key were refused although two targets without a limit were half idle.

Cause: the fair utilization was the plain mean over the targets, so one that takes a tenth of the requests weighed as much as any other: keys went from one limited target to the next, and each move is a pause for its keys.

Now the mean is weighted by the requests per second that a target can serve, and what a receiver gets is reckoned with its own cost. For equal targets nothing changes.

--- a/rhubarbhall/core/ownership/range_load_balancer.py
+++ b/rhubarbhall/core/ownership/range_load_balancer.py
@@ -39,6 +39,9 @@
 #: Number of spans from which a target gets no more; its grants have to fit into one
 #: answer to a heartbeat.
 MAX_RECEIVER_SPANS = 40
+#: Least cost of a request that is reckoned with, in utilization for each request per
+#: second.
+MIN_COST = 1e-6
 #: Least number of sampled requests that a decision may rest on.
 MIN_SAMPLES = 12
 
@@ -116,10 +119,12 @@
                 or utilization_left < RELIEVED_UTILIZATION
             ):
                 break
-            moved = min(MOVED_SHARE * difference, fair - load.utilization)
-            if moved <= 0:
+            rate = min(
+                2 * MOVED_SHARE * difference / max(MIN_COST, local.cost + load.cost),
+                (fair - load.utilization) / max(MIN_COST, load.cost),
+            )
+            if rate <= 0:
                 break
-            rate = moved / max(1e-6, (local.cost + load.cost) / 2)
             count = int(sampled * min(0.9, rate * local.cost / local.utilization))
             piece = choose_piece(keys_by_span, count) if count else None
             if piece is None:
@@ -169,10 +174,16 @@
 ) -> float:
     """Return the utilization of each target if all of them were equally busy.
 
-    No target gets more than that, so that none has to pass keys on at once.
+    No target gets more than that, so that none has to pass keys on at once. Targets
+    that can serve more requests per second count for more.
     """
-    total = local.utilization + sum(load.utilization for _, load in receivers)
-    return total / (1 + len(receivers))
+    loads = [local, *(load for _, load in receivers)]
+    capacities = [1 / max(MIN_COST, load.cost) for load in loads]
+    demand = sum(
+        load.utilization * capacity
+        for load, capacity in zip(loads, capacities, strict=True)
+    )
+    return demand / sum(capacities)
 
 
 def _move_of_hottest_key(
--- a/tests/core/ownership/test_range_load_balancer.py
+++ b/tests/core/ownership/test_range_load_balancer.py
@@ -150,6 +150,16 @@
         self.balancer.record_load(11.4, B.owner, TargetLoad(0.1, 0.05 / SLOTS))
         self.assertGreater(self.moved_share()[B.owner], 0.6)
 
+    # Owners that stated a rate passed keys on to each other, and each move cost a pause.
+    def test_targets_get_keys_by_what_they_take(self):
+        self.balancer.rate_limit = self.RATE_LIMIT
+        limited = TargetLoad(0.5, 1 / self.RATE_LIMIT)
+        self.balancer.record_load(11.4, B.owner, limited)
+        self.balancer.record_load(11.4, C.owner, TargetLoad(0.5, 0.05 / SLOTS))
+        shares = self.moved_share()
+        self.assertLess(shares.get(B.owner, 0.0), 0.1)
+        self.assertGreater(shares[C.owner], 0.5)
+
 
 class ModerateLoadTests(unittest.TestCase):
     """Load pattern: demand swings by half; at peak load, slots are still free."""
