Close the queue of a target that announces in its answers that it leaves

What callers could see (DRAIN): requests reached a target for longer than the drain period after an answer had said Server-Leaving, as long as its heartbeats did not say so.

Cause: the header was read nowhere; only heartbeats and the report of the end counted.

Now an answer with the header makes the target a leaving one until its next run: the member record says so, its keys move and its queue closes a second before the drain period ends, for requests from all VMs. An answer meant for another run says nothing. The state that was known before a heartbeat, and not what the heartbeat before it said, decides whether the close is scheduled again.

Before: tests.platform.test_path.TargetNoticeTests.test_a_target_that_announces_its_leave_ hands_its_keys_over failed (keys not handed over in 8 s).

Not covered: a daemon that is started again within the drain period of a target that says so only in its answers learns it from the first one.

--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -116,6 +116,8 @@
         #: Whether the target has reported that it is gone; it sends no more heartbeats
         #: then.
         self._has_left = False
+        #: Whether the target has announced in an answer that it leaves.
+        self._announced_leaving = False
         #: Ranges that a record frees for other targets, and the offset that it is
         #: written at. Until the log has grown, the outcome of the write is unknown.
         self._pending_releases: list[Range] = []
@@ -146,6 +148,12 @@
         """Record that the target has reported that it is gone."""
         self._has_left = True
 
+    def record_leaving(self) -> bool:
+        """Record that the target leaves, as it says; return whether this is news."""
+        is_news = not self._announced_leaving
+        self._announced_leaving = True
+        return is_news
+
     def accepts(self, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat is newer than the last one.
 
@@ -164,6 +172,7 @@
             self._holdings.reset()
             self._grants_end_at = now
             self._has_left = False
+            self._announced_leaving = False
             self.tokens = {}
         self._heartbeat = heartbeat
         self.last_contact_at = now
@@ -175,7 +184,7 @@
         """Return the known state of the target."""
         if self._heartbeat is None or self.is_unresponsive(now):
             return TargetState.GONE
-        if self._has_left:
+        if self._has_left or self._announced_leaving:
             return TargetState.LEAVING
         return self._heartbeat.state
 
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -95,9 +95,12 @@
     rate : float, optional
         Requests per second that it takes from all daemons together; None if it states
         no limit.
+    leaves : bool
+        Whether it leaves, so that it must soon get no more requests.
     """
 
     rate: float | None = None
+    leaves: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -16,6 +16,8 @@
 RETRY_AFTER = "Retry-After"
 #: Requests per second that a target in need takes from all daemons together.
 RATE_LIMIT = "Server-Limit"
+#: ``1`` in the answers of a target that leaves.
+LEAVING = "Server-Leaving"
 HANDOVER = "Handover"
 #: In each answer of the store: one more than the number of times that it was restored
 #: from an older copy.
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -98,7 +98,10 @@
 def _notice(response: Response) -> TargetNotice:
     """Return what the target says of itself; a rate that is malformed is none."""
     text = _header(response, names.RATE_LIMIT) or ""
-    return TargetNotice(float(text) if _RATE.fullmatch(text) else None)
+    return TargetNotice(
+        rate=float(text) if _RATE.fullmatch(text) else None,
+        leaves=_header(response, names.LEAVING) == "1",
+    )
 
 
 def _outcome(response: Response, instance: str) -> Outcome:
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -125,6 +125,7 @@
             return
         self._answer_heartbeat(now)
         previous = self.target_keys.heartbeat
+        previous_state = self.target_keys.state(now)
         if self.target_keys.record_heartbeat(now, heartbeat):
             self.admission_queue.rate_limit.reset()
             self._update_rate_limit()
@@ -135,7 +136,7 @@
         ):
             fields = {"run": heartbeat.run, "state": str(heartbeat.state)}
             self.log_event(LogEvent(212, fields))
-        self._update_admission(now, previous is not None and previous.state)
+        self._update_admission(now, previous_state)
         self._unanswered_heartbeat = UnansweredHeartbeat(now, answer)
         if self._may_wait_for_keys():
             due = TimerCallback(self._answer_heartbeat)
@@ -161,9 +162,7 @@
         if self._unanswered_heartbeat is not None and not self._may_wait_for_keys():
             self._answer_heartbeat(now)
 
-    def _update_admission(
-        self, now: Seconds, previous_state: TargetState | bool
-    ) -> None:
+    def _update_admission(self, now: Seconds, previous_state: TargetState) -> None:
         state = self.target_keys.state(now)
         if state is TargetState.READY:
             self.admission_queue.open(self.target_keys.heartbeat.slots)
@@ -233,7 +232,11 @@
         if instance != self.target_keys.instance:
             return
         self.target_keys.record_departure()
-        self.log_event(LogEvent(212, {"run": self.target_keys.run, "state": "left"}))
+        self._on_target_leaving(now, "left")
+
+    def _on_target_leaving(self, now: Seconds, state: str) -> None:
+        """Announce that the target leaves, and soon send it no more requests."""
+        self.log_event(LogEvent(212, {"run": self.target_keys.run, "state": state}))
         self._close_queue_later(now)
         self.publisher.write_due(now, self._local_member(now))
 
@@ -249,6 +252,8 @@
         now = self._advance_timers()
         self.admission_queue.record_stated_rate(now, ticket, notice.rate)
         self._update_rate_limit()
+        if notice.leaves and self.target_keys.record_leaving():
+            self._on_target_leaving(now, TargetState.LEAVING.value)
 
     def _update_rate_limit(self) -> None:
         """Let the load of the target follow the rate that it states now."""
--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -77,6 +77,8 @@
     stated_rate : str
         Requests per second that its answers state as its limit; it does not enforce
         them. Empty without a limit.
+    announces_leaving : bool
+        Whether its answers say that it leaves.
     """
 
     work_s: Seconds = 0.01
@@ -87,6 +89,7 @@
     unresponsive: bool = False
     grants_by_request: bool = False
     stated_rate: str = ""
+    announces_leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -342,8 +345,12 @@
 
     def _notice_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers in which the target says what state it is in."""
-        rate = self.behaviour.stated_rate
-        return (("Server-Limit", rate),) if rate else ()
+        headers = []
+        if self.behaviour.stated_rate:
+            headers.append(("Server-Limit", self.behaviour.stated_rate))
+        if self.behaviour.announces_leaving:
+            headers.append(("Server-Leaving", "1"))
+        return tuple(headers)
 
     def _answer(
         self, request_id: RequestId, platform_request_id: str, body: bytes
--- a/tests/core/ownership/test_range_load_balancer.py
+++ b/tests/core/ownership/test_range_load_balancer.py
@@ -150,7 +150,7 @@
         self.balancer.record_load(11.4, B.owner, TargetLoad(0.1, 0.05 / SLOTS))
         self.assertGreater(self.moved_share()[B.owner], 0.6)
 
-    # Owners that stated a rate passed keys on to each other, and each move cost a pause.
+    # Targets that stated a rate passed keys on to each other, with a pause each time.
     def test_targets_get_keys_by_what_they_take(self):
         self.balancer.rate_limit = self.RATE_LIMIT
         limited = TargetLoad(0.5, 1 / self.RATE_LIMIT)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -355,6 +355,21 @@
         answers = self.send_many("/status/more", 12, Shard_Key="5")
         self.assertEqual({answer.status for answer in answers}, {200})
 
+    # A target that announced only in its answers that it leaves got requests until its
+    # heartbeats said so too (DRAIN).
+    def test_a_target_that_announces_its_leave_hands_its_keys_over(self):
+        leaving, other = self.targets[0], self.targets[1]
+        leaving.behaviour.announces_leaving = True
+        self.send_request(0, "/status/first", Shard_Key="5")
+        self.tick_until(
+            lambda: sum(row.last - row.first + 1 for row in other.held) == 65536, 8.0
+        )
+        answer = self.send_request(0, "/status/second", Shard_Key="5")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(leaving.executed_requests), 1)
+        closed = self.routers[0].admission_queue
+        self.tick_until(lambda: closed.closed_reason is not None, 4.0)
+
 
 class PlannedStopTests(RouterTestCase):
     GRACE = "3s"
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -102,6 +102,9 @@
     def test_the_rate_that_a_target_states(self):
         self.assertEqual(self.notice_of("Server-Limit: 12.5"), TargetNotice(12.5))
 
+    def test_the_notice_of_a_target_that_leaves(self):
+        self.assertTrue(self.notice_of("Server-Leaving: 1").leaves)
+
     def test_a_notice_in_a_refusal_counts(self):
         notice = self.notice_of("Not-Executed: 1", "Server-Limit: 3")
         self.assertEqual(notice, TargetNotice(3.0))
@@ -109,7 +112,7 @@
     def test_an_answer_to_another_run_of_the_target_says_nothing(self):
         sock = self.send(1, "q")
         self.client.instance = "i-2"
-        self.answer(sock, "q", "Server-Limit: 1")
+        self.answer(sock, "q", "Server-Leaving: 1")
         self.assertEqual(self.notices, [])
         self.assertEqual(len(self.outcomes), 1)
 
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.ownership.target_keys import Heartbeat, TargetKeys
@@ -107,6 +108,58 @@
         self.assertEqual(self.logged_rates(), [12.5, None])
 
 
+class LeavingTests(unittest.TestCase):
+    """Targets that announce in their answers that they leave."""
+
+    DRAIN_S = 2.5
+
+    def setUp(self):
+        self.daemon = FakeDaemon()
+        self.closed: list[ErrorKind] = []
+        self.daemon.admission_queue.close = self.closed.append
+        self.sequence = 0
+        self.beat()
+
+    def beat(self, born: int = 1):
+        self.sequence += 1
+        heartbeat = Heartbeat("i", born, self.sequence, TargetState.READY, 8)
+        received = ReceivedHeartbeat(TARGET, "s", heartbeat)
+        self.daemon.on_heartbeat(received, lambda grant: None)
+
+    def state(self) -> TargetState:
+        return self.daemon.target_keys.state(self.daemon.now)
+
+    def advance(self, seconds: float):
+        self.daemon.now += seconds
+        for event in list(self.daemon.timers.due(self.daemon.now)):
+            event.fire(self.daemon.now)
+
+    # Requests reached a target for longer than the drain period after an answer had
+    # said that it leaves, as long as its heartbeats did not say so (DRAIN).
+    def test_it_gets_no_more_requests_well_before_the_drain_period_has_passed(self):
+        self.daemon._on_target_notice(1, TargetNotice(leaves=True))
+        self.assertIs(self.state(), TargetState.LEAVING)
+        self.advance(0.5)
+        self.beat()
+        self.assertIs(self.state(), TargetState.LEAVING)
+        self.daemon._on_target_notice(2, TargetNotice(leaves=True))
+        self.assertEqual(self.closed, [])
+        self.advance(self.DRAIN_S - 1.0)
+        self.assertEqual(self.closed, [ErrorKind.SHUTTING_DOWN])
+
+    def test_an_answer_without_the_notice_does_not_take_it_back(self):
+        self.daemon._on_target_notice(1, TargetNotice(leaves=True))
+        self.daemon._on_target_notice(2, TargetNotice())
+        self.assertIs(self.state(), TargetState.LEAVING)
+
+    def test_the_next_run_of_the_target_is_ready(self):
+        self.daemon._on_target_notice(1, TargetNotice(leaves=True))
+        self.beat(born=2)
+        self.assertIs(self.state(), TargetState.READY)
+        self.advance(self.DRAIN_S)
+        self.assertEqual(self.closed, [])
+
+
 class HeartbeatAnswerTests(unittest.TestCase):
     def setUp(self):
         self.daemon = FakeDaemon()
