Reject entries that are nested too deeply, too large or name wrong addresses

What was reported: one odd entry by another writer made readers end or stop following.

Shown here on the code as landed: with a deeply nested configuration in the store no router learned a later, valid one; a nested heartbeat got no answer; members with ports out of range and numbers above 64 bits were taken and failed behind the border.

Cause: the borders expected ValueError alone. Decoders raise RecursionError for deep nesting; large numbers and wrong addresses raise OverflowError where they are used.

Now one function decodes all that comes from outside and reports deep nesting as an unreadable message, the messages bound their numbers, and addresses are checked when they are decoded.

--- a/rhubarbhall/adapters/datagrams.py
+++ b/rhubarbhall/adapters/datagrams.py
@@ -17,6 +17,7 @@
 from circuits.net.sockets import UDPServer
 
 from rhubarbhall.core.peer_messages import PeerMessage
+from rhubarbhall.decoding import decode
 
 if TYPE_CHECKING:
     from rhubarbhall.types import Address, MemberId
@@ -61,7 +62,7 @@
         if not hmac.compare_digest(digest, self._digest(payload)):
             return None
         try:
-            content = self._decoder.decode(payload)
+            content = decode(self._decoder, payload)
         except msgspec.MsgspecError:
             return None
         return content.sender, content.message
--- a/rhubarbhall/adapters/log_port.py
+++ b/rhubarbhall/adapters/log_port.py
@@ -11,6 +11,7 @@
 from rhubarbhall.core import events
 from rhubarbhall.core.records import Envelope, StoredRecord
 from rhubarbhall.core.requests import Response
+from rhubarbhall.decoding import decode
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.client import Failed, HttpClient
@@ -56,6 +57,10 @@
     offset: int
 
 
+_PAGE_DECODER = msgspec.json.Decoder(RecordsPage)
+_APPEND_DECODER = msgspec.json.Decoder(AppendReply)
+
+
 class LogPort(Protocol):
     """Reads the log and appends to it; every call ends with one event to `on_event`."""
 
@@ -85,7 +90,7 @@
     if not isinstance(outcome, Response) or outcome.status != 200:
         return events.ReadFailed(from_log)
     try:
-        page = msgspec.json.decode(outcome.body, type=RecordsPage)
+        page = decode(_PAGE_DECODER, outcome.body)
     except msgspec.MsgspecError:
         return events.ReadFailed(from_log)
     next_offset = max(offset, page.first) + len(page.records)
@@ -152,7 +157,7 @@
 ) -> Event:
     if isinstance(outcome, Response) and outcome.status == 200:
         try:
-            reply = msgspec.json.decode(outcome.body, type=AppendReply)
+            reply = decode(_APPEND_DECODER, outcome.body)
             return events.AppendAnswered(envelope.id, sent_at, reply.offset)
         except msgspec.MsgspecError:
             pass
--- a/rhubarbhall/adapters/operations.py
+++ b/rhubarbhall/adapters/operations.py
@@ -26,6 +26,7 @@
 from rhubarbhall.adapters.web import Exchange, WebReply, WebService
 from rhubarbhall.core.dump import dump_node
 from rhubarbhall.core.snapshots import encode_directory
+from rhubarbhall.decoding import decode
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.metrics import DaemonMetrics
@@ -38,6 +39,7 @@
 
 
 VERSION_PATH = "/version"
+_RELEASE_DECODER = msgspec.json.Decoder(ReleaseCall)
 
 
 class OperatedDaemon(Protocol):
@@ -183,7 +185,7 @@
 
     def _release(self, exchange: Exchange) -> WebReply:
         try:
-            call = msgspec.json.decode(exchange.body, type=ReleaseCall)
+            call = decode(_RELEASE_DECODER, exchange.body)
         except msgspec.MsgspecError as error:
             return _json_reply(ErrorReply(str(error)), HTTPStatus.BAD_REQUEST)
         reply = self._daemon.answer_release_request(release_call_to_event(call))
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from rhubarbhall.adapters.peer_frames import Frame
+from rhubarbhall.decoding import decode
 
 #: Limit of an encoded frame and of the bytes inflated at a time; a request's largest
 #: body fits together with its headers.
@@ -85,7 +86,7 @@
             end = _LENGTH.size + size
             if len(self._buffer) < end:
                 return
-            frame = _DECODER.decode(bytes(self._buffer[_LENGTH.size : end]))
+            frame = decode(_DECODER, bytes(self._buffer[_LENGTH.size : end]))
             del self._buffer[:end]
             yield frame
 
--- a/rhubarbhall/adapters/peers_port.py
+++ b/rhubarbhall/adapters/peers_port.py
@@ -28,6 +28,7 @@
     Response,
 )
 from rhubarbhall.core.slices import SliceRef
+from rhubarbhall.decoding import decode
 
 if TYPE_CHECKING:
     from rhubarbhall.adapters.client import Call, Failed, HttpClient
@@ -128,6 +129,9 @@
     released: tuple[WireRelease, ...]
 
 
+_RELEASE_DECODER = msgspec.json.Decoder(ReleaseReply)
+
+
 def release_call_to_event(call: ReleaseCall) -> events.ReleaseRequested:
     """Return the event for the core that a release call stands for."""
     slices = tuple(
@@ -253,7 +257,7 @@
             if not isinstance(outcome, Response) or outcome.status != 200:
                 return
             try:
-                reply = msgspec.json.decode(outcome.body, type=ReleaseReply)
+                reply = decode(_RELEASE_DECODER, outcome.body)
             except msgspec.MsgspecError:
                 return
             released = tuple(_release_from_wire(each) for each in reply.released)
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -26,6 +26,7 @@
     table_key,
 )
 from rhubarbhall.core.ownership.store_port import epoch_of, position
+from rhubarbhall.settings import parse_address
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.key_table import KeyTable
@@ -171,7 +172,7 @@
 
     def _decode(self, entry: Entry) -> None:
         if entry.key.startswith(MEMBER_PREFIX):
-            address = entry.key.removeprefix(MEMBER_PREFIX)
+            address = parse_address(entry.key.removeprefix(MEMBER_PREFIX))
             self._set_member(
                 address, decode_member(entry.value) if entry.value else None
             )
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -17,6 +17,8 @@
     OwnerWitnesses,
     Span,
 )
+from rhubarbhall.decoding import decode
+from rhubarbhall.settings import parse_address
 
 if TYPE_CHECKING:
     from rhubarbhall.types import Address, Offset
@@ -27,6 +29,10 @@
 LOST_PREFIX = "lost/"
 #: Records that only make the log grow; see `rhubarbhall.core.ownership.range_witness`.
 BOOT_PREFIX = "boot/"
+#: Largest number of requests that a target can state to work on at a time.
+MAX_SLOTS = 1_000_000
+#: Fencing token; a record holds numbers of 64 bits, and later fences are higher.
+_Fence = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62) - 1)]
 
 
 class TargetState(enum.StrEnum):
@@ -61,7 +67,7 @@
     domain: str
     region: str
     run: str = ""
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 1
     state: TargetState = TargetState.GONE
 
 
@@ -73,14 +79,14 @@
     last: int
     owner: str
     run: str
-    fence: int
+    fence: _Fence
     previous: str
     previous_lost: bool
     token: str
 
 
 class _TableRecord(msgspec.Struct, frozen=True, array_like=True):
-    next_fence: int
+    next_fence: _Fence
     spans: list[_SpanRecord]
     #: Owner, version and witnesses for each owner.
     owner_witnesses: list[tuple[str, int, tuple[str, ...]]] = []
@@ -146,7 +152,7 @@
     ValueError
         If the bytes are not such a record.
     """
-    return _MEMBER_DECODER.decode(data)
+    return decode(_MEMBER_DECODER, data)
 
 
 def encode_table(table: KeyTable) -> bytes:
@@ -171,15 +177,27 @@
     return _ENCODER.encode(record)
 
 
+def _addresses(record: _TableRecord) -> set[str]:
+    """Return all addresses in the record of a table."""
+    addresses = {each.owner for each in record.spans}
+    addresses |= {each.previous for each in record.spans if each.previous}
+    for owner, _, witnesses in record.owner_witnesses:
+        addresses |= {owner, *witnesses}
+    return addresses
+
+
 def decode_table(data: bytes) -> KeyTable:
     """Return the table that a record describes.
 
     Raises
     ------
     ValueError
-        If the bytes are not such a record or its spans leave a gap.
+        If the bytes are not such a record, its spans leave a gap, or an address in it
+        is wrong.
     """
-    record = _TABLE_DECODER.decode(data)
+    record = decode(_TABLE_DECODER, data)
+    for address in _addresses(record):
+        parse_address(address)
     spans = tuple(
         Span(
             each.first,
--- a/rhubarbhall/core/records.py
+++ b/rhubarbhall/core/records.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from rhubarbhall.decoding import decode
+
 #: Highest version of the record schemas that this program understands.
 SCHEMA = 1
 
@@ -326,6 +328,6 @@
     if envelope.schema > SCHEMA:
         return UnknownRecord(envelope.schema)
     try:
-        return _decoder.decode(envelope.body)
+        return decode(_decoder, envelope.body)
     except msgspec.MsgspecError:
         return UnknownRecord(envelope.schema)
--- a/rhubarbhall/core/snapshots.py
+++ b/rhubarbhall/core/snapshots.py
@@ -18,6 +18,7 @@
 from rhubarbhall.core.members import ClosedMember, EndReason, Member
 from rhubarbhall.core.records import Join, SnapshotChunk, StoredRecord, open_envelope
 from rhubarbhall.core.slices import OwnerTable
+from rhubarbhall.decoding import decode
 
 #: Largest size of one chunk before base64, in bytes.
 CHUNK_BYTES = 192 * 1024
@@ -81,6 +82,9 @@
     seen_ids: tuple[str, ...]
 
 
+_DECODER = msgspec.msgpack.Decoder(DirectorySnapshot)
+
+
 def _encode_member(member: Member) -> MemberSnapshot:
     return MemberSnapshot(
         member.number,
@@ -176,7 +180,7 @@
         If `data` is not a snapshot.
     """
     try:
-        state = msgspec.msgpack.decode(zlib.decompress(data), type=DirectorySnapshot)
+        state = decode(_DECODER, zlib.decompress(data))
     except (zlib.error, msgspec.MsgspecError) as error:
         raise ValueError(f"data is not a snapshot: {error}") from error
     if state.next_offset <= directory.next_offset:
--- a/rhubarbhall/platform/heartbeats.py
+++ b/rhubarbhall/platform/heartbeats.py
@@ -8,22 +8,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Annotated, Any, Protocol
 from urllib.parse import unquote
 
 import msgspec
 
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
-from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.records import MAX_SLOTS, TargetState
 from rhubarbhall.core.ownership.target_keys import Heartbeat
 from rhubarbhall.core.requests import Response
+from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import INSTANCES_PATH, format_time, parse_time
+from rhubarbhall.settings import parse_address
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.target_keys import Grant
     from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import Address, RequestId
 
+#: Numbers of a target; records of the store and messages between daemons have 64 bits.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62) - 1)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 _STATE_BY_NAME = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 #: Size of the largest answer that a target reads, in bytes.
 MAX_ANSWER_BYTES = 4096
@@ -32,14 +37,14 @@
 
 class _TargetInfo(msgspec.Struct, frozen=True):
     service: str
-    slots: int
+    slots: _Slots
     zone: str = ""
     version: str = ""
 
 
 class _TargetStatus(msgspec.Struct, frozen=True):
     state: str
-    sequence: int
+    sequence: _Number
     warmup_left: str = "0ms"
 
 
@@ -48,9 +53,9 @@
     info: _TargetInfo
     status: _TargetStatus
     #: Start of the target in Unix milliseconds; a whole number in any JSON notation.
-    born: int = 0
+    born: _Number = 0
     #: First key, last key, fence.
-    holds: list[tuple[int, int, int]] = []
+    holds: list[tuple[int, int, _Number]] = []
     #: First key, last key, handover token.
     freed: list[tuple[int, int, str]] = []
 
@@ -124,7 +129,7 @@
         If the body is malformed or a value in it is not allowed; no part of it may
         then be used.
     """
-    message = _HEARTBEAT_DECODER.decode(body)
+    message = decode(_HEARTBEAT_DECODER, body)
     if message.status.state not in _STATE_BY_NAME:
         allowed = ", ".join(_STATE_BY_NAME)
         raise ValueError(f"state {message.status.state!r}; allowed: {allowed}")
@@ -143,7 +148,8 @@
             _checked_range(first, last): token for first, last, token in message.freed
         },
     )
-    return ReceivedHeartbeat(message.address, message.info.service, heartbeat)
+    address = parse_address(message.address)
+    return ReceivedHeartbeat(address, message.info.service, heartbeat)
 
 
 def encode_grant(grant: Grant | None) -> bytes:
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -16,11 +16,14 @@
     RoutingTable,
     ServiceRules,
 )
+from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import parse_time
 
 _IDEMPOTENT = "idempotent"
 #: Messages between daemons carry versions as numbers of 64 bits.
 _Version = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+#: Numbers of a route, of which some are in messages between daemons.
+_Number = Annotated[int, msgspec.Meta(ge=-(1 << 31), le=(1 << 31) - 1)]
 _DEFAULT_CALLERS = CallerRules()
 
 
@@ -47,7 +50,7 @@
 
 class _TrafficPart(msgspec.Struct, frozen=True):
     service: str
-    weight: int
+    weight: _Number
 
 
 class _RouteSpec(msgspec.Struct, frozen=True):
@@ -60,8 +63,8 @@
     timeout: str | None = None
     #: Answers within this duration are worth most to callers.
     target_latency: str = "1s"
-    max_attempts: int = 1
-    priority: int = 0
+    max_attempts: _Number = 1
+    priority: _Number = 0
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True):
@@ -125,7 +128,7 @@
     ValueError
         If the data is not a JSON object with a version.
     """
-    return _VERSION_DECODER.decode(data).version
+    return decode(_VERSION_DECODER, data).version
 
 
 def parse_configuration(data: bytes) -> RoutingTable:
@@ -137,7 +140,7 @@
         If the data is malformed or a value in it is not allowed. Callers then keep the
         configuration that was in force before.
     """
-    configuration = _DECODER.decode(data)
+    configuration = decode(_DECODER, data)
     by_type: dict[str, list[_Resource]] = {}
     for resource in configuration.resources:
         by_type.setdefault(resource.resource_type, []).append(resource)
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from rhubarbhall.core.errors import ConfigurationError
+from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import (
     GRANTS_BY_HEARTBEAT,
     GRANTS_BY_REQUEST,
@@ -115,7 +116,7 @@
         If a field is missing or has a wrong type, or a bound cannot be parsed.
     """
     try:
-        file = _DECODER.decode(data)
+        file = decode(_DECODER, data)
         bounds = _bounds(file.bounds)
         return PlatformSettings(
             vm=file.node_name,
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -29,6 +29,7 @@
     offset_of,
     position,
 )
+from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import PARTITION, STORE_ERA
 
 if TYPE_CHECKING:
@@ -122,7 +123,7 @@
 
 
 def _parse_newest(epoch: StoreEpoch, data: bytes) -> NewestPage:
-    reply = _NEWEST_DECODER.decode(data)
+    reply = decode(_NEWEST_DECODER, data)
     entries = tuple(
         Entry(
             position(epoch, item.offset),
@@ -304,7 +305,7 @@
     if result.status != HTTPStatus.OK:
         return _unavailable(result)
     try:
-        offset = _APPEND_DECODER.decode(result.body).offset
+        offset = decode(_APPEND_DECODER, result.body).offset
         return Appended(position(epoch, offset))
     except ValueError as error:
         return Unavailable(f"unreadable answer: {error}", outcome_unknown=True)
