Send no request twice on one connection to the target

What was reported: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that it was running (REFUSED), or such a request ran at a second target (TWICE).

Shown here: yes, for a request that is sent to the same target again under its id, as a request by key is after a rejection: the repeated refusal has the expected id. A refusal of another request, or without a request, did no harm before either; tests say so now.

Cause: answers are matched by the id of the request, which tells two requests apart but not two sends of one. Now a connection remembers the ids of the requests that it did not serve and carries none of them again; after 100 of them it is closed.

Before: test_an_earlier_refusal_is_no_outcome_of_a_request_sent_again took the refusal for the second outcome, and the same for a failure of the target (500).

Open: answers to grants and releases that targets take by request, and those of the product's own targets, carry no id; a repeated one can be taken for that of the next call on its connection.

--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -5,7 +5,7 @@
 import re
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from errno import ECONNREFUSED
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -45,6 +45,8 @@
 #: Fraction of the idle timeout after which an idle connection is closed. It is below 1
 #: so that no request is sent while the target is closing the connection.
 IDLE_TIMEOUT_FRACTION = 0.6
+#: Number of requests not served on a connection after which it is closed.
+MAX_UNSERVED_IDS = 100
 _KEEP_ALIVE = "keep-alive"
 
 
@@ -68,6 +70,9 @@
     is_open: bool = False
     idle_since: Seconds = 0.0
     idle_s: Seconds = IDLE_TIMEOUT_S
+    #: Ids of requests that were not served on this connection and may be sent again. A
+    #: faulty target may write their answers once more.
+    unserved_ids: set[str] = field(default_factory=set)
 
 
 #: Whole seconds in a header; longer numbers than any timeout are not read.
@@ -137,6 +142,12 @@
 )
 
 
+def _is_served(outcome: Outcome) -> bool:
+    """Return whether the request certainly is not sent to the target once more."""
+    is_answered = isinstance(outcome, Answered)
+    return is_answered and outcome.status < HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 class HttpTargetClient(Connector):
     """Sends requests to the target over persistent connections, one at a time on each.
 
@@ -180,11 +191,20 @@
         """Send a request; `on_outcome` is called later, or at once if that fails."""
         exchange = _Exchange(ticket, request, self.instance)
         self._exchange_by_ticket[ticket] = exchange
-        if self._idle:
-            self._use(exchange, self._idle.pop(), now)
+        sock = self._take_idle(request.id)
+        if sock is not None:
+            self._use(exchange, sock, now)
         else:
             self._open_for(exchange, now)
 
+    def _take_idle(self, request_id: str) -> socket.socket | None:
+        """Return an idle connection that has not carried a request before."""
+        for index in reversed(range(len(self._idle))):
+            connection = self._connection_by_sock[self._idle[index]]
+            if request_id not in connection.unserved_ids:
+                return self._idle.pop(index)
+        return None
+
     def _open_for(self, exchange: _Exchange, now: Seconds) -> None:
         opened_at = time.monotonic()
         try:
@@ -290,7 +310,12 @@
     ) -> None:
         connection.exchange = None
         reader = connection.reader
-        if reader.keep_alive and not reader.finished and not reader.in_message:
+        outcome = _outcome(response, self.instance)
+        if not _is_served(outcome):
+            connection.unserved_ids.add(exchange.request.id)
+        is_clean = not reader.finished and not reader.in_message
+        has_room = len(connection.unserved_ids) < MAX_UNSERVED_IDS
+        if reader.keep_alive and is_clean and has_room:
             connection.idle_since = time.monotonic()
             connection.idle_s = _idle_s(response) or IDLE_TIMEOUT_S
             self._idle.append(sock)
@@ -298,7 +323,7 @@
             self.drop(sock)
         if exchange.instance == self.instance:
             self._on_notice(exchange.ticket, _notice(response))
-        self._finish(exchange, _outcome(response, self.instance))
+        self._finish(exchange, outcome)
 
     def on_closed(self, sock: socket.socket) -> None:
         """Report the outcome of the request on a connection that was closed."""
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -8,8 +8,8 @@
 
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.core.requests import Response
-from rhubarbhall.core.traffic.requests import TargetNotice
-from rhubarbhall.platform.target import HttpTargetClient, _notice
+from rhubarbhall.core.traffic.requests import Answered, NotRun, TargetNotice
+from rhubarbhall.platform.target import MAX_UNSERVED_IDS, HttpTargetClient, _notice
 from tests.core.traffic.test_admission_queue import REQUEST
 
 
@@ -63,14 +63,15 @@
         self.listener.settimeout(2.0)
         self.client.instance = self.INSTANCE
 
-    def tick(self, count: int = 20) -> None:
+    def tick(self, count: int = 10) -> None:
         for _ in range(count):
-            self.loop.manager.tick(0.005)
+            self.loop.manager.tick(0.002)
 
     def accept(self) -> socket.socket:
         self.tick()
         sock, _ = self.listener.accept()
         sock.settimeout(2.0)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.addCleanup(sock.close)
         self.tick()
         return sock
@@ -82,9 +83,9 @@
         self.assertIn(f"Request-Id: {id}".encode(), sock.recv(4096))
         return sock
 
-    def answer(self, sock: socket.socket, id: str, *headers: str, body="ok") -> None:
-        lines = ["HTTP/1.1 200 OK", f"Request-Id: {id}", "Server-Signature: s"]
-        lines += [*headers, f"Content-Length: {len(body)}", "", body]
+    def answer(self, sock: socket.socket, id: str, *headers: str, status=200) -> None:
+        lines = [f"HTTP/1.1 {status} X", f"Request-Id: {id}", "Server-Signature: s"]
+        lines += [*headers, "Content-Length: 2", "", "ok"]
         sock.sendall("\r\n".join(lines).encode())
         self.tick()
 
@@ -125,3 +126,71 @@
     def test_rates_with_many_digits_are_read(self):
         response = Response(200, (("server-limit", "12.499999999999998"),))
         self.assertAlmostEqual(_notice(response).rate, 12.5)
+
+
+class RepeatedAnswerTests(AnsweringTargetCase):
+    """A faulty target writes an earlier answer once more on a kept connection."""
+
+    def refuse(self, sock: socket.socket, id: str) -> None:
+        self.answer(sock, id, "Not-Executed: 1")
+
+    def accept_if_any(self) -> socket.socket | None:
+        self.listener.settimeout(0.0)
+        try:
+            return self.accept()
+        except BlockingIOError:
+            return None
+
+    def outcome_types(self) -> list[type]:
+        return [type(outcome) for outcome in self.outcomes]
+
+    # A target wrote an earlier refusal once more, and the caller was told that its
+    # request had not run although the target was running it (REFUSED, TWICE).
+    def test_an_earlier_refusal_is_no_outcome_of_a_request_sent_again(self):
+        first = self.send(1, "q")
+        self.refuse(first, "q")
+        self.client.send(2, replace(REQUEST, id="q"), 0.0)
+        second = self.accept_if_any() or first
+        self.refuse(first, "q")
+        self.answer(second, "q")
+        self.assertEqual(self.outcome_types(), [NotRun, Answered])
+
+    def test_an_earlier_failure_is_no_outcome_of_a_request_sent_again(self):
+        first = self.send(1, "q")
+        self.answer(first, "q", status=500)
+        self.client.send(2, replace(REQUEST, id="q"), 0.0)
+        second = self.accept_if_any() or first
+        self.answer(first, "q", status=500)
+        self.answer(second, "q")
+        self.assertEqual([each.status for each in self.outcomes], [500, 200])
+
+    def test_the_refusal_of_another_request_does_not_count(self):
+        sock = self.send(1, "p")
+        self.refuse(sock, "p")
+        self.send(2, "q", sock)
+        self.refuse(sock, "p")
+        self.assertEqual(len(self.outcomes), 1)
+        self.answer(sock, "q")
+        self.assertEqual(self.outcome_types(), [NotRun, Answered])
+
+    def test_a_refusal_without_a_request_closes_the_connection(self):
+        sock = self.send(1, "q")
+        self.refuse(sock, "q")
+        self.refuse(sock, "q")
+        self.assertEqual(len(self.outcomes), 1)
+        self.assertEqual(sock.recv(100), b"")
+
+    def test_the_connection_serves_other_requests_after_a_refusal(self):
+        sock = self.send(1, "q")
+        self.refuse(sock, "q")
+        self.send(2, "p", sock)
+        self.answer(sock, "p")
+        self.assertEqual(self.outcome_types(), [NotRun, Answered])
+
+    def test_a_connection_with_many_refusals_is_closed(self):
+        sock = self.send(0, "q0")
+        for number in range(1, MAX_UNSERVED_IDS):
+            self.refuse(sock, f"q{number - 1}")
+            self.send(number, f"q{number}", sock)
+        self.refuse(sock, f"q{MAX_UNSERVED_IDS - 1}")
+        self.assertEqual(sock.recv(100), b"")
