Show that an answer that ends within its head is never taken for whole

The end of a connection ends an answer only once its head was whole and named no length. Tests of each cut; no change of code.

--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -7,8 +7,9 @@
 from dataclasses import replace
 
 from rhubarbhall.adapters.loop import Loop
+from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import Response
-from rhubarbhall.core.traffic.requests import Answered, NotRun, TargetNotice
+from rhubarbhall.core.traffic.requests import Answered, NotRun, TargetNotice, Unknown
 from rhubarbhall.platform.target import MAX_UNSERVED_IDS, HttpTargetClient, _notice
 from tests.core.traffic.test_admission_queue import REQUEST
 
@@ -194,3 +195,18 @@
             self.send(number, f"q{number}", sock)
         self.refuse(sock, f"q{MAX_UNSERVED_IDS - 1}")
         self.assertEqual(sock.recv(100), b"")
+
+
+class CutAnswerTests(AnsweringTargetCase):
+    """A target that closes before its answer is whole."""
+
+    # Callers got a 200 with an empty or short body that looked whole (MIXED, ORDER).
+    def test_an_answer_that_ends_within_its_head_is_lost(self):
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nServer-Signature: s\r\n\r\n"
+        for ticket, cut in enumerate((0, 15, 17, 33, len(head) - 4, len(head) - 1)):
+            with self.subTest(cut=cut):
+                sock = self.send(ticket, "q")
+                sock.sendall(head[:cut])
+                sock.close()
+                self.tick()
+                self.assertEqual(self.outcomes.pop(), Unknown(ErrorKind.ANSWER_LOST))
