Send a target few requests until it has answered a daemon that starts

What callers of other VMs could see (LIMIT): a daemon that is started again knows of no rate until the first answer and sent the target its slots full, on top of what it had got before; only the VM of the daemon is excused by the restart.

Now no more than three requests are under way until the first answer, which tells the rate. Weighed: the rate in the requests of peers, which know it (a field in each frame, and stale once the limit has ended).

The test's finish and learn tell the queue that the target has answered, as the daemon does.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -35,6 +35,9 @@
 
 #: Maximum number of waiting requests per slot of the target.
 MAX_WAITING_PER_SLOT = 4
+#: Maximum number of requests under way until the target has answered once since this
+#: daemon was started: only an answer tells which rate the target states.
+FIRST_REQUESTS = 3
 #: Maximum share of the slots that long work may occupy.
 MAX_LONG_WORK_SHARE = 0.65
 #: Maximum wait for a key that the target is about to own: the interval between the
@@ -246,7 +249,10 @@
         return MAX_WAITING_PER_SLOT * self.limit.value
 
     def _has_free_slot(self) -> bool:
-        return self._running < self.limit.value
+        slots = self.limit.value
+        if not self.rate_limit.is_known:
+            slots = min(slots, FIRST_REQUESTS)
+        return self._running < slots
 
     def _may_send(self, now: Seconds) -> bool:
         """Return whether the target may get one more request now."""
--- a/rhubarbhall/core/traffic/rate_limit.py
+++ b/rhubarbhall/core/traffic/rate_limit.py
@@ -32,6 +32,8 @@
         self._tokens = 0.0
         self._refilled_at: Seconds = 0.0
         self._stated_at: Seconds = float("-inf")
+        #: Whether the target has answered, so that its rate is known.
+        self.is_known = False
 
     @property
     def rate(self) -> float | None:
@@ -55,6 +57,7 @@
         stated_rate : float or None
             Requests per second that it states; None if it states no limit.
         """
+        self.is_known = True
         if stated_rate is not None:
             self._set_rate(now, max(MIN_RATE, stated_rate))
             self._stated_at = now
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -91,12 +91,15 @@
     def finish(self, now: float, id: str, outcome=ANSWER) -> None:
         ticket = self.ticket_of(id)
         del self.target.sent[ticket]
+        self.queue.record_stated_rate(now, ticket, None)
         self.queue.finish(now, ticket, outcome)
 
     def sent_ids(self) -> list[str]:
         return [request.id for request in self.target.sent.values()]
 
     def learn(self, route: str, took_s: float) -> None:
+        """Let the target have answered requests of a route before."""
+        self.queue.rate_limit.record_answer(0.0, 0.0, None)
         for _ in range(60):
             self.queue.durations.record(route, took_s)
 
@@ -146,6 +149,43 @@
         self.state_rate(0.0, 2.5)
         self.assertEqual(self.queue.load.rate, 2.5)
 
+    def test_until_the_first_answer_few_requests_are_under_way(self):
+        for id in "abcdef":
+            self.submit(0.0, id)
+        self.assertEqual(self.sent_ids(), ["a", "b", "c"])
+        self.finish(0.1, "a")
+        self.assertEqual(self.sent_ids(), ["b", "c", "d", "e", "f"])
+
+    # Each restart of the daemon sent the target its slots full before it learned the
+    # rate again; callers on other VMs had been told of the rate (LIMIT).
+    def test_a_daemon_that_starts_again_keeps_the_bound(self):
+        for rate in (1.0, 3.0, 12.5):
+            sent = []
+            for start in (0.0, 1.5, 3.0, 5.0):
+                self.setUp()
+                sent += [start + at for at in self.serve_crowd(rate, length_s=1.0)]
+            bound = 1.5 * 4.0 * rate + 5
+            for first in sent:
+                in_window = sum(first <= at < first + 4.0 for at in sent)
+                with self.subTest(rate=rate, first=first):
+                    self.assertLessEqual(in_window, bound)
+
+    def serve_crowd(self, rate: float, length_s: float) -> list[float]:
+        """Submit many requests as the daemon starts; return when they were sent."""
+        sent_at: dict[str, float] = {}
+        for number in range(30):
+            self.submit(0.0, f"q{number}", deadline=9.0)
+        for step in range(int(length_s / EXPIRE_INTERVAL_S)):
+            now = step * EXPIRE_INTERVAL_S
+            for id in self.sent_ids():
+                if id in sent_at:
+                    self.queue.record_stated_rate(now, self.ticket_of(id), rate)
+                    self.finish(now, id)
+            self.queue.expire(now)
+            for id in self.sent_ids():
+                sent_at.setdefault(id, now)
+        return list(sent_at.values())
+
     def test_a_rate_in_an_answer_to_an_unknown_ticket_is_ignored(self):
         self.queue.record_stated_rate(0.0, 99, 2.5)
         self.assertIsNone(self.queue.load.rate)
