Remember which addresses were checked

Each record of a key table names the addresses of all owners again, and checking them took as long as reading the table or longer: 108 of 241 us for 6 owners, 6.5 of 8.7 ms for 300, beside other work. Unreadable addresses are checked each time, as errors are not remembered.

--- a/rhubarbhall/settings.py
+++ b/rhubarbhall/settings.py
@@ -5,6 +5,7 @@
 import ipaddress
 import re
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from rhubarbhall.caller_limits import CallerLimits
@@ -22,8 +23,12 @@
     r"(?P<value>[A-Za-z0-9](?:[A-Za-z0-9_./-]*[A-Za-z0-9])?)$"
 )
 _MAX_PORT = 65_535
+#: Number of addresses whose check is remembered: each record of a table names those of
+#: all owners again.
+MAX_CACHED_ADDRESSES = 32_768
 
 
+@lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def parse_address(text: str) -> Address:
     """Check an address and return it.
 
