Close a connection to the product's target after a refusal

What was reported: a faulty target wrote an earlier refusal once more, and callers were told "not run" for requests that it was running.

Shown here for rhubarb-daemon: orders are answered in their place on a connection, without an id, so the repeated refusal of one order was taken for that of the next one.

Now a connection that has carried a refusal is not used again. Refusals are rare there, as the daemon keeps the target's slots. Ruled out: an id that targets have to echo, as targets in use would have to change first.

--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -118,11 +118,20 @@
         Channel of the component.
     max_connections : int
         Limit of the connections to one address; further calls wait for one.
+    keeps_after : callable
+        Returns whether a connection may be used again after a response. A faulty server
+        may write the response once more, where that to the next call is expected.
     """
 
-    def __init__(self, channel: str, max_connections: int = 100) -> None:
+    def __init__(
+        self,
+        channel: str,
+        max_connections: int = 100,
+        keeps_after: Callable[[Response], bool] = lambda response: True,
+    ) -> None:
         super().__init__(channel)
         self.max_connections = max_connections
+        self._keeps_after = keeps_after
         self._numbers = itertools.count()
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
         self._idle_by_address: dict[Address, list[socket.socket]] = defaultdict(list)
@@ -253,7 +262,7 @@
         connection.call = None
         # The next call on the connection clears the response of the reader.
         response = reader.response
-        if reader.keep_alive:
+        if reader.keep_alive and self._keeps_after(response):
             connection.idle_since = time.monotonic()
             self._idle_by_address[connection.address].append(sock)
         else:
--- a/rhubarbhall/adapters/driver.py
+++ b/rhubarbhall/adapters/driver.py
@@ -32,6 +32,7 @@
 from rhubarbhall.core.context import Context
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.node import Node
+from rhubarbhall.core.order_dispatcher import is_reported_not_run
 from rhubarbhall.core.records import Join
 from rhubarbhall.core.request_reader import read_request
 from rhubarbhall.core.requests import DEADLINE_HEADER, HOP_HEADER, RawRequest, refusal
@@ -155,7 +156,11 @@
         tag = settings.calls
         control = HttpClient(f"control-{tag}", MAX_CONTROL_CONNECTIONS).register(self)
         forwards = HttpClient(f"forwards-{tag}", MAX_FORWARD_CONNECTIONS).register(self)
-        orders = HttpClient(f"orders-{tag}", settings.target_connections)
+        orders = HttpClient(
+            f"orders-{tag}",
+            settings.target_connections,
+            lambda response: not is_reported_not_run(response),
+        )
         orders.register(self)
         self._orders = orders
         self._clients = (control, forwards, orders)
--- a/rhubarbhall/core/order_dispatcher.py
+++ b/rhubarbhall/core/order_dispatcher.py
@@ -263,7 +263,7 @@
         if order is None:
             return
         admission = self._admission(order.request)
-        if _is_reported_not_run(event.response):
+        if is_reported_not_run(event.response):
             admission.limit.record_overload(now)
             response = refusal(ErrorKind.TARGET_REFUSED)
         else:
@@ -464,5 +464,6 @@
     return Response(response.status, kept, response.body)
 
 
-def _is_reported_not_run(response: Response) -> bool:
+def is_reported_not_run(response: Response) -> bool:
+    """Return whether a target states that it has not executed an order."""
     return any(name.lower() == NOT_RUN_HEADER for name, _ in response.headers)
