Take notices only from unspoilt answers of the target that was meant

Found while reading the change: an answer without a signature, or of another target at the address, had no rate or one of its own, and so ended or changed the limit of the target until its next answer.

Now only an answer that counts for the request says something of the target. Tests for both kinds fail without this.

--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -148,6 +148,12 @@
     return is_answered and outcome.status < HTTPStatus.INTERNAL_SERVER_ERROR
 
 
+def _is_from_target(outcome: Outcome) -> bool:
+    """Return whether the answer is from the target that was meant, and unspoilt."""
+    is_spoilt = isinstance(outcome, Unknown)
+    return not is_spoilt and outcome != NotRun(ErrorKind.TARGET_UNREACHABLE)
+
+
 class HttpTargetClient(Connector):
     """Sends requests to the target over persistent connections, one at a time on each.
 
@@ -162,8 +168,8 @@
     on_unreachable : callable
         Called when a connection cannot be opened, with whether it was refused.
     on_notice : callable
-        Called before `on_outcome` for each answer, with the ticket of its request and
-        what the target says of itself.
+        Called before `on_outcome` for each unspoilt answer of the target, with the
+        ticket of its request and what the target says of itself.
     """
 
     def __init__(
@@ -321,7 +327,7 @@
             self._idle.append(sock)
         else:
             self.drop(sock)
-        if exchange.instance == self.instance:
+        if exchange.instance == self.instance and _is_from_target(outcome):
             self._on_notice(exchange.ticket, _notice(response))
         self._finish(exchange, outcome)
 
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -92,8 +92,8 @@
 
 
 class NoticeTests(AnsweringTargetCase):
-    def notice_of(self, *headers: str) -> TargetNotice:
-        self.answer(self.send(1, "q"), "q", *headers)
+    def notice_of(self, *headers: str, status: int = 200) -> TargetNotice:
+        self.answer(self.send(1, "q"), "q", *headers, status=status)
         ((ticket, notice),) = self.notices
         self.assertEqual(ticket, 1)
         return notice
@@ -118,6 +118,24 @@
         self.assertEqual(self.notices, [])
         self.assertEqual(len(self.outcomes), 1)
 
+    # A spoilt answer without the header ended the limit until the next answer.
+    def test_a_spoilt_answer_says_nothing(self):
+        sock = self.send(1, "q")
+        sock.sendall(b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n")
+        self.tick()
+        self.assertEqual(self.outcomes, [Unknown(ErrorKind.ANSWER_LOST)])
+        self.assertEqual(self.notices, [])
+
+    def test_the_answer_of_another_target_at_the_address_says_nothing(self):
+        sock = self.send(1, "q")
+        self.answer(sock, "q", "Instance-Id: i-2", "Server-Limit: 1", status=421)
+        self.assertEqual(self.outcomes, [NotRun(ErrorKind.TARGET_UNREACHABLE)])
+        self.assertEqual(self.notices, [])
+
+    def test_a_rejection_for_its_key_counts(self):
+        notice = self.notice_of("Server-Limit: 3", status=421)
+        self.assertEqual(notice, TargetNotice(3.0))
+
     def test_rates_that_cannot_be_read_are_none(self):
         for text in ("", "x", "-1", "nan", "inf", "1e9", "1,5", "9" * 400, "\u0663"):
             response = Response(200, (("Server-Limit", text),))
