--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -119,8 +119,8 @@
     max_connections : int
         Limit of the connections to one address; further calls wait for one.
     keeps_after : callable
-        Returns whether a connection may be used again after a response. A faulty server
-        may write the response once more, where that to the next call is expected.
+        Returns whether a connection may be used again after a response. Responses carry
+        no id: one that a faulty server repeats is taken for that to the next call.
     """
 
     def __init__(
--- a/rhubarbhall/core/ownership/range_load_balancer.py
+++ b/rhubarbhall/core/ownership/range_load_balancer.py
@@ -39,8 +39,8 @@
 #: Number of spans from which a target gets no more; its grants have to fit into one
 #: answer to a heartbeat.
 MAX_RECEIVER_SPANS = 40
-#: Least cost of a request that is reckoned with, in utilization for each request per
-#: second.
+#: Lower bound of the cost of a request, in utilization for each request per second, so
+#: that no capacity is infinite.
 MIN_COST = 1e-6
 #: Least number of sampled requests that a decision may rest on.
 MIN_SAMPLES = 12
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -29,9 +29,9 @@
 LOST_PREFIX = "lost/"
 #: Records that only make the log grow; see `rhubarbhall.core.ownership.range_witness`.
 BOOT_PREFIX = "boot/"
-#: Largest number of requests that a target can state to work on at a time.
+#: Largest number of slots of a target; a higher one is an error of whoever wrote it.
 MAX_SLOTS = 1_000_000
-#: Fencing token; a record holds numbers of 64 bits, and later fences are higher.
+#: Fencing token. A record holds 64 bits, and later fences have to fit in as well.
 _Fence = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62) - 1)]
 
 
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -35,8 +35,9 @@
 
 #: Maximum number of waiting requests per slot of the target.
 MAX_WAITING_PER_SLOT = 4
-#: Maximum number of requests under way until the target has answered once since this
-#: daemon was started: only an answer tells which rate the target states.
+#: Maximum number of running requests until the target has answered once since this
+#: daemon was started: only an answer tells which rate the target states. At one request
+#: per second, four restarts within 5 s stay within the users' bound.
 FIRST_REQUESTS = 3
 #: Maximum share of the slots that long work may occupy.
 MAX_LONG_WORK_SHARE = 0.65
--- a/rhubarbhall/core/traffic/rate_limit.py
+++ b/rhubarbhall/core/traffic/rate_limit.py
@@ -11,10 +11,11 @@
 if TYPE_CHECKING:
     from rhubarbhall.types import Seconds
 
-#: Time for which unused tokens accumulate, in seconds.
+#: Time for which unused tokens accumulate, in seconds. The queue checks for tokens each
+#: 0.1 s, and the users' bound allows 2 s of the rate beyond the 4 s of its window.
 BURST_S = 0.25
-#: Minimum number of tokens that can accumulate: one, and one more that comes in while
-#: the queue waits for its next check.
+#: Minimum number of tokens that can accumulate: one to use, and one that arrives before
+#: the next check of the queue, so that low rates are used in full.
 MIN_BURST = 2.0
 #: Minimum rate, in requests per second. A target that states less still gets a request
 #: now and then, as only an answer can tell that the limit has ended.
--- a/rhubarbhall/platform/heartbeats.py
+++ b/rhubarbhall/platform/heartbeats.py
@@ -26,7 +26,8 @@
     from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import Address, RequestId
 
-#: Numbers of a target; records of the store and messages between daemons have 64 bits.
+#: Numbers of a target. Records of the store hold 64 bits, and fences are counted on
+#: from the highest one that is known.
 _Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 62) - 1)]
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 _STATE_BY_NAME = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -39,7 +39,8 @@
 #: The one partition in use of each keyed topic that this system reads or writes.
 PARTITION = 0
 
-#: A duration; longer numbers are no durations that anybody waits for.
+#: A duration. The digits are limited, as longer numbers become infinite or overflow
+#: the integers of messages between daemons.
 _TIME = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,20})?)(ms|s)")
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
 
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -22,7 +22,8 @@
 _IDEMPOTENT = "idempotent"
 #: Messages between daemons carry versions as numbers of 64 bits.
 _Version = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
-#: Numbers of a route, of which some are in messages between daemons.
+#: Numbers of a route. Larger ones would overflow messages between daemons, or the
+#: floating-point sum of weights.
 _Number = Annotated[int, msgspec.Meta(ge=-(1 << 31), le=(1 << 31) - 1)]
 _DEFAULT_CALLERS = CallerRules()
 
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -45,7 +45,8 @@
 #: Fraction of the idle timeout after which an idle connection is closed. It is below 1
 #: so that no request is sent while the target is closing the connection.
 IDLE_TIMEOUT_FRACTION = 0.6
-#: Number of requests not served on a connection after which it is closed.
+#: Number of requests not served on a connection after which it is closed; bounds the
+#: memory for their ids.
 MAX_UNSERVED_IDS = 100
 _KEEP_ALIVE = "keep-alive"
 
@@ -70,8 +71,8 @@
     is_open: bool = False
     idle_since: Seconds = 0.0
     idle_s: Seconds = IDLE_TIMEOUT_S
-    #: Ids of requests that were not served on this connection and may be sent again. A
-    #: faulty target may write their answers once more.
+    #: Ids of requests that were not served on this connection and may be sent again.
+    #: They are not sent here: a faulty target may repeat its earlier answer to them.
     unserved_ids: set[str] = field(default_factory=set)
 
 
@@ -96,7 +97,7 @@
     return None
 
 
-#: Requests per second in a header; longer numbers are no rate that a target serves.
+#: Requests per second in a header, as a decimal number; longer ones are malformed.
 _RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")
 
 
@@ -143,15 +144,15 @@
 
 
 def _is_served(outcome: Outcome) -> bool:
-    """Return whether the request certainly is not sent to the target once more."""
+    """Return whether the answer is final, so that the request is not sent again."""
     is_answered = isinstance(outcome, Answered)
     return is_answered and outcome.status < HTTPStatus.INTERNAL_SERVER_ERROR
 
 
 def _is_from_target(outcome: Outcome) -> bool:
-    """Return whether the answer is from the target that was meant, and unspoilt."""
-    is_spoilt = isinstance(outcome, Unknown)
-    return not is_spoilt and outcome != NotRun(ErrorKind.TARGET_UNREACHABLE)
+    """Return whether the answer is valid and from the intended target."""
+    is_invalid = isinstance(outcome, Unknown)
+    return not is_invalid and outcome != NotRun(ErrorKind.TARGET_UNREACHABLE)
 
 
 class HttpTargetClient(Connector):
@@ -168,8 +169,8 @@
     on_unreachable : callable
         Called when a connection cannot be opened, with whether it was refused.
     on_notice : callable
-        Called before `on_outcome` for each unspoilt answer of the target, with the
-        ticket of its request and what the target says of itself.
+        Called before `on_outcome` for each valid answer of the target, with the ticket
+        of its request and what the target says of itself.
     """
 
     def __init__(
@@ -204,7 +205,7 @@
             self._open_for(exchange, now)
 
     def _take_idle(self, request_id: str) -> socket.socket | None:
-        """Return an idle connection that has not carried a request before."""
+        """Return an idle connection that did not fail to serve this request before."""
         for index in reversed(range(len(self._idle))):
             connection = self._connection_by_sock[self._idle[index]]
             if request_id not in connection.unserved_ids:
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -141,7 +141,7 @@
             float(daemon.directory.epoch),
         ),
         "keys_owned": (
-            "Keys that the table gives the own target.",
+            "Keys that the table gives the local target.",
             float(owned),
         ),
         "orders_running": (
