Show that silent connections to the store hold up a configuration

All connections of the routers to the store go silent, as if a firewall had dropped them, and a configuration is written. The stand-in for the store can silence its open connections.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -116,6 +116,11 @@
         """Set the limits; those on request sizes apply to new connections only."""
         self._limits = limits
 
+    @property
+    def sockets(self) -> list[socket.socket]:
+        """The open connections."""
+        return list(self._connection_by_sock)
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/rhubarbhall/standins/platform_store.py
+++ b/rhubarbhall/standins/platform_store.py
@@ -23,6 +23,8 @@
 from rhubarbhall.core.requests import Response
 
 if TYPE_CHECKING:
+    import socket
+
     from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import RequestId
 
@@ -170,6 +172,7 @@
         self.faults = StoreFaults()
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._waiting: list[_WaitingRead] = []
+        self._silent: set[socket.socket] = set()
         self.calls = 0
         self.era = 1
         self.port = CallerServer(
@@ -184,7 +187,8 @@
     def take(self, request_id: RequestId, raw: RawRequest) -> None:
         """Handle a call; a read that waits for new records is answered later."""
         self.calls += 1
-        if self.faults.unresponsive:
+        is_silent = self.port.sock_of(request_id) in self._silent
+        if self.faults.unresponsive or is_silent:
             return
         if self.faults.refuses:
             response = Response(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -310,6 +314,14 @@
         partition = self._partition({"topic": topic, "part": "0"})
         return self._write(partition, [bytes([len(name)]) + name + value])
 
+    def silence_connections(self) -> None:
+        """Neither carry out nor answer calls on the connections that are open now.
+
+        Calls on later connections are answered.
+        """
+        self._silent = set(self.port.sockets)
+        self._waiting.clear()
+
     def trim(self, topic: str) -> None:
         """Trim a topic: its present records can no longer be read by offset.
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -80,7 +80,9 @@
         self.timers = TimerService()
         self.client = HttpClient("test-client", 50)
         self.loop.add(self.client)
-        self.loop.add(TimerRunner(self.timers, self.fire_due_timers))
+        self.loop.add(
+            TimerRunner(self.timers, self.fire_due_timers, lambda: time.monotonic())
+        )
         self.timers.every(
             SWEEP_INTERVAL_S, TimerCallback(lambda now: self.client.sweep())
         )
