Notice connections to the store that went silent in time

Cause: a daemon follows the operators' topic by reads that the store holds for 8 s, and allowed 2.5 s more for the answer; a connection that goes silent without a reset was noticed after 10.5 s, by all readers of a region at once, as their reads begin at the same moment. The read after it could take another silent connection of the pool.

--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -304,6 +304,15 @@
         self._calls.pop(call.number, None)
         call.on_done(outcome)
 
+    def _drop_idle_since_before(self, call: Call) -> None:
+        """Close idle connections to an address unused since before an overdue call.
+
+        Whatever silenced the connection of that call may have silenced them too.
+        """
+        for sock in list(self._idle_by_address[call.address]):
+            if self._connection_by_sock[sock].idle_since <= call.started_at:
+                self.drop(sock)
+
     def sweep(self) -> None:
         """Fail overdue calls and close connections unused for `IDLE_TIMEOUT_S`.
 
@@ -317,6 +326,7 @@
             self._finish(call, Failed(call.written, kind))
             if call.sock is not None:
                 self.drop(call.sock)
+            self._drop_idle_since_before(call)
         for idle in self._idle_by_address.values():
             for sock in list(idle):
                 if now - self._connection_by_sock[sock].idle_since > IDLE_TIMEOUT_S:
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership.store_port import (
+    ANSWER_TIMEOUT_S,
+    LongPoll,
     NewestPage,
     ReadResult,
     Tail,
@@ -39,8 +41,8 @@
         The topic.
     timers : TimerService
         Timers for the pauses between reads.
-    wait_s : float
-        How long the store holds a read open while there is no new record, in seconds.
+    poll : callable
+        Takes the time and returns how long a read after a pause may take.
     pause_s : float
         Pause between two reads, in seconds.
     on_entries : callable
@@ -63,7 +65,7 @@
         store: Store,
         topic: str,
         timers: TimerService,
-        wait_s: Seconds,
+        poll: Callable[[Seconds], LongPoll],
         pause_s: Seconds,
         on_entries: Callable[[Seconds, tuple[Entry, ...]], None],
         on_complete: Callable[[Seconds, Seconds, Offset], None],
@@ -74,7 +76,7 @@
         self._store = store
         self._topic = topic
         self._timers = timers
-        self._wait_s = wait_s
+        self._poll = poll
         self._pause_s = pause_s
         self._on_entries = on_entries
         self._on_complete = on_complete
@@ -95,7 +97,7 @@
         if self._position is None:
             self._read_newest(now, None, None)
         else:
-            self._read_tail(now, wait_s=0.0)
+            self._read_tail(now, self._short_read(now))
 
     def restart(self, now: Seconds, topic: str, at_once: bool = True) -> None:
         """Follow a topic from its newest records, as the store was restored.
@@ -115,7 +117,7 @@
             self.start(now)
         else:
             self._generation += 1
-            self._schedule_read(now, SKIPPED_READ_INTERVAL_S, self._wait_s)
+            self._schedule_read(now, SKIPPED_READ_INTERVAL_S)
 
     def _read_newest(
         self, now: Seconds, after: str | None, first_end: Offset | None
@@ -143,16 +145,24 @@
             self._read_newest(now, result.after, first_end)
             return
         self._position = first_end
-        self._read_tail(now, wait_s=0.0)
+        self._read_tail(now, self._short_read(now))
 
-    def _read_tail(self, now: Seconds, wait_s: Seconds) -> None:
+    def _short_read(self, now: Seconds) -> LongPoll:
+        """Return a read without a wait, with more time for its answer after failures.
+
+        A store that is slow for a while would otherwise never be read.
+        """
+        timeout_s = self._poll(now).answer_timeout_s * 2 ** min(self._failures, 4)
+        return LongPoll(0.0, min(timeout_s, ANSWER_TIMEOUT_S))
+
+    def _read_tail(self, now: Seconds, poll: LongPoll) -> None:
         generation, offset = self._generation, self._position
 
         def on_done(result: ReadResult) -> None:
             if generation == self._generation:
                 self._on_tail(self._timers.now(), now, result)
 
-        self._store.read_tail(self._topic, offset, wait_s, on_done)
+        self._store.read_tail(self._topic, offset, poll, on_done)
 
     def _on_tail(self, now: Seconds, sent_at: Seconds, result: ReadResult) -> None:
         if isinstance(result, Trimmed):
@@ -167,22 +177,22 @@
         self._position = max(self._position, result.next_offset)
         if self._position >= result.end:
             self._on_complete(now, sent_at, result.end)
-            self._schedule_read(now, self._pause_s, self._wait_s)
+            self._schedule_read(now, self._pause_s)
         else:
-            self._read_tail(now, wait_s=0.0)
+            self._read_tail(now, self._short_read(now))
 
-    def _schedule_read(self, now: Seconds, pause_s: Seconds, wait_s: Seconds) -> None:
+    def _schedule_read(self, now: Seconds, pause_s: Seconds) -> None:
         generation = self._generation
 
         def read(later: Seconds) -> None:
             if generation != self._generation:
                 return
             if not self._needs_read(later):
-                self._schedule_read(later, SKIPPED_READ_INTERVAL_S, wait_s)
+                self._schedule_read(later, SKIPPED_READ_INTERVAL_S)
             elif self._position is None:
                 self.start(later)
             else:
-                self._read_tail(later, wait_s)
+                self._read_tail(later, self._poll(later))
 
         self._timers.at(now + pause_s, TimerCallback(read))
 
--- a/rhubarbhall/core/ownership/peer_selection.py
+++ b/rhubarbhall/core/ownership/peer_selection.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -96,6 +96,25 @@
     return before < count or len(others) < WHOLE_REGION_SIZE
 
 
+def readers_before(
+    local: Address,
+    local_region: str,
+    region_by_address: Mapping[Address, str],
+    is_live: Callable[[Address], bool],
+) -> int:
+    """Return how many live daemons of the region come before the local one as readers.
+
+    Parameters
+    ----------
+    is_live : callable
+        Returns whether a daemon runs, as far as is known.
+    """
+    return sum(
+        address < local and region == local_region and is_live(address)
+        for address, region in region_by_address.items()
+    )
+
+
 def ring_order(local: Address, addresses: Iterable[Address]) -> list[Address]:
     """Return addresses in the order of the ring, beginning after the local one."""
     return sorted(addresses, key=lambda each: (each < local, each))
--- a/rhubarbhall/core/ownership/store_port.py
+++ b/rhubarbhall/core/ownership/store_port.py
@@ -117,6 +117,29 @@
 AppendResult: TypeAlias = "Appended | Conflict | Unavailable"
 
 
+@dataclass(frozen=True, slots=True)
+class LongPoll:
+    """How long a read of new records may take.
+
+    Parameters
+    ----------
+    hold_s : float
+        How long the store holds the read open while there is no new record, in seconds.
+    answer_timeout_s : float
+        Time for the answer beyond that, in seconds. A connection may go silent without
+        a reset, so a longer read notices it later.
+    """
+
+    hold_s: Seconds
+    answer_timeout_s: Seconds
+
+
+#: Time for the answer to any other call, in seconds.
+ANSWER_TIMEOUT_S = 2.5
+#: A read that the store answers at once, with or without records.
+NO_WAIT = LongPoll(0.0, ANSWER_TIMEOUT_S)
+
+
 class Store(Protocol):
     """Operations of the platform's store.
 
@@ -132,12 +155,12 @@
         self,
         topic: str,
         offset: Offset,
-        wait_s: Seconds,
+        poll: LongPoll,
         on_done: Callable[[ReadResult], None],
     ) -> None:
         """Read the records from `offset` on.
 
-        If there is none, the store waits up to `wait_s` seconds for one.
+        If there is none, the store waits for one as long as the poll says.
         """
 
     def append(
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -70,6 +70,8 @@
         Number of repeats that the users allow per request.
     retry_window_s : float
         Window over which this ratio is measured, in seconds.
+    configuration_s : float
+        Time in which an acknowledged configuration has to be in force, in seconds.
     drain_s : float
         Time after which a target that leaves gets no more requests, in seconds.
     grace_s : float
@@ -91,6 +93,7 @@
     store_address: str
     retry_ratio: float
     retry_window_s: float
+    configuration_s: float
     drain_s: float
     grace_s: float
     grants_by_request: bool = False
@@ -131,6 +134,7 @@
             store_address=file.platform.address,
             retry_ratio=float(bounds.get("retry_budget_ratio", "0.2")),
             retry_window_s=parse_time(bounds.get("budget_window", "10s")),
+            configuration_s=parse_time(bounds.get("config", "2500ms")),
             drain_s=parse_time(bounds.get("drain", "2500ms")),
             grace_s=parse_time(bounds.get("grace", "6s")),
             grants_by_request=_grants_by_request(file.grants),
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -18,9 +18,11 @@
 from rhubarbhall.adapters.client import Failed
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.store_port import (
+    ANSWER_TIMEOUT_S,
     Appended,
     AppendResult,
     Conflict,
+    LongPoll,
     NewestPage,
     ReadResult,
     Tail,
@@ -35,10 +37,8 @@
 if TYPE_CHECKING:
     from rhubarbhall.adapters.client import HttpClient
     from rhubarbhall.core.requests import Response
-    from rhubarbhall.types import Address, Offset, Seconds, StoreEpoch
+    from rhubarbhall.types import Address, Offset, StoreEpoch
 
-#: Timeout for an answer, in seconds, beyond the time that the store may hold a read.
-ANSWER_TIMEOUT_S = 2.5
 #: Head of the answer to a read of the tail: the end of the log and the first offset
 #: that it still keeps, as big-endian 64-bit numbers.
 _TAIL_HEAD = struct.Struct(">QQ")
@@ -227,15 +227,15 @@
         self,
         topic: str,
         offset: Offset,
-        wait_s: Seconds,
+        poll: LongPoll,
         on_done: Callable[[ReadResult], None],
     ) -> None:
         """Read the records from `offset` on.
 
-        If there are none, the store holds the read for up to `wait_s` seconds.
+        If there are none, the store holds the read as long as the poll says.
         """
         path = f"/log-read?topic={topic}&part={PARTITION}&from={offset_of(offset)}"
-        path += f"&wait_ms={int(wait_s * 1000)}"
+        path += f"&wait_ms={int(poll.hold_s * 1000)}"
         epoch = self.epoch
 
         def on_reply(result: Response | Failed) -> None:
@@ -245,7 +245,7 @@
             self._on_call("read_tail", type(answer).__name__)
             on_done(answer)
 
-        timeout_s = wait_s + ANSWER_TIMEOUT_S
+        timeout_s = poll.hold_s + poll.answer_timeout_s
         self._reads.fetch(self._address, "GET", path, (), b"", timeout_s, on_reply)
 
     def append(
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -34,6 +34,7 @@
     RequestResult,
 )
 from rhubarbhall.core.ownership.store_port import (
+    NO_WAIT,
     Appended,
     Conflict,
     NewestPage,
@@ -201,7 +202,7 @@
 
         self._call(on_done, read)
 
-    def read_tail(self, topic, offset, wait_s, on_done) -> None:
+    def read_tail(self, topic, offset, poll, on_done) -> None:
         def read():
             entries = self._entries(topic)
             first, end = offset_of(offset), self._position(len(entries))
@@ -418,7 +419,7 @@
             store,
             TOPIC,
             self.timers,
-            0.0,
+            lambda now: NO_WAIT,
             2.0,
             self._on_entries,
             self._on_complete,
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -7,7 +7,13 @@
 
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.follower import MAX_BACKOFF_S, TopicFollower
-from rhubarbhall.core.ownership.store_port import NewestPage, Tail, Trimmed, Unavailable
+from rhubarbhall.core.ownership.store_port import (
+    NO_WAIT,
+    NewestPage,
+    Tail,
+    Trimmed,
+    Unavailable,
+)
 from rhubarbhall.core.timers import TimerService
 
 
@@ -20,7 +26,7 @@
         self.topics.append(topic)
         self.calls.append(("newest", after, on_done))
 
-    def read_tail(self, topic, offset, wait_s, on_done):
+    def read_tail(self, topic, offset, poll, on_done):
         self.calls.append(("tail", offset, on_done))
 
     def answer(self, result) -> None:
@@ -38,7 +44,7 @@
             self.store,
             "t",
             self.timers,
-            0.0,
+            lambda now: NO_WAIT,
             2.0,
             lambda now, entries: self.entries.extend(entries),
             lambda now, sent_at, end: self.complete.append((sent_at, end)),
@@ -146,7 +152,7 @@
             self.store,
             "t",
             self.timers,
-            0.0,
+            lambda now: NO_WAIT,
             2.0,
             lambda now, entries: None,
             lambda now, sent_at, end: None,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,8 +12,10 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.store_port import (
+    NO_WAIT,
     Appended,
     Conflict,
+    LongPoll,
     NewestPage,
     Tail,
     Trimmed,
@@ -47,7 +49,7 @@
 
     def read_tail(self, reply):
         self.http.replies.append(reply)
-        self.store.read_tail("t", 7, 1.5, self.results.append)
+        self.store.read_tail("t", 7, LongPoll(1.5, 1.0), self.results.append)
         return self.results[-1]
 
     def test_records_of_a_tail_get_consecutive_offsets(self):
@@ -96,7 +98,7 @@
         restored = (("store-era", "3"),)
         body = struct.pack(">QQ", 9, 0) + record(b"a", b"1")
         self.http.replies.append(Response(200, restored, body))
-        self.store.read_tail("t", position(2, 7), 0.0, self.results.append)
+        self.store.read_tail("t", position(2, 7), NO_WAIT, self.results.append)
         entry = Entry(position(2, 7), "a", b"1")
         expected = Tail((entry,), position(2, 8), position(2, 9))
         self.assertEqual(self.results[-1], expected)
@@ -131,7 +133,7 @@
         self.store.begin_epoch(1)
         for headers in ((), (("Store-Era", "1"),), (("Store-Era", "x"),)):
             self.http.replies.append(Response(410, headers))
-            self.store.read_tail("t", position(1, 7), 0.0, self.results.append)
+            self.store.read_tail("t", position(1, 7), NO_WAIT, self.results.append)
             self.assertIsInstance(self.results[-1], Unavailable)
 
     def test_an_append_may_be_done_after_a_lost_answer_but_not_a_refusal(self):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -169,6 +169,7 @@
         self.assertEqual(settings.peer_address, "10.0.0.1:1")
         self.assertEqual((settings.retry_ratio, settings.retry_window_s), (0.3, 5.0))
         self.assertEqual((settings.drain_s, settings.grace_s), (2.5, 6.0))
+        self.assertEqual(settings.configuration_s, 2.5)
 
     def test_the_way_of_granting_keys_is_decoded(self):
         for way, expected in (("request", True), ("heartbeat", False)):
--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -19,7 +19,13 @@
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.peer_selection import RelayedLimits
 from rhubarbhall.core.ownership.read_lease import ReadLease
-from rhubarbhall.core.ownership.store_port import NewestPage, Tail, Trimmed, position
+from rhubarbhall.core.ownership.store_port import (
+    LongPoll,
+    NewestPage,
+    Tail,
+    Trimmed,
+    position,
+)
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.platform.names import CONFIGURATION_KEY
 from rhubarbhall.programs.router_peers import PUSH_GRACE_S, PeerHandlers, RecordGap
@@ -186,7 +192,7 @@
         )
         store = SimpleNamespace(
             read_newest=lambda topic, after, on_done: on_done(next(answers)),
-            read_tail=lambda topic, offset, wait_s, on_done: on_done(next(answers)),
+            read_tail=lambda topic, offset, poll, on_done: on_done(next(answers)),
         )
         seen: list[int] = []
 
@@ -198,7 +204,7 @@
             store,
             "t",
             daemon.timers,
-            8.0,
+            lambda now: LongPoll(8.0, 2.5),
             0.1,
             on_entries,
             lambda now, sent_at, end: None,
