Bound the exponent of pauses that double

A store that does not answer for 17 minutes was not read again: after 1025 failures in a row the pause before the next read could not be computed (OverflowError), its timer failed, and no other was set. In the same way requests to a target that had failed 1025 times in a row failed in the router.

The pause comes from one function now, backoff_s, with a bounded exponent; it stood in three places. Both new tests failed before (OverflowError). Ruled out elsewhere: the publisher's factor is a whole number, and the pause of rejections was bounded.

--- a/rhubarbhall/core/balancing.py
+++ b/rhubarbhall/core/balancing.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core import policies
+from rhubarbhall.core.retry import backoff_s
 
 if TYPE_CHECKING:
     from rhubarbhall.core.context import Context
@@ -227,8 +228,8 @@
         statistics.failures += 1
         if statistics.failures >= EJECTION_FAILURES:
             statistics.failures = 0
-            pause = min(MAX_EJECTION_S, EJECTION_S * 2**statistics.ejections)
             statistics.ejections += 1
+            pause = backoff_s(EJECTION_S, MAX_EJECTION_S, statistics.ejections)
             statistics.ejected_until = now + pause
 
     def forget(self, members: tuple[MemberId, ...]) -> None:
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -15,6 +15,7 @@
     Trimmed,
     Unavailable,
 )
+from rhubarbhall.core.retry import backoff_s
 from rhubarbhall.core.timers import TimerCallback
 
 if TYPE_CHECKING:
@@ -152,8 +153,9 @@
 
         A store that is slow for a while would otherwise never be read.
         """
-        timeout_s = self._poll(now).answer_timeout_s * 2 ** min(self._failures, 4)
-        return LongPoll(0.0, min(timeout_s, ANSWER_TIMEOUT_S))
+        first_s = self._poll(now).answer_timeout_s
+        timeout_s = backoff_s(first_s, ANSWER_TIMEOUT_S, self._failures + 1)
+        return LongPoll(0.0, timeout_s)
 
     def _read_tail(self, now: Seconds, poll: LongPoll) -> None:
         generation, offset = self._generation, self._position
@@ -201,7 +203,7 @@
         reason = result.reason if isinstance(result, Unavailable) else repr(result)
         self._set_reachable(False, reason)
         self._failures += 1
-        pause_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (self._failures - 1))
+        pause_s = backoff_s(FIRST_BACKOFF_S, MAX_BACKOFF_S, self._failures)
         pause_s *= self._rng.uniform(0.7, 1.3)
         generation = self._generation
 
--- a/rhubarbhall/core/retry.py
+++ b/rhubarbhall/core/retry.py
@@ -1,4 +1,4 @@
-"""Retry budgets, which limit retries to a small share of the traffic."""
+"""Pauses between retries, and budgets that limit retries to a share of the traffic."""
 
 from __future__ import annotations
 
@@ -14,6 +14,24 @@
 MIN_RETRIES_PER_S = 5.0
 #: Most unused retries that the budget keeps, which bounds a burst of retries.
 MAX_SAVED = 50.0
+#: Failures in a row after which a pause is not doubled any more, so that its number
+#: stays finite.
+MAX_DOUBLINGS = 30
+
+
+def backoff_s(first_s: Seconds, longest_s: Seconds, failures: int) -> Seconds:
+    """Return the pause after a number of failures in a row, in seconds.
+
+    It doubles with each failure.
+
+    Parameters
+    ----------
+    first_s, longest_s : float
+        Pause after the first failure, and its upper bound.
+    failures : int
+        Number of failures so far, at least 1.
+    """
+    return min(longest_s, first_s * 2 ** min(failures - 1, MAX_DOUBLINGS))
 
 
 class RetryBudget:
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.retry import backoff_s
 from rhubarbhall.core.traffic.requests import Load
 
 if TYPE_CHECKING:
@@ -90,10 +91,8 @@
     def record_failure(self, now: Seconds) -> None:
         """Avoid the target for a time that doubles with each failure in a row."""
         self.consecutive_failures += 1
-        backoff_s = min(
-            MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (self.consecutive_failures - 1)
-        )
-        self.avoided_until = now + backoff_s
+        pause_s = backoff_s(FIRST_BACKOFF_S, MAX_BACKOFF_S, self.consecutive_failures)
+        self.avoided_until = now + pause_s
 
     def record_served(self, served: bool) -> None:
         """Record whether the target accepted a request and served it."""
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -138,6 +138,19 @@
             self.assertEqual(len(self.store.calls), calls + 1)
         self.assertEqual(self.contact, [True, False])
 
+    # Guards against: a store read by nobody any more after an outage of 17 minutes, as
+    # the pause became a number that is too large.
+    def test_reads_go_on_after_any_number_of_failures(self):
+        self.load_directory()
+        self.fire_timers(2.0)
+        now = 2.0
+        for _ in range(1100):
+            self.store.answer(Unavailable("down"))
+            now += 1.3 * MAX_BACKOFF_S
+            self.fire_timers(now)
+        self.store.answer(Tail((), 5, 5))
+        self.assertEqual(self.contact, [True, False, True])
+
     def test_the_answer_to_an_abandoned_read_changes_nothing(self):
         self.load_directory()
         self.fire_timers(2.0)
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -13,7 +13,12 @@
     member_key,
 )
 from rhubarbhall.core.traffic.requests import Load
-from rhubarbhall.core.traffic.target_chooser import CROSS_REGION_HOP_S, TargetChooser
+from rhubarbhall.core.traffic.target_chooser import (
+    CROSS_REGION_HOP_S,
+    MAX_BACKOFF_S,
+    TargetChooser,
+    TargetView,
+)
 
 LOCAL, NEAR, OTHER_NEAR, FAR = (f"10.0.0.{number}:1" for number in range(1, 5))
 SLOTS = 10
@@ -52,6 +57,14 @@
     region as long as the local one meets the target latency.
     """
 
+    # Guards against: requests that fail as the number of failures of a target in a row
+    # is too large for its pause.
+    def test_a_target_may_fail_any_number_of_times(self):
+        view = TargetView()
+        for _ in range(1100):
+            view.record_failure(0.0)
+        self.assertEqual(view.avoided_until, MAX_BACKOFF_S)
+
     def test_local_region_is_chosen_while_it_meets_the_target_latency(self):
         for address in (NEAR, OTHER_NEAR):
             self.set_occupancy(address, 1.8)
