--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -8,6 +8,7 @@
 
 import itertools
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -79,6 +80,8 @@
         them. Empty without a limit.
     announces_leaving : bool
         Whether its answers say that it leaves.
+    crash_path : str
+        Start of the paths of requests under which it crashes; empty for none.
     """
 
     work_s: Seconds = 0.01
@@ -90,6 +93,7 @@
     grants_by_request: bool = False
     stated_rate: str = ""
     announces_leaving: bool = False
+    crash_path: str = ""
 
 
 @dataclass(slots=True)
@@ -131,6 +135,8 @@
         Client that sends the heartbeats.
     behaviour : TargetBehaviour
         How it works, and its faults; may be changed at any time.
+    on_crash : callable
+        Called when a request has crashed it.
 
     Attributes
     ----------
@@ -140,6 +146,8 @@
         State that the heartbeats report.
     executed_requests : list of ExecutedRequest
         The requests executed so far.
+    is_up : bool
+        Whether it has not crashed.
     held : list of _GrantedRange
         The granted ranges of keys; expired ones stay until the next use of the list.
     acknowledged_heartbeats : int
@@ -159,10 +167,12 @@
         timers: TimerService,
         client: HttpClient,
         behaviour: TargetBehaviour,
+        on_crash: Callable[[PlatformTarget], None] = lambda target: None,
     ) -> None:
         self.address = address
         self.service = service
         self.behaviour = behaviour
+        self._on_crash = on_crash
         self.instance = f"i-{next(self._instance_numbers)}"
         self.state = "ready"
         self.executed_requests: list[ExecutedRequest] = []
@@ -176,7 +186,7 @@
         self._sequence = 0
         #: Tokens of withdrawn ranges whose release no router has acknowledged yet.
         self._released: dict[tuple[int, int], str] = {}
-        self._is_up = True
+        self.is_up = True
         bind = split_address(address)
         name = f"platform-target-{address}-{self.instance}"
         self.port = CallerServer(bind, name, self, CallerLimits())
@@ -187,7 +197,7 @@
 
     def crash(self) -> None:
         """Close the port and stop the heartbeats without reporting the end."""
-        self._is_up = False
+        self.is_up = False
         self.port.close()
 
     def _unexpired_ranges(self) -> list[_GrantedRange]:
@@ -197,7 +207,7 @@
         return self.held
 
     def _send_heartbeat(self, now: Seconds, schedules_next: bool = True) -> None:
-        if not self._is_up:
+        if not self.is_up:
             return
         if schedules_next:
             self._timers.at(
@@ -280,15 +290,25 @@
         if refusal is not None:
             self.port.answer(request_id, refusal)
             return
+        crash_path = self.behaviour.crash_path
+        crashes = bool(crash_path) and raw.path.startswith(crash_path)
         platform_request_id = headers["request-id"]
         caller, timeout = headers["caller-service"], int(headers["timeout-ms"])
         self.executed_requests.append(
             ExecutedRequest(platform_request_id, self.instance, caller, timeout)
         )
-        answer_timer = TimerCallback(
-            lambda now: self._answer(request_id, platform_request_id, raw.body)
-        )
-        self._timers.at(time.monotonic() + self.behaviour.work_s, answer_timer)
+
+        def end_run(now: Seconds) -> None:
+            if not self.is_up:
+                return
+            if crashes:
+                self.crash()
+                self._on_crash(self)
+            else:
+                self._answer(request_id, platform_request_id, raw.body)
+
+        end_timer = TimerCallback(end_run)
+        self._timers.at(time.monotonic() + self.behaviour.work_s, end_timer)
 
     def _on_key_request(self, raw: RawRequest) -> Response:
         """Carry out a grant or a release of a range of keys."""
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -2,45 +2,12 @@
 
 from __future__ import annotations
 
-import time
-from unittest import mock
-
-from rhubarbhall.adapters.clock import boot_time
-from tests.platform.test_path import VMS, RouterTestCase, configuration
+from tests.platform.test_path import VMS, configuration
+from tests.platform.virtual_time import VirtualTimeTestCase
 
 OPERATOR_TOPIC = "keyed.op"
 #: Time in which an acknowledged configuration takes force, in seconds.
 IN_FORCE_S = 2.5
-#: Virtual time that one turn of the loop takes, in seconds.
-TURN_S = 0.005
-
-
-class VirtualTimeTestCase(RouterTestCase):
-    """Routers whose clocks advance with the turns of the loop.
-
-    Bounds on time hold however fast the machine is.
-    """
-
-    def setUp(self):
-        self.elapsed_s = 0.0
-        for name, read in (
-            ("time.monotonic", time.monotonic),
-            ("rhubarbhall.programs.routing_daemon.boot_time", boot_time),
-        ):
-            clock = mock.patch(name, self.clock_from(read()))
-            clock.start()
-            self.addCleanup(clock.stop)
-        super().setUp()
-
-    def clock_from(self, start: float):
-        return lambda: start + self.elapsed_s
-
-    def tick_until(self, condition, limit_s: float) -> None:
-        end = self.elapsed_s + limit_s
-        while not condition():
-            self.assertLess(self.elapsed_s, end, "condition not met in time")
-            self.elapsed_s += TURN_S
-            self.loop.manager.tick(0.0005)
 
 
 class SilentStoreTests(VirtualTimeTestCase):
