Refuse a late request that could outlast a planned stop

Other operators saw requests that came late in the grace period passed on and cut at its end, among them some that may not be repeated. Here such a request got the end of the stop as its deadline and was sent to another daemon, whose target was at work when the caller got 502. Shown by a test: with answers of up to 1 s, a request 0.9 s before the end was passed on (the test failed: no refusal); now it is refused at once as not run, with the rest of the stop as Retry-After. A request that fits is passed on as before.

Ruled out: a cut without any answer; all requests in flight are answered 0.6 s before the end of the grace period.

--- a/rhubarbhall/core/traffic/pending_requests.py
+++ b/rhubarbhall/core/traffic/pending_requests.py
@@ -90,6 +90,9 @@
         Called once with the outcome that the caller gets.
     began_at : float
         Time of arrival, local clock, in seconds.
+    wanted_until : float
+        Time until which the caller wants the answer, local clock, in seconds. The
+        deadline of the request may be earlier, as the process exits.
     deadline_timer : Timer, optional
         Timer that ends the request at its deadline.
     retry_timer : Timer, optional
@@ -124,6 +127,7 @@
     request: RoutedRequest
     reply: Callable[[Outcome], None]
     began_at: Seconds
+    wanted_until: Seconds
     deadline_timer: Timer | None = None
     retry_timer: Timer | None = None
     current_address: Address | None = None
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -24,6 +24,7 @@
     PendingRequest,
     RequestLog,
 )
+from rhubarbhall.core.traffic.queue_estimates import RouteDurations
 from rhubarbhall.core.traffic.requests import (
     Answered,
     NotRun,
@@ -131,6 +132,7 @@
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
         self._longest_timeout_by_route: dict[str, Seconds] = {}
+        self._answer_times = RouteDurations()
         #: Time at which the process exits, so that callers need outcomes by then.
         self._drain_end: Seconds = float("inf")
 
@@ -170,24 +172,35 @@
         if route is None:
             reply(NotRun(ErrorKind.NO_ROUTE))
             return None
-        request = self._routed_request(now, caller_request, route)
+        wanted_until = now + self._time_limit_s(caller_request, route)
+        request = self._routed_request(now, caller_request, route, wanted_until)
         if self._is_by_key(request.service) and request.key is None:
             reply(NotRun(ErrorKind.KEY_MISSING))
             return None
         self._budget(request.service).record_request(now)
-        pending = PendingRequest(next(self._tickets), request, reply, now)
+        ticket = next(self._tickets)
+        pending = PendingRequest(ticket, request, reply, now, wanted_until)
         self._pending_by_ticket[pending.ticket] = pending
         on_deadline = TimerCallback(lambda later: self._on_deadline(later, pending))
         pending.deadline_timer = self._timers.at(request.deadline, on_deadline)
         self._send_to_next(now, pending)
         return pending.ticket
 
+    @staticmethod
+    def _time_limit_s(caller_request: CallerRequest, route: HostRoute) -> Seconds:
+        """Return for how long the caller wants the answer, in seconds."""
+        time_limit_s = (caller_request.timeout_s or DEFAULT_TIMEOUT_S) - REPLY_MARGIN_S
+        if route.timeout_s is None:
+            return time_limit_s
+        return min(time_limit_s, route.timeout_s)
+
     def _routed_request(
-        self, now: Seconds, caller_request: CallerRequest, route: HostRoute
+        self,
+        now: Seconds,
+        caller_request: CallerRequest,
+        route: HostRoute,
+        wanted_until: Seconds,
     ) -> RoutedRequest:
-        time_limit_s = (caller_request.timeout_s or DEFAULT_TIMEOUT_S) - REPLY_MARGIN_S
-        if route.timeout_s is not None:
-            time_limit_s = min(time_limit_s, route.timeout_s)
         service = self.routing.choose_part(route)
         spent_s = self._time_already_spent_s(route.name, caller_request.timeout_s)
         return RoutedRequest(
@@ -203,7 +216,7 @@
             caller=self.caller_service,
             idempotent=route.idempotent,
             priority=route.priority,
-            deadline=min(now + time_limit_s, self._drain_end),
+            deadline=min(wanted_until, self._drain_end),
             target_latency_deadline=now + route.target_latency_s - spent_s,
             is_retry=spent_s > RETRY_DETECTION_S,
             max_attempts=route.max_attempts,
@@ -359,6 +372,11 @@
             # The other daemon has to know that nobody waits after this process exits.
             pending.request = replace(pending.request, deadline=self._drain_end)
         request = pending.request
+        if self._may_outlast_drain(now, pending):
+            # Its target would be cut at work; elsewhere it can still be served.
+            refusal = NotRun(ErrorKind.SHUTTING_DOWN, self._drain_end - now)
+            self._finish(now, pending, refusal)
+            return
         if (
             now + self._chooser.min_answer_time_s(address, request.route)
             > request.deadline
@@ -390,6 +408,16 @@
         if pending.current_address == self._local_address and pending.sends == sends:
             pending.queue_ticket = queue_ticket
 
+    def _may_outlast_drain(self, now: Seconds, pending: PendingRequest) -> bool:
+        """Return whether the answer could come after the process exits.
+
+        A route without a known duration counts as short.
+        """
+        longest_s = self._answer_times.longest_s(pending.request.route)
+        if longest_s == float("inf"):
+            return False
+        return min(now + longest_s, pending.wanted_until) > self._drain_end
+
     def _on_local_outcome(self, ticket: int, outcome: Outcome) -> None:
         now = self._timers.now()
         self.on_outcome(
@@ -450,6 +478,7 @@
             view.record_success()
             took_s = now - pending.sent_at
             self._chooser.record_duration(address, pending.request.route, took_s)
+            self._answer_times.record(pending.request.route, took_s)
         else:
             view.record_served(False)
             if self._may_repeat(now, pending):
--- a/tests/core/traffic/test_shutdown.py
+++ b/tests/core/traffic/test_shutdown.py
@@ -151,6 +151,32 @@
         self.assertEqual(self.replies, [refusal])
         self.assertEqual(len(self.peers.sent), 1)
 
+    def learn(self, path: str, took_s: float) -> None:
+        """Have a request of a route answered after some time."""
+        self.submit(path, timeout_s=20.0)
+        self.outcome(took_s, ANSWER)
+        self.replies.clear()
+
+    # Guards against: a request that comes late in the grace period passed on, and cut
+    # while its target works on it.
+    def test_a_late_request_that_could_outlast_the_stop_is_refused_at_once(self):
+        self.learn("/credit/1", took_s=1.0)
+        self.router.drain(END)
+        self.submit("/credit/2", now=END - 0.9, timeout_s=20.0)
+        (refusal,) = self.replies
+        self.assertIsInstance(refusal, NotRun)
+        self.assertEqual(refusal.kind, ErrorKind.SHUTTING_DOWN)
+        self.assertAlmostEqual(refusal.retry_after_s, 0.9)
+        self.assertEqual(len(self.peers.sent), 1)
+
+    def test_a_late_request_that_ends_before_the_stop_is_passed_on(self):
+        self.learn("/credit/1", took_s=1.0)
+        self.router.drain(END)
+        self.submit("/credit/2", now=END - 1.1, timeout_s=20.0)
+        self.submit("/credit/3", now=END - 0.9, timeout_s=0.5)
+        self.assertEqual(self.replies, [])
+        self.assertEqual(len(self.peers.sent), 3)
+
     def test_a_request_sent_again_during_a_stop_ends_with_it(self):
         self.submit("/credit/1", timeout_s=20.0)
         self.router.drain(END)
