Ask at once whether a target has ended, and risk no second target meanwhile

After the connection of a running request ended, the queue sent the next waiting requests on connections of the same target before it knew that the target had ended; they were lost too, and counted as suspects. The router repeated an isolated request on another target before the news of its rejection had arrived there (one target more in the test of bursts, 30 ms after the first).

Now the queue sends nothing after a lost answer until a probe (one connection, used for the next request) has told whether the target listens, 0.5 s at most; and the router does not repeat a request by itself that has to run alone. Ruled out: a probe by a health check, which waits for a slot. New tests: without the pause the next request is sent at once; without the probe nothing tells a reset connection from an end.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -20,6 +20,7 @@
     "key_table",
     "unowned",
     "log_lines",
+    "crash_suspects",
 )
 RESULTS = Path(__file__).with_name("results")
 
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -71,6 +71,9 @@
 MIN_RETRY_AFTER_S = 0.05
 #: Minimum remaining time for which any request is sent to the target.
 MIN_WORK_S = 0.005
+#: Maximum time without new attempts after an answer was lost, until it is known whether
+#: the target has ended.
+PROBE_TIMEOUT_S = 0.5
 #: Maximum time for which a request that has to run alone holds up the others.
 MAX_ISOLATION_WAIT_S = 1.0
 
@@ -129,6 +132,7 @@
         self.durations = RouteDurations()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
+        self._probed_until: Seconds = float("-inf")
         #: Time at which the process exits, so that work has to be done by then.
         self._drain_end: Seconds = float("inf")
 
@@ -270,7 +274,7 @@
 
     def _may_send(self, now: Seconds) -> bool:
         """Return whether the target may get one more request now."""
-        if self._suspect_runs.runs_alone:
+        if self._suspect_runs.runs_alone or now < self._probed_until:
             return False
         return self._has_free_slot() and self.rate_limit.wait_s(now) <= 0
 
@@ -514,6 +518,7 @@
             if outcome.kind is ErrorKind.ANSWER_LOST:
                 was_alone = entry.standing is Standing.ISOLATED
                 self.lost_runs.record_lost(now, entry.request, was_alone)
+                self._probed_until = now + PROBE_TIMEOUT_S
         else:
             self.lost_runs.record_answer(entry.sent_at)
             self._suspects.record_answered(now, entry.request)
@@ -528,8 +533,14 @@
     def record_unreachable(self, now: Seconds) -> None:
         """Refuse waiting requests, and new ones for `UNREACHABLE_BACKOFF_S`."""
         self._unreachable_until = now + UNREACHABLE_BACKOFF_S
+        self._probed_until = float("-inf")
         self._refuse_all_waiting(ErrorKind.TARGET_UNREACHABLE)
 
+    def resume(self, now: Seconds) -> None:
+        """Send requests again, as the target still listens after a lost answer."""
+        self._probed_until = float("-inf")
+        self.dispatch(now)
+
     def on_suspects_changed(self, now: Seconds) -> None:
         """Refuse the waiting requests that are rejected now."""
         for entry in list(self._entry_by_ticket.values()):
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -494,7 +494,9 @@
         if outcome.kind is ErrorKind.ANSWER_LOST:
             pending.request.is_suspected = True
         self._chooser.view(address).record_failure(now)
-        if self._may_repeat(now, pending):
+        # Only its caller may risk one more target for it.
+        is_isolated = self._suspects.standing(now, pending.request) >= Standing.ISOLATED
+        if not is_isolated and self._may_repeat(now, pending):
             self._send_to_next(now, pending)
         else:
             self._finish(now, pending, outcome)
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -69,6 +69,8 @@
     opened_at: Seconds
     exchange: _Exchange | None = None
     is_open: bool = False
+    #: Whether it was opened by `HttpTargetClient.probe`, for no request.
+    is_probe: bool = False
     idle_since: Seconds = 0.0
     idle_s: Seconds = IDLE_TIMEOUT_S
     #: Ids of requests that were not served on this connection and may be sent again.
@@ -168,6 +170,8 @@
         Called with the ticket of a request and its outcome.
     on_unreachable : callable
         Called when a connection cannot be opened, with whether it was refused.
+    on_reachable : callable
+        Called when a connection that probes the target is open.
     on_notice : callable
         Called before `on_outcome` for each valid answer of the target, with the ticket
         of its request and what the target says of itself.
@@ -179,6 +183,7 @@
         address: Address,
         on_outcome: Callable[[int, Outcome], None],
         on_unreachable: Callable[[bool], None],
+        on_reachable: Callable[[], None],
         on_notice: Callable[[int, TargetNotice], None],
     ) -> None:
         super().__init__(channel)
@@ -186,6 +191,8 @@
         self._on_notice = on_notice
         self._on_outcome = on_outcome
         self._on_unreachable = on_unreachable
+        self._on_reachable = on_reachable
+        self._is_probing = False
         #: Name of the target instance that requests are meant for.
         self.instance = ""
         self._exchange_by_ticket: dict[int, _Exchange] = {}
@@ -256,25 +263,31 @@
     def probe(self) -> None:
         """Open a connection to learn whether the target still listens.
 
-        If it does not, `on_unreachable` is called; else the connection is kept for the
-        next request. Does nothing while a connection is being opened.
+        If it does, `on_reachable` is called, and the connection is kept for the next
+        request; if it refuses, `on_unreachable`. Does nothing while a probe is under
+        way.
         """
-        if any(not each.is_open for each in self._connection_by_sock.values()):
+        if self._is_probing:
             return
         connection = _Connection(
-            ResponseStreamReader(MAX_HEAD_BYTES, MAX_ANSWER_BYTES), time.monotonic()
+            ResponseStreamReader(MAX_HEAD_BYTES, MAX_ANSWER_BYTES),
+            time.monotonic(),
+            is_probe=True,
         )
 
         def on_open() -> None:
             connection.is_open = True
             connection.idle_since = time.monotonic()
             self._idle.append(sock)
+            self._is_probing = False
+            self._on_reachable()
 
         try:
             sock = self.open(split_address(self.address), on_open)
         except OSError as error:
             self._on_unreachable(error.errno == ECONNREFUSED)
             return
+        self._is_probing = True
         self._connection_by_sock[sock] = connection
 
     def cancel(self, ticket: int) -> None:
@@ -364,9 +377,10 @@
         if sock in self._idle:
             self._idle.remove(sock)
         exchange, connection.exchange = connection.exchange, None
-        is_refused = self.connect_error == ECONNREFUSED
-        if not connection.is_open and (exchange is not None or is_refused):
-            self._on_unreachable(is_refused)
+        if not connection.is_open:
+            self._is_probing &= not connection.is_probe
+            if exchange is not None or connection.is_probe:
+                self._on_unreachable(self.connect_error == ECONNREFUSED)
         if exchange is None:
             # Idle, or closed here because its request was cancelled: no sign of the
             # target's state.
--- a/rhubarbhall/programs/router_suspects.py
+++ b/rhubarbhall/programs/router_suspects.py
@@ -31,7 +31,8 @@
 _MS_PER_S = 1000
 
 
-def _push(records: Iterable[SuspectRecord]) -> SuspectsPush:
+def suspects_push(records: Iterable[SuspectRecord]) -> SuspectsPush:
+    """Return the message to peers for records of suspects."""
     return SuspectsPush(
         [
             SuspectEntry(
@@ -98,13 +99,13 @@
         news = self.suspects.take_news(now)
         if news:
             self._suspects_pushed_at = now
-            self.links.push_suspects(_push(news))
+            self.links.push_suspects(suspects_push(news))
 
     def _send_all_suspects(self, address: Address) -> None:
         """Send all suspects to a peer whose connection was opened."""
         records = list(self.suspects.records(self._advance_timers()))
         for first in range(0, len(records), MAX_NEWS):
-            push = _push(records[first : first + MAX_NEWS])
+            push = suspects_push(records[first : first + MAX_NEWS])
             self.links.send_suspects(address, push)
 
     def clear_suspect(self, fingerprint: str) -> bool:
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -250,7 +250,7 @@
     def _on_target_outcome(self, ticket: int, outcome: Outcome) -> None:
         self.admission_queue.finish(self._advance_timers(), ticket, outcome)
         if outcome == Unknown(ErrorKind.ANSWER_LOST):
-            # Nothing else might show soon that the target has ended.
+            # Nothing else might show soon whether the target has ended.
             self.target.probe()
 
     def _on_target_notice(self, ticket: int, notice: TargetNotice) -> None:
@@ -269,6 +269,9 @@
             fields = {"run": self.target_keys.run, "rate": rate}
             self.log_event(LogEvent(218, fields))
 
+    def _on_target_reachable(self) -> None:
+        self.admission_queue.resume(self._advance_timers())
+
     def _on_target_unreachable(self, refused: bool) -> None:
         now = self._advance_timers()
         if refused:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -235,6 +235,7 @@
             settings.target_address,
             self._on_target_outcome,
             self._on_target_unreachable,
+            self._on_target_reachable,
             self._on_target_notice,
         )
         self.key_requests = KeyRequestClient(
--- a/tests/core/traffic/test_suspect_runs.py
+++ b/tests/core/traffic/test_suspect_runs.py
@@ -5,7 +5,10 @@
 from dataclasses import replace
 
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.traffic.admission_queue import MAX_ISOLATION_WAIT_S
+from rhubarbhall.core.traffic.admission_queue import (
+    MAX_ISOLATION_WAIT_S,
+    PROBE_TIMEOUT_S,
+)
 from rhubarbhall.core.traffic.crash_suspects import fingerprint_of
 from rhubarbhall.core.traffic.requests import NotRun, Unknown
 from tests.core.traffic.test_admission_queue import ANSWER, REQUEST, AdmissionQueueCase
@@ -78,6 +81,26 @@
         self.submit(0.0, "1", path="/b", is_suspected=True)
         self.assertEqual(self.sent_paths(), ["/a"])
 
+    # Guards against: waiting requests lost on connections to a target that has ended.
+    def test_after_a_lost_answer_nothing_is_sent_until_the_target_was_probed(self):
+        self.submit(0.0, "0", path="/a")
+        self.queue.limit.resize(1)
+        self.submit(0.0, "1", path="/b")
+        lost = Unknown(ErrorKind.ANSWER_LOST)
+        self.queue.finish(0.1, next(iter(self.target.sent)), lost)
+        self.queue.expire(0.2)
+        self.assertEqual(self.sent_paths(), ["/a"])
+        self.queue.resume(0.2)
+        self.assertEqual(self.sent_paths(), ["/a", "/b"])
+
+    def test_a_probe_without_result_holds_requests_up_for_a_short_time(self):
+        self.submit(0.0, "0", path="/a")
+        lost = Unknown(ErrorKind.ANSWER_LOST)
+        self.queue.finish(0.1, next(iter(self.target.sent)), lost)
+        self.submit(0.2, "1", path="/b")
+        self.queue.expire(0.1 + PROBE_TIMEOUT_S)
+        self.assertEqual(self.sent_paths(), ["/a", "/b"])
+
     def test_lost_answers_are_kept_until_the_target_answers_again(self):
         self.suspect("/a", 2)
         self.submit(0.0, "0", path="/a")
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -21,12 +21,14 @@
         port = self.listener.getsockname()[1]
         self.outcomes: list = []
         self.unreachable: list[bool] = []
+        self.reachable: list[bool] = []
         self.notices: list[tuple[int, TargetNotice]] = []
         self.client = HttpTargetClient(
             "target-test",
             f"127.0.0.1:{port}",
             lambda ticket, outcome: self.outcomes.append(outcome),
             self.unreachable.append,
+            lambda: self.reachable.append(True),
             lambda ticket, notice: self.notices.append((ticket, notice)),
         )
         self.addCleanup(self.client.close)
@@ -54,6 +56,30 @@
         self.assertEqual(len(self.outcomes), 1)
 
 
+class ProbeTests(TargetClientCase):
+    def probe(self) -> None:
+        for _ in range(2):
+            self.client.probe()
+        for _ in range(20):
+            self.loop.manager.tick(0.01)
+
+    # Guards against: a target that has ended not told from a connection that was reset.
+    def test_a_target_without_a_listener_refuses_the_probe(self):
+        self.listener.close()
+        self.probe()
+        self.assertEqual((self.unreachable, self.reachable), ([True], []))
+        self.probe()
+        self.assertEqual(self.unreachable, [True, True])
+
+    def test_a_target_that_listens_accepts_one_connection_which_is_used(self):
+        self.probe()
+        self.assertEqual((self.unreachable, self.reachable), ([], [True]))
+        connection, _ = self.listener.accept()
+        self.addCleanup(connection.close)
+        self.client.send(1, REQUEST, 0.0)
+        self.assertIn(b"HTTP/1.1", connection.recv(1000))
+
+
 class AnsweringTargetCase(TargetClientCase):
     """A target whose answers the test writes byte by byte."""
 
