--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -20,7 +20,11 @@
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects, Standing
 from rhubarbhall.core.traffic.lost_runs import LostRuns
 from rhubarbhall.core.traffic.queue_entries import QueueEntry, Urgency
-from rhubarbhall.core.traffic.queue_estimates import LateService, RouteDurations
+from rhubarbhall.core.traffic.queue_estimates import (
+    LateService,
+    RouteDurations,
+    room_after_s,
+)
 from rhubarbhall.core.traffic.rate_limit import RateLimit
 from rhubarbhall.core.traffic.requests import (
     Load,
@@ -64,9 +68,6 @@
 #: Share of its total time that a request which misses the target latency waits before
 #: it is refused with a time to retry after.
 MAX_LATE_WAIT_SHARE = 0.2
-#: Share of the remaining time after which the caller of such a request is asked to
-#: retry; callers wait at most a third of it.
-RETRY_AFTER_SHARE = 0.3
 #: Minimum time to retry after in a refusal for overload.
 MIN_RETRY_AFTER_S = 0.05
 #: Minimum remaining time for which any request is sent to the target.
@@ -74,8 +75,6 @@
 #: Maximum time without new attempts after an answer was lost, until it is known whether
 #: the target has ended.
 PROBE_TIMEOUT_S = 0.5
-#: Maximum time for which a request that has to run alone holds up the others.
-MAX_ISOLATION_WAIT_S = 1.0
 
 
 class AdmissionQueue:
@@ -118,7 +117,7 @@
         self._target = target
         self._key_ownership = key_ownership
         self._suspects = suspects
-        self._suspect_runs = SuspectRuns()
+        self._suspect_runs = SuspectRuns(suspects)
         self.lost_runs = LostRuns()
         self._tickets = itertools.count(1)
         self._waiting = WaitingRequests()
@@ -234,15 +233,10 @@
         needed_s = wait_s + self.durations.mean_s(request.route)
         is_full = len(self._waiting) >= self._max_waiting()
         if is_full or now + needed_s > request.deadline:
-            retry_after_s = min(wait_s, self._room_after_s(now, request))
+            retry_after_s = min(wait_s, room_after_s(now, request))
             return NotRun(ErrorKind.OVERLOADED, max(retry_after_s, MIN_RETRY_AFTER_S))
         return None
 
-    @staticmethod
-    def _room_after_s(now: Seconds, request: RoutedRequest) -> Seconds:
-        """Return the time after which the caller of a refused request may try again."""
-        return max(0.0, RETRY_AFTER_SHARE * (request.deadline - now))
-
     def _late_wait_s(
         self, now: Seconds, request: RoutedRequest, urgency: Urgency
     ) -> Seconds:
@@ -354,27 +348,13 @@
 
         A suspect that may not be run at all is refused.
         """
-        entry.standing = self._standing(now, entry.request)
-        refusal = self._suspect_refusal(now, entry)
+        self._suspect_runs.update_standing(now, entry)
+        refusal = self._suspect_runs.refusal(now, entry, self._running)
         if refusal is not None:
             self._refuse_dequeued(entry, refusal)
             return False
         return self._suspect_runs.may_begin(entry, self._running)
 
-    def _standing(self, now: Seconds, request: RoutedRequest) -> Standing:
-        standing = self._suspects.standing(now, request)
-        return max(standing, Standing.SUSPECT) if request.is_suspected else standing
-
-    def _suspect_refusal(self, now: Seconds, entry: QueueEntry) -> NotRun | None:
-        """Return the refusal of a suspect that may not run; none if it may, later."""
-        if entry.standing is Standing.REJECTED:
-            return NotRun(ErrorKind.CRASHES_TARGETS)
-        has_waited = now - entry.arrived_at > MAX_ISOLATION_WAIT_S
-        if has_waited and not self._suspect_runs.may_begin(entry, self._running):
-            retry_after_s = self._room_after_s(now, entry.request)
-            return NotRun(ErrorKind.OVERLOADED, retry_after_s)
-        return None
-
     def _send(self, now: Seconds, entry: QueueEntry) -> None:
         request = entry.request
         if request.deadline - now < self._min_work_s(request):
@@ -594,7 +574,7 @@
         self.dispatch(now)
 
     def _refuse_overloaded(self, now: Seconds, entry: QueueEntry) -> None:
-        retry_after_s = self._room_after_s(now, entry.request)
+        retry_after_s = room_after_s(now, entry.request)
         self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
 
     def _refuse_unservable(self, now: Seconds) -> None:
--- a/rhubarbhall/core/traffic/queue_estimates.py
+++ b/rhubarbhall/core/traffic/queue_estimates.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.traffic.requests import RoutedRequest
     from rhubarbhall.types import Seconds
 
 #: Weight of a new sample in the mean duration of a route.
@@ -26,6 +27,14 @@
 RELIEF_TIME_S = 1.5
 #: Window of the rate at which requests that miss the target latency get a slot.
 LATE_RATE_WINDOW_S = 1.0
+#: Share of the remaining time after which the caller of a refused request is asked to
+#: retry; callers wait at most a third of it.
+RETRY_AFTER_SHARE = 0.3
+
+
+def room_after_s(now: Seconds, request: RoutedRequest) -> Seconds:
+    """Return the time after which the caller of a refused request may try again."""
+    return max(0.0, RETRY_AFTER_SHARE * (request.deadline - now))
 
 
 class RouteDurations:
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -25,6 +25,11 @@
     RequestLog,
 )
 from rhubarbhall.core.traffic.queue_estimates import RouteDurations
+from rhubarbhall.core.traffic.request_limits import (
+    RETRY_DETECTION_S,
+    EarlierAttempts,
+    time_limit_s,
+)
 from rhubarbhall.core.traffic.requests import (
     Answered,
     NotRun,
@@ -57,12 +62,6 @@
 #: Time after which callers are asked to retry if the owner of the key is lost. A
 #: takeover lasts seconds, and callers retry before their own deadline in any case.
 LOST_OWNER_RETRY_AFTER_S = 1.0
-#: Time limit of a request whose caller states none.
-DEFAULT_TIMEOUT_S = 30.0
-#: Time before the caller's own deadline at which it gets the outcome.
-REPLY_MARGIN_S = 0.01
-#: Time spent in earlier attempts above which a request counts as a retry.
-RETRY_DETECTION_S = 0.03
 #: Minimum time until the deadline for which a request is sent again.
 MIN_REPEAT_TIME_S = 0.03
 #: Lowest HTTP status of a server error.
@@ -131,7 +130,7 @@
         self.budget_by_service: dict[str, ServiceRetryBudget] = {}
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
-        self._longest_timeout_by_route: dict[str, Seconds] = {}
+        self._earlier_attempts = EarlierAttempts()
         self._answer_times = RouteDurations()
         #: Time at which the process exits, so that callers need outcomes by then.
         self._drain_end: Seconds = float("inf")
@@ -172,7 +171,7 @@
         if route is None:
             reply(NotRun(ErrorKind.NO_ROUTE))
             return None
-        wanted_until = now + self._time_limit_s(caller_request, route)
+        wanted_until = now + time_limit_s(caller_request, route)
         request = self._routed_request(now, caller_request, route, wanted_until)
         if self._is_by_key(request.service) and request.key is None:
             reply(NotRun(ErrorKind.KEY_MISSING))
@@ -186,14 +185,6 @@
         self._send_to_next(now, pending)
         return pending.ticket
 
-    @staticmethod
-    def _time_limit_s(caller_request: CallerRequest, route: HostRoute) -> Seconds:
-        """Return for how long the caller wants the answer, in seconds."""
-        time_limit_s = (caller_request.timeout_s or DEFAULT_TIMEOUT_S) - REPLY_MARGIN_S
-        if route.timeout_s is None:
-            return time_limit_s
-        return min(time_limit_s, route.timeout_s)
-
     def _routed_request(
         self,
         now: Seconds,
@@ -202,7 +193,7 @@
         wanted_until: Seconds,
     ) -> RoutedRequest:
         service = self.routing.choose_part(route)
-        spent_s = self._time_already_spent_s(route.name, caller_request.timeout_s)
+        spent_s = self._earlier_attempts.spent_s(route.name, caller_request.timeout_s)
         return RoutedRequest(
             id=caller_request.id,
             service=service,
@@ -222,21 +213,6 @@
             max_attempts=route.max_attempts,
         )
 
-    def _time_already_spent_s(self, route: str, timeout_s: Seconds | None) -> Seconds:
-        """Return how long the caller has waited in earlier attempts, in seconds.
-
-        Callers of one route start with the same timeout and state the remaining time
-        when they retry. The difference to the longest timeout of the route is therefore
-        the time already spent.
-        """
-        if timeout_s is None:
-            return 0.0
-        longest_timeout_s = max(
-            timeout_s, self._longest_timeout_by_route.get(route, 0.0)
-        )
-        self._longest_timeout_by_route[route] = longest_timeout_s
-        return longest_timeout_s - timeout_s
-
     def _is_by_key(self, service: str) -> bool:
         rules = self.routing.services_by_name.get(service)
         return rules is not None and rules.by_key
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -12,21 +12,42 @@
 from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
+from rhubarbhall.core.ownership.peer_selection import readers_before
 from rhubarbhall.core.ownership.publisher import directory_topic
-from rhubarbhall.core.ownership.store_port import offset_of
+from rhubarbhall.core.ownership.store_port import (
+    ANSWER_TIMEOUT_S,
+    LongPoll,
+    offset_of,
+)
 from rhubarbhall.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC
 from rhubarbhall.platform.operator import parse_configuration, read_version
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import Entry, Rejected
     from rhubarbhall.core.traffic.routes import RoutingTable
-    from rhubarbhall.types import Offset, Seconds, StoreEpoch
+    from rhubarbhall.types import Address, Offset, Seconds, StoreEpoch
 
 #: Stands for no configuration, below all versions.
 NO_VERSION = -1
 #: Time after the start for which a daemon waits for a peer to compare configurations
 #: with, in seconds: connections, and a ping to another region.
 COMPARISON_TIMEOUT_S = 4.5
+#: Range of the directory age, in seconds, above which a reader reads; each check
+#: draws its limit from it at random.
+READER_MAX_AGE_RANGE_S = (2.0, 3.5)
+#: The same range for the other daemons. They learn from peers how old directories are,
+#: and read only if that does not reach them.
+DIRECTORY_MAX_AGE_RANGE_S = (4.5, 6.0)
+#: Number of live daemons of each region that read the operators' configuration with
+#: short polls, so that they notice in time that a connection has gone silent.
+SHORT_POLL_READERS = 2
+#: Shares of the time in which a configuration has to be in force: how long the store
+#: holds such a poll while there is nothing new, and how long the answer may take then.
+#: The rest is for another read and for passing the configuration on.
+SHORT_POLL_HOLD_SHARE = 0.45
+SHORT_POLL_ANSWER_SHARE = 0.25
+#: Poll of the other readers.
+CONFIGURATION_POLL = LongPoll(8.0, ANSWER_TIMEOUT_S)
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
 
@@ -37,6 +58,34 @@
     def _count_store_call(self, call: str, result: str) -> None:
         self.request_log.metrics.store_calls[call, result] += 1
 
+    def _needs_directory_read(self, now: Seconds) -> bool:
+        age_range_s = (
+            READER_MAX_AGE_RANGE_S if self._reads_store else DIRECTORY_MAX_AGE_RANGE_S
+        )
+        return self.read_lease.age_s(now) > self._rng.uniform(*age_range_s)
+
+    def _needs_configuration_read(self, now: Seconds) -> bool:
+        """Return whether no peer would pass on a new configuration."""
+        return self._reads_store or self._needs_directory_read(now)
+
+    def _configuration_poll(self, now: Seconds) -> LongPoll:
+        """Return how long a read of the operators' configuration may take."""
+        known = (self.local_address, self.settings.region, self._region_by_address)
+        before = readers_before(*known, lambda address: self._is_live(now, address))
+        if before >= SHORT_POLL_READERS:
+            return CONFIGURATION_POLL
+        bound_s = self.settings.configuration_s
+        return LongPoll(
+            SHORT_POLL_HOLD_SHARE * bound_s, SHORT_POLL_ANSWER_SHARE * bound_s
+        )
+
+    def _is_live(self, now: Seconds, address: Address) -> bool:
+        """Return whether a daemon of the local region runs, as far as is known."""
+        return not (
+            self.directory.is_lost(address)
+            or self.liveness.is_unresponsive(now, address, same_region=True)
+        )
+
     def _begin_epoch(self, epoch: StoreEpoch) -> None:
         """Read both topics again, as the store was restored from an older copy.
 
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -33,7 +33,6 @@
 from rhubarbhall.core.ownership.peer_selection import (
     RelayedLimits,
     is_reader,
-    readers_before,
     watched_peers,
 )
 from rhubarbhall.core.ownership.publisher import TOPIC, RecordPublisher
@@ -47,11 +46,7 @@
 from rhubarbhall.core.ownership.read_lease import ReadLease
 from rhubarbhall.core.ownership.reconciler import TableReconciler
 from rhubarbhall.core.ownership.records import Member
-from rhubarbhall.core.ownership.store_port import (
-    ANSWER_TIMEOUT_S,
-    NO_WAIT,
-    LongPoll,
-)
+from rhubarbhall.core.ownership.store_port import NO_WAIT
 from rhubarbhall.core.ownership.target_keys import TargetKeys
 from rhubarbhall.core.timers import TimerCallback, TimerService
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
@@ -96,28 +91,12 @@
 MIN_DIRECTORY_READ_INTERVAL_S = 2.0
 #: Number of daemons of each region that read the store on behalf of the others.
 READERS_PER_REGION = 4
-#: Range of the directory age, in seconds, above which such a daemon reads; each check
-#: draws its limit from it at random.
-READER_MAX_AGE_RANGE_S = (2.0, 3.5)
-#: The same range for the other daemons. They learn from peers how old directories are,
-#: and read only if that does not reach them.
-DIRECTORY_MAX_AGE_RANGE_S = (4.5, 6.0)
 #: Maximum number of owners that are asked for their load at a time, and the time after
 #: which others are asked, in seconds.
 MAX_LOAD_PEERS = 8
 LOAD_PEERS_INTERVAL_S = 2.0
 #: Time between two checks whether other peers are to be watched, in seconds.
 PEER_UPDATE_INTERVAL_S = 0.5
-#: Number of live daemons of each region that read the operators' configuration with
-#: short polls, so that they notice in time that a connection has gone silent.
-SHORT_POLL_READERS = 2
-#: Shares of the time in which a configuration has to be in force: how long the store
-#: holds such a poll while there is nothing new, and how long the answer may take then.
-#: The rest is for another read and for passing the configuration on.
-SHORT_POLL_HOLD_SHARE = 0.45
-SHORT_POLL_ANSWER_SHARE = 0.25
-#: Poll of the other readers.
-CONFIGURATION_POLL = LongPoll(8.0, ANSWER_TIMEOUT_S)
 #: Pause after each such read, in seconds, so that one read returns several changes.
 CONFIGURATION_READ_DELAY_S = 0.1
 #: Time between two pings of a peer in the local region, in seconds.
@@ -458,34 +437,6 @@
                 LogEvent(214, {"run": self.target_keys.run, "silence_s": silence_s})
             )
 
-    def _needs_directory_read(self, now: Seconds) -> bool:
-        age_range_s = (
-            READER_MAX_AGE_RANGE_S if self._reads_store else DIRECTORY_MAX_AGE_RANGE_S
-        )
-        return self.read_lease.age_s(now) > self._rng.uniform(*age_range_s)
-
-    def _needs_configuration_read(self, now: Seconds) -> bool:
-        """Return whether no peer would pass on a new configuration."""
-        return self._reads_store or self._needs_directory_read(now)
-
-    def _configuration_poll(self, now: Seconds) -> LongPoll:
-        """Return how long a read of the operators' configuration may take."""
-        known = (self.local_address, self.settings.region, self._region_by_address)
-        before = readers_before(*known, lambda address: self._is_live(now, address))
-        if before >= SHORT_POLL_READERS:
-            return CONFIGURATION_POLL
-        bound_s = self.settings.configuration_s
-        return LongPoll(
-            SHORT_POLL_HOLD_SHARE * bound_s, SHORT_POLL_ANSWER_SHARE * bound_s
-        )
-
-    def _is_live(self, now: Seconds, address: Address) -> bool:
-        """Return whether a daemon of the local region runs, as far as is known."""
-        return not (
-            self.directory.is_lost(address)
-            or self.liveness.is_unresponsive(now, address, same_region=True)
-        )
-
     def _update_members(self) -> None:
         """Let requests go to the daemons that the directory names now."""
         if self.directory.member_version == self._member_version:
--- a/tests/core/traffic/test_suspect_runs.py
+++ b/tests/core/traffic/test_suspect_runs.py
@@ -5,12 +5,10 @@
 from dataclasses import replace
 
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.traffic.admission_queue import (
-    MAX_ISOLATION_WAIT_S,
-    PROBE_TIMEOUT_S,
-)
+from rhubarbhall.core.traffic.admission_queue import PROBE_TIMEOUT_S
 from rhubarbhall.core.traffic.crash_suspects import fingerprint_of
 from rhubarbhall.core.traffic.requests import NotRun, Unknown
+from rhubarbhall.core.traffic.suspect_runs import MAX_ISOLATION_WAIT_S
 from tests.core.traffic.test_admission_queue import ANSWER, REQUEST, AdmissionQueueCase
 
 
