Suspect requests that were given up before their target ended, too

Now a request that was cancelled or abandoned while it ran counts as one whose answer was lost, until the target answers a later one; it is never taken for having run alone, as others may begin beside it. At most 100 are kept. Open: such a request is isolated, but not rejected, as long as all its callers leave.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -430,6 +430,8 @@
             return True
         if entry.request.idempotent:
             self._target.cancel(ticket)
+            # It may still run, and no longer alone.
+            self.lost_runs.record_lost(now, entry.request, was_alone=False)
             self._release_slot(entry)
             self.dispatch(now)
         return False
@@ -608,6 +610,7 @@
         """Free the slot of a request that the target has not answered in time."""
         self.durations.record_unfinished(entry.request.route, now - entry.sent_at)
         self._target.cancel(entry.ticket)
+        self.lost_runs.record_lost(now, entry.request, was_alone=False)
         self._release_slot(entry)
         entry.on_outcome(Unknown(ErrorKind.DEADLINE_PASSED))
 
--- a/rhubarbhall/core/traffic/lost_runs.py
+++ b/rhubarbhall/core/traffic/lost_runs.py
@@ -1,11 +1,13 @@
-"""Requests whose answer the local target has lost, until it is known why.
+"""Requests at the local target whose answer does not come, until it is known why.
 
-One connection may have been reset, or the target has ended. If it has, no answer to a
-later request comes, connections are refused, and another run of it reports.
+One connection may have been reset or given up here, or the target has ended. If it has,
+no answer to a later request comes, connections are refused, and another run of it
+reports.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,6 +21,8 @@
 
 #: Time after which a lost answer is no sign of the target's end, in seconds.
 MAX_AGE_S = 10.0
+#: Maximum number of requests that are kept, the latest.
+MAX_RUNS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +52,7 @@
     """The requests whose answer was lost since the target has answered last."""
 
     def __init__(self) -> None:
-        self._runs: list[LostRun] = []
+        self._runs: deque[LostRun] = deque(maxlen=MAX_RUNS)
 
     def record_lost(
         self, now: Seconds, request: RoutedRequest, was_alone: bool
@@ -60,9 +64,11 @@
 
     def record_answer(self, sent_at: Seconds) -> None:
         """Take an answer as a sign that the target ran when its request was sent."""
-        self._runs = [run for run in self._runs if run.lost_at > sent_at]
+        while self._runs and self._runs[0].lost_at <= sent_at:
+            self._runs.popleft()
 
     def take(self, now: Seconds) -> list[LostRun]:
         """Return and forget all, as the target has ended."""
-        runs, self._runs = self._runs, []
-        return [run for run in runs if now - run.lost_at <= MAX_AGE_S]
+        runs = [run for run in self._runs if now - run.lost_at <= MAX_AGE_S]
+        self._runs.clear()
+        return runs
--- a/tests/core/traffic/test_suspect_runs.py
+++ b/tests/core/traffic/test_suspect_runs.py
@@ -99,6 +99,18 @@
         self.queue.expire(0.1 + PROBE_TIMEOUT_S)
         self.assertEqual(self.sent_paths(), ["/a", "/b"])
 
+    # Guards against: a request that crashes targets not suspected, as its callers leave
+    # or its deadline passes before the target ends.
+    def test_a_request_that_was_given_up_is_suspected_as_well(self):
+        ticket = self.submit(0.0, "0", path="/a")
+        self.submit(0.0, "1", path="/b", deadline=0.5)
+        self.submit(0.0, "2", path="/c", idempotent=False)
+        self.queue.cancel(0.1, ticket)
+        self.queue.expire(0.8)
+        lost = self.queue.lost_runs.take(0.9)
+        self.assertEqual([run.path for run in lost], ["/a", "/b"])
+        self.assertFalse(any(run.was_alone for run in lost))
+
     def test_lost_answers_are_kept_until_the_target_answers_again(self):
         self.suspect("/a", 2)
         self.submit(0.0, "0", path="/a")
