--- a/rhubarbhall/core/traffic/crash_suspects.py
+++ b/rhubarbhall/core/traffic/crash_suspects.py
@@ -225,7 +225,7 @@
 
     def records(self, now: Seconds) -> Iterator[SuspectRecord]:
         """Yield all suspects, those that are treated most severely first."""
-        self._forget_old(now)
+        self.forget_old(now)
         for fingerprint in sorted(
             self._suspect_by_fingerprint,
             key=lambda each: -self._suspect_by_fingerprint[each].standing(now),
@@ -263,11 +263,15 @@
         else:
             self._active.add(fingerprint)
         if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
-            self._forget_old(now)
+            self.forget_old(now)
         if len(self._suspect_by_fingerprint) > MAX_SUSPECTS:
             self._drop_least(now)
 
-    def _forget_old(self, now: Seconds) -> None:
+    def forget_old(self, now: Seconds) -> None:
+        """Forget suspects that have not changed for `KEPT_S`.
+
+        To be called regularly: while there are suspects, each request is digested.
+        """
         for fingerprint, suspect in list(self._suspect_by_fingerprint.items()):
             if now - suspect.changed_at > KEPT_S:
                 self._drop(fingerprint)
--- a/rhubarbhall/programs/router_suspects.py
+++ b/rhubarbhall/programs/router_suspects.py
@@ -28,6 +28,8 @@
 MAX_LOGGED_PATH = 200
 #: Minimum time between two messages with news to all watched peers, in seconds.
 NEWS_INTERVAL_S = 0.1
+#: Time between two looks for suspects that have not changed for long, in seconds.
+FORGET_INTERVAL_S = 60.0
 _MS_PER_S = 1000
 
 
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -71,7 +71,7 @@
     file_version,
 )
 from rhubarbhall.programs.router_store import MAX_CALLER_CONNECTIONS, StoreHandlers
-from rhubarbhall.programs.router_suspects import SuspectHandlers
+from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
     LocalKeyOwnership,
     TargetHandlers,
@@ -370,6 +370,7 @@
             (PEER_PING_INTERVAL_S, self._ping_nearby_peer),
             (PEER_UPDATE_INTERVAL_S, self._update_watched_peers),
             (RENEWAL_INTERVAL_S, self._request_renewals),
+            (FORGET_INTERVAL_S, self.suspects.forget_old),
         ):
             self.timers.every(
                 interval_s, TimerCallback(callback), first=now + interval_s
--- a/tests/core/traffic/test_crash_suspects.py
+++ b/tests/core/traffic/test_crash_suspects.py
@@ -184,8 +184,11 @@
     def test_suspects_are_forgotten_after_a_while(self):
         suspects = CrashSuspects()
         self.fill(suspects, 5)
-        self.assertEqual(list(suspects.records(KEPT_S + 2.0)), [])
+        suspects.forget_old(KEPT_S)
+        self.assertEqual(len(suspects), 5)
+        suspects.forget_old(KEPT_S + 2.0)
         self.assertEqual(len(suspects), 0)
+        self.assertEqual(list(suspects.records(KEPT_S + 2.0)), [])
         old = SuspectRecord(REQUEST_MARK, 0, (1,), False, KEPT_S + 1.0)
         self.assertFalse(suspects.merge(0.0, [old]))
 
