--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -9,6 +9,7 @@
 from rhubarbhall.core.ownership.follower import MAX_BACKOFF_S, TopicFollower
 from rhubarbhall.core.ownership.store_port import (
     NO_WAIT,
+    LongPoll,
     NewestPage,
     Tail,
     Trimmed,
@@ -151,6 +152,28 @@
         self.store.answer(Tail((), 5, 5))
         self.assertEqual(self.contact, [True, False, True])
 
+    # Guards against: a store that answers slowly for a while never read, as each read
+    # is given the same short time.
+    def test_a_read_after_a_failure_has_more_time_for_its_answer(self):
+        polls = []
+        self.store.read_tail = lambda topic, offset, poll, on_done: (
+            polls.append(poll),
+            self.store.calls.append(("tail", offset, on_done)),
+        )
+        self.follower._poll = lambda now: LongPoll(1.0, 0.5)
+        self.load_directory()
+        self.fire_timers(2.0)
+        now = 2.0
+        for _ in range(4):
+            self.store.answer(Unavailable("slow"))
+            now += 1.3 * MAX_BACKOFF_S
+            self.fire_timers(now)
+        timeouts = [poll.answer_timeout_s for poll in polls]
+        self.assertEqual(timeouts, [0.5, 0.5, 1.0, 2.0, 2.5, 2.5])
+        self.assertEqual(
+            [poll.hold_s for poll in polls], [0.0, 1.0, 0.0, 0.0, 0.0, 0.0]
+        )
+
     def test_the_answer_to_an_abandoned_read_changes_nothing(self):
         self.load_directory()
         self.fire_timers(2.0)
--- a/tests/core/ownership/test_peer_selection.py
+++ b/tests/core/ownership/test_peer_selection.py
@@ -11,6 +11,7 @@
     WHOLE_REGION_SIZE,
     RelayedLimits,
     is_reader,
+    readers_before,
     relay_plan,
     watched_peers,
 )
@@ -27,6 +28,30 @@
     }
 
 
+class ReadersTests(unittest.TestCase):
+    # Guards against: nobody notices a silent connection in time, as the daemons that
+    # would are lost.
+    def test_the_next_live_daemons_of_a_region_take_the_place_of_lost_ones(self):
+        region_by_address = fleet(12, 2)
+        ring = sorted(
+            each for each in region_by_address if region_by_address[each] == "r1"
+        )
+        for lost in (set(), {ring[0]}, {ring[0], ring[1], ring[4]}):
+            live = [each for each in ring if each not in lost]
+            first = [
+                each
+                for each in live
+                if readers_before(
+                    each,
+                    "r1",
+                    region_by_address,
+                    lambda peer, lost=lost: peer not in lost,
+                )
+                < 2
+            ]
+            self.assertEqual(first, live[:2])
+
+
 class WatchedPeersTests(unittest.TestCase):
     def test_a_small_region_is_watched_as_a_whole(self):
         region_by_address = fleet(18, 3)
