--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -151,10 +151,11 @@
     def _short_read(self, now: Seconds) -> LongPoll:
         """Return a read without a wait, with more time for its answer after failures.
 
-        A store that is slow for a while would otherwise never be read.
+        A store that is slow for a while would otherwise never be read. The first
+        failure may be a connection that has gone silent, which the next one may too.
         """
         first_s = self._poll(now).answer_timeout_s
-        timeout_s = backoff_s(first_s, ANSWER_TIMEOUT_S, self._failures + 1)
+        timeout_s = backoff_s(first_s, ANSWER_TIMEOUT_S, max(1, self._failures))
         return LongPoll(0.0, timeout_s)
 
     def _read_tail(self, now: Seconds, poll: LongPoll) -> None:
