--- a/benchmarks/crash_suspects.py
+++ b/benchmarks/crash_suspects.py
@@ -10,8 +10,8 @@
 
 from benchmarks.report import Table
 from rhubarbhall.core.traffic.crash_suspects import (
-    MAX_NEWS,
     MAX_SUSPECTS,
+    MAX_UPDATES,
     CrashSuspects,
     fingerprint_of,
 )
@@ -65,8 +65,8 @@
     suspects = _full_suspects()
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    message = msgspec.msgpack.encode(suspects_push(suspects.take_news(1.0)))
+    message = msgspec.msgpack.encode(suspects_push(suspects.take_updates(1.0)))
     sizes = Table("Crash suspects", ("what", "bytes"))
     sizes.add(f"{MAX_SUSPECTS} suspects in memory", held)
-    sizes.add(f"message with {MAX_NEWS} of them", len(message))
+    sizes.add(f"message with {MAX_UPDATES} of them", len(message))
     return [times, sizes]
--- a/rhubarbhall/core/traffic/crash_suspects.py
+++ b/rhubarbhall/core/traffic/crash_suspects.py
@@ -46,7 +46,7 @@
 #: dropped.
 MAX_SUSPECTS = 1000
 #: Maximum number of records that are passed on at a time.
-MAX_NEWS = 64
+MAX_UPDATES = 64
 
 
 class Standing(enum.IntEnum):
@@ -132,7 +132,7 @@
         #: Those that are not clear.
         self._active: set[Fingerprint] = set()
         #: Suspects to pass on, in the order of their changes.
-        self._news: dict[Fingerprint, None] = {}
+        self._updates: dict[Fingerprint, None] = {}
 
     def __len__(self) -> int:
         return len(self._active)
@@ -212,11 +212,11 @@
         self._store(now, record.fingerprint, known)
         return True
 
-    def take_news(self, now: Seconds) -> list[SuspectRecord]:
-        """Return what has changed and was not passed on, at most `MAX_NEWS` records."""
-        fingerprints = list(self._news)[:MAX_NEWS]
+    def take_updates(self, now: Seconds) -> list[SuspectRecord]:
+        """Return changes not passed on yet, at most `MAX_UPDATES` records."""
+        fingerprints = list(self._updates)[:MAX_UPDATES]
         for fingerprint in fingerprints:
-            del self._news[fingerprint]
+            del self._updates[fingerprint]
         return [
             self._record(now, fingerprint)
             for fingerprint in fingerprints
@@ -257,7 +257,7 @@
 
     def _store(self, now: Seconds, fingerprint: Fingerprint, suspect: _Suspect) -> None:
         self._suspect_by_fingerprint[fingerprint] = suspect
-        self._news[fingerprint] = None
+        self._updates[fingerprint] = None
         if suspect.standing(now) is Standing.CLEAR:
             self._active.discard(fingerprint)
         else:
@@ -285,5 +285,5 @@
 
     def _drop(self, fingerprint: Fingerprint) -> None:
         del self._suspect_by_fingerprint[fingerprint]
-        self._news.pop(fingerprint, None)
+        self._updates.pop(fingerprint, None)
         self._active.discard(fingerprint)
--- a/rhubarbhall/programs/router_suspects.py
+++ b/rhubarbhall/programs/router_suspects.py
@@ -13,7 +13,7 @@
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.traffic.crash_suspects import (
-    MAX_NEWS,
+    MAX_UPDATES,
     Standing,
     SuspectRecord,
 )
@@ -26,8 +26,8 @@
 
 #: Characters of a path that the log shows.
 MAX_LOGGED_PATH = 200
-#: Minimum time between two messages with news to all watched peers, in seconds.
-NEWS_INTERVAL_S = 0.1
+#: Minimum time between two messages with updates to all watched peers, in seconds.
+UPDATE_INTERVAL_S = 0.1
 #: Time between two looks for suspects that have not changed for long, in seconds.
 FORGET_INTERVAL_S = 60.0
 _MS_PER_S = 1000
@@ -91,23 +91,23 @@
             self.log_event(LogEvent(220, fields))
 
     def _on_suspects_changed(self, now: Seconds) -> None:
-        self._push_suspect_news(now)
+        self._push_suspect_updates(now)
         self.admission_queue.on_suspects_changed(now)
 
-    def _push_suspect_news(self, now: Seconds) -> None:
+    def _push_suspect_updates(self, now: Seconds) -> None:
         """Pass on what has changed, unless that was done just now."""
-        if now - self._suspects_pushed_at < NEWS_INTERVAL_S:
+        if now - self._suspects_pushed_at < UPDATE_INTERVAL_S:
             return
-        news = self.suspects.take_news(now)
-        if news:
+        updates = self.suspects.take_updates(now)
+        if updates:
             self._suspects_pushed_at = now
-            self.links.push_suspects(suspects_push(news))
+            self.links.push_suspects(suspects_push(updates))
 
     def _send_all_suspects(self, address: Address) -> None:
         """Send all suspects to a peer whose connection was opened."""
         records = list(self.suspects.records(self._advance_timers()))
-        for first in range(0, len(records), MAX_NEWS):
-            push = suspects_push(records[first : first + MAX_NEWS])
+        for first in range(0, len(records), MAX_UPDATES):
+            push = suspects_push(records[first : first + MAX_UPDATES])
             self.links.send_suspects(address, push)
 
     def clear_suspect(self, fingerprint: str) -> bool:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -410,7 +410,7 @@
         self._check_target(now)
         self._request_keys(now)
         self.admission_queue.expire(now)
-        self._push_suspect_news(now)
+        self._push_suspect_updates(now)
         self._request_loads(now)
         self._request_replacement_votes(now)
         if self.witnessed_lease.remaining_s(now) <= 0:
--- a/tests/core/traffic/test_crash_suspects.py
+++ b/tests/core/traffic/test_crash_suspects.py
@@ -9,8 +9,8 @@
 
 from rhubarbhall.core.traffic.crash_suspects import (
     KEPT_S,
-    MAX_NEWS,
     MAX_SUSPECTS,
+    MAX_UPDATES,
     REJECTED_S,
     CrashSuspects,
     Standing,
@@ -126,7 +126,7 @@
             elif action == 2:
                 daemon.clear(now, REQUEST_MARK)
             else:
-                other.merge(now, daemon.take_news(now))
+                other.merge(now, daemon.take_updates(now))
         return daemons
 
     def test_in_any_order_and_repeated_they_conclude_the_same(self):
@@ -148,11 +148,11 @@
     def test_what_is_known_is_not_passed_on_again(self):
         first, second = CrashSuspects(), CrashSuspects()
         first.record_end(0.0, REQUEST_MARK, "i@1", False)
-        news = first.take_news(0.0)
-        self.assertTrue(second.merge(0.0, news))
-        self.assertEqual(len(second.take_news(0.0)), 1)
-        self.assertFalse(second.merge(0.1, news))
-        self.assertEqual(second.take_news(0.1), [])
+        updates = first.take_updates(0.0)
+        self.assertTrue(second.merge(0.0, updates))
+        self.assertEqual(len(second.take_updates(0.0)), 1)
+        self.assertFalse(second.merge(0.1, updates))
+        self.assertEqual(second.take_updates(0.1), [])
 
 
 class BoundsTests(unittest.TestCase):
@@ -171,7 +171,7 @@
         self.assertEqual(len(suspects), MAX_SUSPECTS)
         standing = suspects.standing(1.0, replace(REQUEST))
         self.assertIs(standing, Standing.REJECTED)
-        self.assertEqual(len(suspects.take_news(1.0)), MAX_NEWS)
+        self.assertEqual(len(suspects.take_updates(1.0)), MAX_UPDATES)
 
     def test_the_most_severe_are_passed_on_first(self):
         suspects = CrashSuspects()
