Say in plain words what three comments on crash suspects meant

Read afresh, three comments had to be read twice or gave no reason: why the router does not repeat an isolated request, why a lost answer says nothing of the target's end after 10 s, and what happens to a request that was cleared while it ran. Comments only, no change of behaviour; lint and the tests of suspects, stops, pages and layers pass.

--- a/rhubarbhall/core/traffic/crash_suspects.py
+++ b/rhubarbhall/core/traffic/crash_suspects.py
@@ -161,7 +161,8 @@
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None:
             suspect = _Suspect(0, now)
-        # Cleared meanwhile, as it was answered elsewhere: this end counts as the first.
+        # If another daemon has cleared the request while it ran, as it was answered
+        # there, this end counts as the first.
         is_confirmed = was_alone and suspect.standing(now) >= Standing.ISOLATED
         if is_confirmed and suspect.is_confirmed:
             suspect.version += 1
--- a/rhubarbhall/core/traffic/lost_runs.py
+++ b/rhubarbhall/core/traffic/lost_runs.py
@@ -19,7 +19,8 @@
 
 __all__ = ["LostRun", "LostRuns"]
 
-#: Time after which a lost answer is no sign of the target's end, in seconds.
+#: Time after which a lost answer is no sign of the target's end, in seconds. A target
+#: that has ended is back, and reports as another run, within some seconds.
 MAX_AGE_S = 10.0
 #: Maximum number of requests that are kept, the latest.
 MAX_RUNS = 100
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -470,7 +470,8 @@
         if outcome.kind is ErrorKind.ANSWER_LOST:
             pending.request.is_suspected = True
         self._chooser.view(address).record_failure(now)
-        # Only its caller may risk one more target for it.
+        # A request that has to run alone is not repeated here, as it may end another
+        # target; its caller may send it again.
         is_isolated = self._suspects.standing(now, pending.request) >= Standing.ISOLATED
         if not is_isolated and self._may_repeat(now, pending):
             self._send_to_next(now, pending)
