--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins and a deployment of real routers for the cases of the review."""
