--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,7 +32,7 @@
 
 
 async def play(record: Record) -> bool:
-    """Return whether more kept connections are closed without an answer than allowed."""
+    """Return whether more kept connections than allowed close without an answer."""
     deployment = Deployment(record, ["front", "pay", "pay"])
     resources = [
         route("credit", "/credit/", "non_idempotent", "pay", "5s"),
