--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,49 +1,51 @@
-"""One proper request with a large body has its router killed over its memory limit."""
+"""The last worker of a service that is divided by key is granted no keys any more."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 from pathlib import Path
 
 from harness.case import TROUBLE, run_case
-from harness.clients import Clients
+from harness.clients import Clients, Sent
 from harness.deployment import (
-    MEMORY_MB,
+    RECOVER_S,
     STABLE_WINDOW_S,
     Deployment,
     limits,
     route,
     service,
 )
-from harness.memory import MemoryLimit
 from harness.record import Record
 
-FRONT = 0
-#: Limit on bodies in force, and the body of the one large request, in bytes.
-MAX_BODY_BYTES = 64 << 20
-LARGE_BODY_BYTES = 60 << 20
-SMALL_BODY_BYTES = 1 << 10
-KEPT_CONNECTIONS = 12
-WORK_S = 1.0
-#: Closed connections that the rule allows.
-ALLOWED = 3
+FRONT, STAYING, REMOVED = 0, 1, 2
+#: Time from the kill of all processes to their start, in seconds.
+DOWN_S = 1.0
+#: Time of traffic before and after the fault, in seconds.
+BEFORE_S = 8.0
+AFTER_S = 60.0
+RATE_PER_S = 4.0
+#: Share of the requests that has to be served, before and after.
+NEEDED_SHARE = 0.25
 
 
-async def play(record: Record) -> bool:
-    """Return whether more kept connections than allowed close without an answer."""
-    deployment = Deployment(record, ["front", "pay", "pay"])
-    resources = [
-        route("credit", "/credit/", "non_idempotent", "pay", "5s"),
-        route("scan", "/scan/", "non_idempotent", "pay", "10s"),
+def _resources(timeout: str) -> list[dict]:
+    return [
+        route("status", "/status/", "idempotent", "board", timeout),
         service("front"),
-        service("pay"),
-        limits(MAX_BODY_BYTES),
+        service("board", by_key=True),
+        limits(),
     ]
+
+
+async def play(record: Record) -> bool:
+    """Return whether too few requests are served after the recovery time."""
+    deployment = Deployment(record, ["front", "board", "board"], frozenset({"board"}))
     try:
-        await deployment.start(resources, work_s=WORK_S)
+        await deployment.start(_resources("1s"))
         await deployment.wait_until_ready()
+        while not all(deployment.workers[vm].current_holds() for vm in (1, 2)):
+            await asyncio.sleep(0.1)
         await asyncio.sleep(STABLE_WINDOW_S + 1)
         return await _play_in(deployment, record)
     finally:
@@ -51,51 +53,56 @@
 
 
 async def _play_in(deployment: Deployment, record: Record) -> bool:
-    memory = MemoryLimit(deployment)
-    enforcing = asyncio.create_task(memory.enforce())
     clients = Clients(record, deployment.outbound(FRONT))
-    kept = [
+    traffic = [
         asyncio.create_task(
-            clients.keep_sending(16.0, "POST", "/credit/1", timeout_ms=5000)
+            clients.send_steadily(
+                RATE_PER_S,
+                BEFORE_S + AFTER_S,
+                "GET",
+                "/status/1",
+                timeout_ms=1000,
+                Shard_Key=key,
+            )
         )
-        for _ in range(KEPT_CONNECTIONS)
-    ]
-    await asyncio.sleep(4.0)
-    size = LARGE_BODY_BYTES if TROUBLE else SMALL_BODY_BYTES
-    body = random.Random(1).randbytes(size)
-    record.say(f"sending one request with a body of {size} bytes")
-    large = await clients.request("PUT", "/scan/1", timeout_ms=10000, body=body)
-    record.say(f"its status: {large.status} (0: the connection was closed)")
-    await asyncio.gather(*kept)
-    enforcing.cancel()
-    return _judge(deployment, record, clients, memory, large.request)
-
-
-def _judge(
-    deployment: Deployment,
-    record: Record,
-    clients: Clients,
-    memory: MemoryLimit,
-    large: str,
-) -> bool:
-    run = {
-        request for worker in deployment.workers.values() for _, request in worker.runs
-    }
-    closed = [
-        sent.request
-        for sent in clients.sent
-        if sent.status == 0 and sent.request in run and sent.request != large
+        for key in range(0, 65536, 8192)
     ]
-    peaks = {vm: round(peak) for vm, peak in sorted(memory.peak_mb.items())}
-    record.say(f"peak memory by VM: {peaks} MB, the limit is {MEMORY_MB} MB")
-    record.say(f"processes killed over the limit: {len(memory.kills)}")
+    await asyncio.sleep(BEFORE_S)
+    deployment.put_configuration(_resources("900ms"))
+    fault_at = record.now()
+    if TROUBLE:
+        record.say("all routers are killed, and one VM is removed for good")
+        deployment.workers[REMOVED].end()
+        for vm in list(deployment.routers):
+            deployment.kill_router(vm)
+        await asyncio.sleep(DOWN_S)
+        for vm in (FRONT, STAYING):
+            deployment.start_router(vm)
+    back_at = record.now()
+    await asyncio.gather(*traffic)
+    await clients.finish()
+    ready = [await deployment.is_ready(vm) for vm in (FRONT, STAYING)]
+    worker = deployment.workers[STAYING]
+    record.say(f"both VMs are ready: {all(ready)}; the worker is up: {worker.is_up}")
+    record.say(f"keys that it holds: {_held(worker)}")
+    before = [sent for sent in clients.sent if sent.sent_at < fault_at]
+    after = [sent for sent in clients.sent if sent.sent_at > back_at + RECOVER_S]
+    record.say(f"served before the fault: {_served(before)} of {len(before)}")
     record.say(
-        "requests from kept connections that a worker ran and whose connection was "
-        f"closed without an answer: {len(closed)}, allowed: {ALLOWED}"
+        f"served of those sent over {RECOVER_S:.0f} s after the VMs were back: "
+        f"{_served(after)} of {len(after)}"
     )
-    if not run:
-        raise RuntimeError("no request was run")
-    return len(closed) > ALLOWED
+    if _served(before) < NEEDED_SHARE * len(before):
+        raise RuntimeError("the deployment did not serve before the fault")
+    return _served(after) < NEEDED_SHARE * len(after)
+
+
+def _held(worker) -> int:
+    return sum(row.last - row.first + 1 for row in worker.current_holds())
+
+
+def _served(sent: list[Sent]) -> int:
+    return sum(each.status == 200 for each in sent)
 
 
 if __name__ == "__main__":
