--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
 DOWN_S = 1.0
 #: Time of traffic before and after the fault, in seconds.
 BEFORE_S = 8.0
-AFTER_S = 60.0
+AFTER_S = 45.0
 RATE_PER_S = 4.0
 #: Share of the requests that has to be served, before and after.
 NEEDED_SHARE = 0.25
