--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -167,12 +167,27 @@
         """Send a request and return its answer; none if the connection closed."""
 
         async def exchange() -> Message | None:
-            self.writer.write(encode(f"{method} {path} HTTP/1.1", headers, body))
-            await self.writer.drain()
-            return await read_message(self.reader)
+            try:
+                self.writer.write(encode(f"{method} {path} HTTP/1.1", headers, body))
+                await self.writer.drain()
+                return await read_message(self.reader)
+            except ConnectionError:
+                # An answer may have come before the reset.
+                answer = await self._received_before_reset()
+                if answer is None:
+                    raise
+                return answer
 
         return await asyncio.wait_for(exchange(), timeout_s)
 
+    async def _received_before_reset(self) -> Message | None:
+        received = asyncio.StreamReader(limit=READ_LIMIT)
+        received.feed_data(bytes(self.reader._buffer))
+        received.feed_eof()
+        with contextlib.suppress(BrokenOffError):
+            return await read_message(received)
+        return None
+
     def close(self) -> None:
         """Close the connection."""
         with contextlib.suppress(OSError):
