Keep a target's departure in the store before it is acknowledged

Cause: only the memory of the process knew of the departure. The next process took any first heartbeat for the present state and replaced its own record, which said that this run leaves. Once the target was silent, the record was replaced by one without its run anyway.

Ruled out: the other routers missing the departure. A test over sockets shows every directory with the target as ready, written by the router beside it.

Change: a member's record says that its run leaves, also once the target is gone; a process that starts takes this over, also if the heartbeat came before the records were read. DELETE and `draining` are acknowledged once the record is in the store, within 0.5 s, and answered 503 otherwise, so that a kill, a lost answer of the store or a store that is away leaves no acknowledgement without a record. A DELETE that reaches the next process before any heartbeat counts too (it was answered 200 and ignored). Heartbeats of earlier runs are told apart by the recorded run; one of a target whose clock went back is used once a second one confirms it, or at once after a run that has left.

--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -61,6 +61,10 @@
         Number of requests that the target works on at a time.
     state : TargetState
         Known state of the target.
+    leaves : bool
+        Whether the run has said that it leaves. It stays set once the target is gone,
+        so that a late heartbeat does not bring the run back after a restart of the
+        daemon. Records of earlier versions do not have it.
     """
 
     service: str
@@ -69,6 +73,12 @@
     run: str = ""
     slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 1
     state: TargetState = TargetState.GONE
+    leaves: bool = False
+
+    @property
+    def has_left_run(self) -> bool:
+        """Whether the run is not to be used again."""
+        return self.leaves or self.state is TargetState.LEAVING
 
 
 # The records are stored as arrays, so the order of the fields is part of their format.
--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
+from rhubarbhall.core.ownership.heartbeat_order import HeartbeatOrder, run_name
 from rhubarbhall.core.ownership.key_holdings import (
     GRANT_MARGIN_S,
     MAX_HOLD_S,
@@ -15,7 +16,7 @@
 )
 from rhubarbhall.core.ownership.key_table import Claim
 from rhubarbhall.core.ownership.read_lease import CLOCK_DRIFT
-from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.records import Member, TargetState
 from rhubarbhall.core.ownership.requested_holdings import (
     GrantRequest,
     KeyRequest,
@@ -67,7 +68,7 @@
     @property
     def run(self) -> str:
         """Identity of this start of the target."""
-        return f"{self.instance}@{self.born}"
+        return run_name(self.instance, self.born)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +87,15 @@
     hold_s: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class Unacknowledged:
+    """Stands in for a grant: the heartbeat was not recorded and binds nobody."""
+
+
+#: Answer to a heartbeat; it does not mention keys if there is no grant.
+HeartbeatAnswer: TypeAlias = "Grant | Unacknowledged | None"
+
+
 class TargetKeys:
     """Tracks the local target by its heartbeats, and the keys granted to it.
 
@@ -106,6 +116,7 @@
     ) -> None:
         self._local_address = local_address
         self._heartbeat: Heartbeat | None = None
+        self._order = HeartbeatOrder()
         self.last_contact_at: Seconds = float("-inf")
         #: When every grant of this daemon, and of an earlier process at its address,
         #: has ended.
@@ -116,7 +127,8 @@
         #: Whether the target has reported that it is gone; it sends no more heartbeats
         #: then.
         self._has_left = False
-        #: Whether the target has announced in an answer that it leaves.
+        #: Whether the target has announced that it leaves: in an answer, or to an
+        #: earlier process.
         self._announced_leaving = False
         #: Ranges that a record frees for other targets, and the offset that it is
         #: written at. Until the log has grown, the outcome of the write is unknown.
@@ -144,6 +156,35 @@
         """The last heartbeat, or `None` before the first."""
         return self._heartbeat
 
+    @property
+    def known_run(self) -> str:
+        """The last known run, also before its first heartbeat; empty if none is."""
+        return self._order.run
+
+    def is_known(self, instance: str) -> bool:
+        """Return whether a target is the present one, or that of the last record."""
+        return bool(instance) and instance == self._order.instance
+
+    def restore(self, member: Member | None) -> None:
+        """Take over what an earlier process has recorded of the target.
+
+        A heartbeat that has arrived before and is of an earlier run was late.
+        """
+        if member is None or not member.run:
+            return
+        if member.run == self._order.run:
+            self._announced_leaving = self._announced_leaving or member.has_left_run
+            return
+        recorded = HeartbeatOrder()
+        recorded.restore(member.run)
+        known = (self.last_contact_at, self._heartbeat, member.has_left_run)
+        if self._heartbeat is not None and recorded.accepts(*known):
+            return
+        self._order = recorded
+        self._heartbeat = None
+        self.last_contact_at = float("-inf")
+        self._announced_leaving = member.has_left_run
+
     def record_departure(self) -> None:
         """Record that the target has reported that it is gone."""
         self._has_left = True
@@ -154,15 +195,12 @@
         self._announced_leaving = True
         return is_news
 
-    def accepts(self, heartbeat: Heartbeat) -> bool:
+    def accepts(self, now: Seconds, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat is newer than the last one.
 
         A heartbeat that was delayed on its way is not.
         """
-        known = self._heartbeat
-        if known is None or heartbeat.born > known.born:
-            return True
-        return heartbeat.run == known.run and heartbeat.sequence > known.sequence
+        return self._order.accepts(now, heartbeat, self.leaves)
 
     def is_new_run(self, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat shows that the run known so far has ended."""
@@ -175,9 +213,11 @@
             # One target at a time uses the address, so the earlier run has ended.
             self._holdings.reset()
             self._grants_end_at = now
+            self.tokens = {}
+        if heartbeat.run != self._order.run:
             self._has_left = False
             self._announced_leaving = False
-            self.tokens = {}
+        self._order.record(heartbeat)
         self._heartbeat = heartbeat
         self.last_contact_at = now
         self.tokens.update(heartbeat.handed_over)
@@ -192,6 +232,43 @@
             return TargetState.LEAVING
         return self._heartbeat.state
 
+    @property
+    def leaves(self) -> bool:
+        """Whether the last known run of the target has said that it leaves."""
+        if self._has_left or self._announced_leaving:
+            return True
+        heartbeat = self._heartbeat
+        return heartbeat is not None and heartbeat.state is TargetState.LEAVING
+
+    def member(
+        self, now: Seconds, service: str, domain: str, region: str
+    ) -> Member | None:
+        """Return the record to publish; `None` while nothing is known of the target.
+
+        Parameters
+        ----------
+        service, domain, region : str
+            Service of the target, failure domain and region of the VM.
+        """
+        heartbeat = self._heartbeat
+        if heartbeat is None and not (self.is_overdue(now) or self._has_left):
+            return None
+        return Member(
+            service,
+            domain,
+            region,
+            self.known_run,
+            heartbeat.slots if heartbeat else 1,
+            self.state(now),
+            self.leaves,
+        )
+
+    def is_departure_in(self, member: Member | None) -> bool:
+        """Return whether a record says that the last known run leaves."""
+        return (
+            member is not None and member.run == self.known_run and member.has_left_run
+        )
+
     def is_overdue(self, now: Seconds) -> bool:
         """Return whether every earlier grant has ended without any heartbeat."""
         return self._heartbeat is None and now > self._grants_end_at
--- a/rhubarbhall/platform/heartbeats.py
+++ b/rhubarbhall/platform/heartbeats.py
@@ -15,14 +15,14 @@
 
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.ownership.records import MAX_SLOTS, TargetState
-from rhubarbhall.core.ownership.target_keys import Heartbeat
+from rhubarbhall.core.ownership.target_keys import Heartbeat, Unacknowledged
 from rhubarbhall.core.requests import Response
 from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import INSTANCES_PATH, format_time, parse_time
 from rhubarbhall.settings import parse_address
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.target_keys import Grant
+    from rhubarbhall.core.ownership.target_keys import Grant, HeartbeatAnswer
     from rhubarbhall.core.requests import RawRequest
     from rhubarbhall.types import Address, RequestId
 
@@ -85,15 +85,18 @@
     """Handler for messages from the local target."""
 
     def on_heartbeat(
-        self, received: ReceivedHeartbeat, answer: Callable[[Grant | None], None]
+        self, received: ReceivedHeartbeat, answer: Callable[[HeartbeatAnswer], None]
     ) -> None:
         """Process a heartbeat and call `answer` with the grant, now or soon.
 
         With no grant, the answer does not mention keys.
         """
 
-    def on_target_left(self, instance: str) -> None:
-        """Handle a target's report that it leaves."""
+    def on_target_left(self, instance: str, answer: Callable[[bool], None]) -> None:
+        """Handle a target's report that it leaves.
+
+        `answer` is called, now or soon, with whether the report is recorded.
+        """
 
     def on_bad_heartbeat(self, reason: str) -> None:
         """Handle a heartbeat that could not be read."""
@@ -203,13 +206,19 @@
             return
         instance = unquote(path.removeprefix(INSTANCES_PATH))
         if raw.method == "DELETE":
-            self._events.on_target_left(instance)
-            answer(Response(HTTPStatus.OK))
+            self._on_delete(instance, answer)
         elif raw.method == "PUT":
             self._on_put(instance, raw.body, answer)
         else:
             answer(Response(HTTPStatus.METHOD_NOT_ALLOWED))
 
+    def _on_delete(self, instance: str, answer: Callable[[Response], None]) -> None:
+        def acknowledge(is_recorded: bool) -> None:
+            status = HTTPStatus.OK if is_recorded else HTTPStatus.SERVICE_UNAVAILABLE
+            answer(Response(status))
+
+        self._events.on_target_left(instance, acknowledge)
+
     def _on_put(
         self, instance: str, body: bytes, answer: Callable[[Response], None]
     ) -> None:
@@ -220,7 +229,10 @@
             answer(Response(HTTPStatus.BAD_REQUEST))
             return
 
-        def answer_grant(grant: Grant | None) -> None:
-            answer(Response(HTTPStatus.OK, _JSON, encode_grant(grant)))
+        def answer_grant(grant: HeartbeatAnswer) -> None:
+            if isinstance(grant, Unacknowledged):
+                answer(Response(HTTPStatus.SERVICE_UNAVAILABLE))
+            else:
+                answer(Response(HTTPStatus.OK, _JSON, encode_grant(grant)))
 
         self._events.on_heartbeat(announcement, answer_grant)
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -119,11 +119,15 @@
         self._update_members()
         self._request_keys(now)
         self._answer_heartbeat_if_free(now)
+        self._answer_departures_if_recorded()
         self.admission_queue.on_keys_changed(now)
         self.publisher.write_due(now, self._local_member(now))
 
     def _on_complete(self, now: Seconds, sent_at: Seconds, end: Offset) -> None:
+        is_first = not self.directory.is_loaded
         self.directory.advance_end(end)
+        if is_first:
+            self.restore_target()
         self.read_lease.confirm(sent_at)
 
     def _on_store_contact(self, reachable: bool, reason: str) -> None:
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -8,21 +8,22 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.records import TargetState, member_key
 from rhubarbhall.core.ownership.requested_holdings import (
     KeyRequest,
     ReleaseRequest,
     RequestResult,
 )
+from rhubarbhall.core.ownership.target_keys import Unacknowledged
 from rhubarbhall.core.timers import TimerCallback
 from rhubarbhall.core.traffic.requests import Unknown
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.target_keys import Grant
+    from rhubarbhall.core.ownership.target_keys import Grant, HeartbeatAnswer
     from rhubarbhall.core.traffic.requests import Outcome, TargetNotice
     from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
@@ -31,8 +32,9 @@
 #: Time before the end of a leaving target's drain period at which it gets no more
 #: requests, in seconds.
 LEAVING_MARGIN_S = 1.0
-#: Time for which the answer to a heartbeat waits for keys that are about to be free, in
-#: seconds. Targets take an answer within a second as an acknowledgement.
+#: Time for which the answer to a heartbeat waits for keys that are about to be free, or
+#: for the record of a departure, in seconds. Targets take an answer within a second as
+#: an acknowledgement.
 GRANT_WAIT_S = 0.5
 
 
@@ -49,7 +51,11 @@
     """
 
     arrived_at: Seconds
-    answer: Callable[[Grant | None], None]
+    answer: Callable[[HeartbeatAnswer], None]
+
+
+#: Called with whether the departure of a target is recorded.
+DepartureAnswer: TypeAlias = Callable[[bool], None]
 
 
 class LocalKeyOwnership:
@@ -104,25 +110,27 @@
     """Handles the local target; a mix-in of `RoutingDaemon` that uses its fields."""
 
     def on_heartbeat(
-        self, received: ReceivedHeartbeat, answer: Callable[[Grant | None], None]
+        self, received: ReceivedHeartbeat, answer: Callable[[HeartbeatAnswer], None]
     ) -> None:
         """Process a heartbeat and answer it with a grant.
 
         The answer waits for up to `GRANT_WAIT_S` while another target is about to
-        release keys to this one, so that they are granted as soon as they are free.
+        release keys to this one, so that they are granted as soon as they are free. It
+        waits as long for the record that the target leaves; without that record there
+        is no acknowledgement, as another process would know nothing of it.
         Heartbeats of other targets or services, and outdated ones, get no grant.
         """
         now = self._advance_timers()
         settings = self.settings
+        heartbeat = received.heartbeat
         expected = (settings.target_address, settings.service)
-        if (received.address, received.service) != expected:
+        is_local = (received.address, received.service) == expected
+        if not is_local:
             fields = {"reason": f"{received.service} at {received.address}"}
             self.log_event(LogEvent(213, fields))
-            answer(None)
-            return
-        heartbeat = received.heartbeat
-        if not self.target_keys.accepts(heartbeat):
-            answer(None)
+        if not is_local or not self.target_keys.accepts(now, heartbeat):
+            leaves = heartbeat.state is TargetState.LEAVING
+            answer(Unacknowledged() if leaves else None)
             return
         self._answer_heartbeat(now)
         previous = self.target_keys.heartbeat
@@ -141,7 +149,7 @@
             self.log_event(LogEvent(212, fields))
         self._update_admission(now, previous_state)
         self._unanswered_heartbeat = UnansweredHeartbeat(now, answer)
-        if self._may_wait_for_keys():
+        if self._may_wait_for_keys() or not self._is_departure_recorded():
             due = TimerCallback(self._answer_heartbeat)
             self.timers.at(now + GRANT_WAIT_S, due)
         else:
@@ -156,13 +164,18 @@
         unanswered, self._unanswered_heartbeat = self._unanswered_heartbeat, None
         if unanswered is None:
             return
-        unanswered.answer(self._grant(now, now - unanswered.arrived_at))
+        if self._is_departure_recorded():
+            unanswered.answer(self._grant(now, now - unanswered.arrived_at))
+        else:
+            unanswered.answer(Unacknowledged())
         # Only now, so that no request overtakes the answer that grants its key.
         self.admission_queue.on_keys_changed(now)
 
     def _answer_heartbeat_if_free(self, now: Seconds) -> None:
-        """Answer the last heartbeat once the keys that it waits for are free."""
-        if self._unanswered_heartbeat is not None and not self._may_wait_for_keys():
+        """Answer the last heartbeat once it waits for neither keys nor a record."""
+        if self._unanswered_heartbeat is None or not self._is_departure_recorded():
+            return
+        if not self._may_wait_for_keys():
             self._answer_heartbeat(now)
 
     def _update_admission(self, now: Seconds, previous_state: TargetState) -> None:
@@ -229,13 +242,50 @@
     def _target_is_ready(self, now: Seconds) -> bool:
         return self.target_keys.state(now) is TargetState.READY
 
-    def on_target_left(self, instance: str) -> None:
-        """Handle a target's report that it leaves; other instances are ignored."""
+    def on_target_left(self, instance: str, answer: DepartureAnswer) -> None:
+        """Handle a target's report that it leaves; other instances are ignored.
+
+        `answer` is called once the departure is recorded in the store, or after
+        `GRANT_WAIT_S` to say that it is not.
+        """
         now = self._advance_timers()
-        if instance != self.target_keys.instance:
+        if not self.target_keys.is_known(instance):
+            answer(False)
             return
         self.target_keys.record_departure()
+        self._unanswered_departures.append(answer)
         self._on_target_leaving(now, "left")
+        self._answer_departures_if_recorded()
+        due = TimerCallback(lambda later: self._refuse_departure(answer))
+        self.timers.at(now + GRANT_WAIT_S, due)
+
+    def _is_departure_recorded(self) -> bool:
+        """Return whether the store has what the target says of its departure."""
+        member = self.directory.member_by_address.get(self.local_address)
+        is_written = self.directory.is_written(member_key(self.local_address))
+        keys = self.target_keys
+        return not keys.leaves or (is_written and keys.is_departure_in(member))
+
+    def _answer_departures_if_recorded(self) -> None:
+        if not self._unanswered_departures or not self._is_departure_recorded():
+            return
+        answers, self._unanswered_departures = self._unanswered_departures, []
+        for answer in answers:
+            answer(True)
+
+    def _refuse_departure(self, answer: DepartureAnswer) -> None:
+        """Answer that a departure is not recorded, unless it is answered already."""
+        if answer in self._unanswered_departures:
+            self._unanswered_departures.remove(answer)
+            answer(False)
+
+    def restore_target(self) -> None:
+        """Take over what an earlier process has recorded of the target."""
+        member = self.directory.member_by_address.get(self.local_address)
+        if member is not None and member.service == self.settings.service:
+            self.target_keys.restore(member)
+            if self.target_keys.leaves:
+                self.admission_queue.close(ErrorKind.SHUTTING_DOWN)
 
     def _on_target_leaving(self, now: Seconds, state: str) -> None:
         """Announce that the target leaves, and soon send it no more requests."""
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -45,7 +45,6 @@
 )
 from rhubarbhall.core.ownership.read_lease import ReadLease
 from rhubarbhall.core.ownership.reconciler import TableReconciler
-from rhubarbhall.core.ownership.records import Member
 from rhubarbhall.core.ownership.store_port import NO_WAIT
 from rhubarbhall.core.ownership.target_keys import TargetKeys
 from rhubarbhall.core.timers import TimerCallback, TimerService
@@ -73,6 +72,7 @@
 from rhubarbhall.programs.router_store import MAX_CALLER_CONNECTIONS, StoreHandlers
 from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
+    DepartureAnswer,
     LocalKeyOwnership,
     TargetHandlers,
     UnansweredHeartbeat,
@@ -82,6 +82,7 @@
 if TYPE_CHECKING:
     from rhubarbhall.adapters.log_output import LogOutput
     from rhubarbhall.core.ownership.key_table import KeyTable
+    from rhubarbhall.core.ownership.records import Member
     from rhubarbhall.core.traffic.pending_requests import CallerRequest
     from rhubarbhall.core.traffic.requests import Outcome
     from rhubarbhall.core.traffic.shutdown import Shutdown
@@ -186,6 +187,7 @@
         self._load_peers: list[Address] = []
         self._load_peers_chosen_at: Seconds = float("-inf")
         self._unanswered_heartbeat: UnansweredHeartbeat | None = None
+        self._unanswered_departures: list[DepartureAnswer] = []
         self._logged_decision: dict[str, object] | None = None
         self._build_traffic()
         self._build_ownership(started_at)
@@ -501,18 +503,9 @@
 
     def _local_member(self, now: Seconds) -> Member | None:
         """Return the member record to publish; none while the target is unknown."""
-        heartbeat = self.target_keys.heartbeat
-        if heartbeat is None and not self.target_keys.is_overdue(now):
-            return None
         settings = self.settings
-        return Member(
-            settings.service,
-            settings.domain,
-            settings.region,
-            heartbeat.run if heartbeat else "",
-            heartbeat.slots if heartbeat else 1,
-            self.target_keys.state(now),
-        )
+        place = (settings.service, settings.domain, settings.region)
+        return self.target_keys.member(now, *place)
 
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this daemon."""
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -463,7 +463,11 @@
             self.directory.apply(entry)
 
     def _on_complete(self, now, sent_at, end) -> None:
+        is_first = not self.directory.is_loaded
         self.directory.advance_end(end)
+        if is_first:
+            member = self.directory.member_by_address.get(self.local_address)
+            self.target_keys.restore(member)
         self.lease.confirm(sent_at)
 
     def _on_written(self, now, entry, reason) -> None:
@@ -643,16 +647,11 @@
             self.lease.confirm(now - peer.lease.age_s(now))
 
     def _member(self, now: float) -> Member | None:
-        heartbeat = self.target_keys.heartbeat
-        if heartbeat is None and not self.target_keys.is_overdue(now):
-            return None
-        run = heartbeat.run if heartbeat else ""
-        state = self.target_keys.state(now)
-        return Member(SERVICE, "d", self.region, run, 18, state)
+        return self.target_keys.member(now, SERVICE, "d", self.region)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> Grant | None:
         now = self.mesh.simulation.now
-        if not self.target_keys.accepts(heartbeat):
+        if not self.target_keys.accepts(now, heartbeat):
             return None
         self.target_keys.record_heartbeat(now, heartbeat)
         self.publisher.write_due(now, self._member(now))
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -43,10 +43,14 @@
             self.admission_queue.rate_limit.record_answer(now, now - 0.1, rate)
         )
         self.balancer = SimpleNamespace(slots=1, rate_limit=None)
-        self.publisher = SimpleNamespace(
-            by_key=True, write_due=lambda now, member: None
+        self.publisher = SimpleNamespace(by_key=True, write_due=self._write)
+        self.local_address = LOCAL
+        #: Whether the store takes the record that the target leaves.
+        self.records_departures = True
+        self.directory = SimpleNamespace(
+            end=5, member_by_address={}, is_written=lambda key: True
         )
-        self.directory = SimpleNamespace(end=5)
+        self._unanswered_departures = []
         self.table = KeyTable.divided([Claim(LOCAL, "i@1"), Claim(OTHER, "j@1")])
         self._unanswered_heartbeat = None
 
@@ -64,7 +68,12 @@
         return self.directory.end
 
     def _local_member(self, now):
-        return None
+        return self.target_keys.member(now, "s", "d", "r")
+
+    def _write(self, now, member):
+        if member is None or (member.leaves and not self.records_departures):
+            return
+        self.directory.member_by_address[LOCAL] = member
 
     def log_event(self, event):
         self.logged.append((event.code, event.fields))
