Do not free keys on the word of a late first heartbeat

Cause: HeartbeatHoldings took the ranges that a first heartbeat lists for all that the target holds. RequestedHoldings does not; it waits for the end of the grants of an earlier process.

Change: so do both.

Ruled out: the release by the table's later records; the unit test frees the range with no other daemon involved.

--- a/rhubarbhall/core/ownership/key_holdings.py
+++ b/rhubarbhall/core/ownership/key_holdings.py
@@ -121,9 +121,17 @@
     """Keys that were granted in the answers to the target's heartbeats.
 
     Each answer names everything that the target may hold from then on.
+
+    Parameters
+    ----------
+    unknown_until : float
+        When every grant of an earlier process of this daemon has ended, local clock, in
+        seconds. Until then the target may hold any key: the heartbeats that come first
+        may be late and older than those grants.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unknown_until: Seconds = float("-inf")) -> None:
+        self._unknown_until = unknown_until
         self._granted: tuple[Span, ...] = ()
         #: The grant before the last: its answer may have been read after the last
         #: heartbeat was written.
@@ -158,7 +166,7 @@
 
     def may_hold(self, now: Seconds, span: Span, heartbeat: Heartbeat | None) -> bool:
         """Return whether the target may hold, or work on, any key of a span."""
-        if heartbeat is None:
+        if heartbeat is None or now <= self._unknown_until:
             return True
         granted = (*self._granted, *self._previously_granted)
         if any(span.overlaps(each.first, each.last) for each in granted):
@@ -168,3 +176,4 @@
     def reset(self) -> None:
         """Record that a new run of the target has begun, which holds nothing."""
         self._granted = self._previously_granted = ()
+        self._unknown_until = float("-inf")
--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -121,7 +121,7 @@
         #: When every grant of this daemon, and of an earlier process at its address,
         #: has ended.
         self._grants_end_at = grant_end(started_at, MAX_HOLD_S)
-        self._heartbeat_holdings = HeartbeatHoldings()
+        self._heartbeat_holdings = HeartbeatHoldings(self._grants_end_at)
         self._requested_holdings = RequestedHoldings(self._grants_end_at)
         self.by_request = by_request
         #: Whether the target has reported that it is gone; it sends no more heartbeats
--- a/tests/core/ownership/test_target_keys.py
+++ b/tests/core/ownership/test_target_keys.py
@@ -4,15 +4,21 @@
 
 import unittest
 
+from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.records import (
     Member,
     TargetState,
     decode_member,
     encode_member,
 )
-from rhubarbhall.core.ownership.target_keys import MAX_HOLD_S, Heartbeat, TargetKeys
+from rhubarbhall.core.ownership.target_keys import (
+    MAX_HOLD_S,
+    Heartbeat,
+    TargetKeys,
+    grant_end,
+)
 
-LOCAL = "10.0.0.1:1"
+LOCAL, OTHER = "10.0.0.1:1", "10.0.0.2:1"
 
 
 class RestoredTargetTests(unittest.TestCase):
@@ -86,5 +92,42 @@
         self.assertFalse(decode_member(shortened).leaves)
 
 
+class EarlierGrantsTests(unittest.TestCase):
+    """Two targets held the same keys after a restart and a late heartbeat (OWNER)."""
+
+    STARTED_AT = 10.0
+
+    def setUp(self):
+        self.keys = TargetKeys(LOCAL, self.STARTED_AT)
+        table = KeyTable.divided([Claim(LOCAL, "i@5")])
+        self.table = table.moved([((0, 99), Claim(OTHER, "j@6"))])
+
+    def beat(self, now: float, sequence: int, holds=(), born: int = 5) -> None:
+        heartbeat = Heartbeat("i", born, sequence, TargetState.READY, 9, holds=holds)
+        self.keys.record_heartbeat(now, heartbeat)
+
+    def relinquished(self, now: float) -> list:
+        return list(self.keys.relinquished(now, self.table))
+
+    def test_a_late_first_heartbeat_frees_no_keys_that_the_target_may_still_hold(self):
+        self.beat(self.STARTED_AT + 0.1, 3, holds=())
+        end = grant_end(self.STARTED_AT, MAX_HOLD_S)
+        self.assertEqual(self.relinquished(self.STARTED_AT + 0.2), [])
+        self.assertEqual(self.relinquished(end - 0.01), [])
+        self.assertEqual(self.relinquished(end + 0.01), [(0, 99)])
+
+    def test_grants_of_this_process_are_no_reason_to_wait_longer(self):
+        self.beat(self.STARTED_AT + 0.1, 3)
+        now = grant_end(self.STARTED_AT, MAX_HOLD_S) - 0.2
+        self.beat(now, 4, holds=((100, 65535, 1),))
+        self.assertGreater(self.keys.grant(now, self.table, 10.0, 5).hold_s, 0.0)
+        self.assertEqual(self.relinquished(now + 0.3), [(0, 99)])
+
+    def test_a_new_run_of_the_target_holds_nothing_of_before(self):
+        self.beat(self.STARTED_AT + 0.1, 3)
+        self.beat(self.STARTED_AT + 0.5, 1, born=9)
+        self.assertEqual(self.relinquished(self.STARTED_AT + 0.6), [(0, 99)])
+
+
 if __name__ == "__main__":
     unittest.main()
