Stop as planned from the first open port on

Cause: the signal handlers were installed at the loop's `started` event, after the ports were opened. Before that SIGTERM and SIGHUP had their default action, and in between circuits' own handler raised SystemExit(0).

Change: Loop.catch_signals records signals before a port is opened, and a manager that records them in place of circuits' handler. The actions run on the loop.

Ruled out: a planned stop that ends too soon; none was begun.

Before: the three tests of tests.adapters.test_loop failed without the call (exit -15, -2, -1, or 0 without a planned stop). After: they pass.

--- a/rhubarbhall/adapters/loop.py
+++ b/rhubarbhall/adapters/loop.py
@@ -30,12 +30,21 @@
         on_stop: Callable[[], None] | None = None,
         on_reload: Callable[[], None] | None = None,
     ) -> None:
-        self.manager = Manager()
-        DirectPoll().register(self.manager)
         action_by_signal = dict.fromkeys(_STOP_SIGNALS, on_stop or self.stop)
         if on_reload is not None:
             action_by_signal[signal.SIGHUP] = on_reload
-        _Signals(action_by_signal).register(self.manager)
+        self._signals = _Signals(action_by_signal)
+        self.manager = _SignalManager(self._signals)
+        DirectPoll().register(self.manager)
+        self._signals.register(self.manager)
+
+    def catch_signals(self) -> None:
+        """Record signals from now on; the loop carries out their actions once it runs.
+
+        To be called before the process opens a port: from then on it stops as planned
+        only. `run` does it otherwise.
+        """
+        self._signals.install()
 
     def add(self, component: BaseComponent) -> None:
         """Add a component to the loop."""
@@ -47,14 +56,15 @@
 
     def run(self) -> None:
         """Run until `stop` is called."""
+        self.catch_signals()
         self.manager.run()
 
 
 class _Signals(BaseComponent):
     """Calls an action on the loop for each received signal.
 
-    Replaces the handlers that circuits installs when it starts. The signal handler only
-    records the signal, so that no action interrupts a step of the core.
+    The signal handler only records the signal, so that no action interrupts a step of
+    the core.
     """
 
     def __init__(self, action_by_signal: dict[int, Callable[[], None]]) -> None:
@@ -62,12 +72,11 @@
         self._action_by_signal = action_by_signal
         self._received: set[int] = set()
 
-    @handler("started", channel="*")
-    def _on_started(self, *args: object) -> None:
+    def install(self) -> None:
         for number in self._action_by_signal:
-            signal.signal(number, self._record_signal)
+            signal.signal(number, self.record)
 
-    def _record_signal(self, number: int, frame: object) -> None:
+    def record(self, number: int, frame: object) -> None:
         self._received.add(number)
 
     @handler("generate_events", priority=20)
@@ -75,3 +84,17 @@
         while self._received:
             self._action_by_signal[self._received.pop()]()
         event.reduce_time_left(SIGNAL_CHECK_INTERVAL_S)
+
+
+class _SignalManager(Manager):
+    """A manager that records signals while it starts, too.
+
+    When it runs, circuits installs a handler of its own, which ends the process.
+    """
+
+    def __init__(self, signals: _Signals) -> None:
+        super().__init__()
+        self._signals = signals
+
+    def _signal_handler(self, signo: int, stack: object) -> None:
+        self._signals.record(signo, stack)
--- a/rhubarbhall/programs/daemon.py
+++ b/rhubarbhall/programs/daemon.py
@@ -138,6 +138,7 @@
 
 def _serve(settings: DaemonSettings) -> None:
     loop = Loop(on_stop=lambda: daemon.request_stop())
+    loop.catch_signals()
     try:
         daemon = Daemon(settings, on_exit=loop.stop)
     except OSError as error:
--- a/rhubarbhall/programs/router.py
+++ b/rhubarbhall/programs/router.py
@@ -35,6 +35,7 @@
     loop = Loop(
         on_stop=lambda: daemon.request_stop(), on_reload=lambda: daemon.reload()
     )
+    loop.catch_signals()
     daemon = RoutingDaemon(path, settings, loop.stop, log)
     loop.add(daemon)
     daemon.begin()
