Free the bodies of connections that have ended at once

Cause: a parser and its reader refer to each other, and so do the parser's errors and the frames that hold the received bytes. Each answer that was given up at its limit of 8 MB stayed until the garbage collector looked for cycles.

Ruled out: that the limit does not hold (the readers give up, as their tests say) and that running answers alone take the memory (9 slots of 8 MB).

Change: clients and servers close the reader of a connection that ends, which drops its parser and body; errors of the parser end in the reader.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -217,7 +217,10 @@
     def on_closed(self, sock: socket.socket) -> None:
         """Report the unanswered request of an ended connection to the sink."""
         connection = self._connection_by_sock.pop(sock, None)
-        if connection is not None and connection.request_id is not None:
+        if connection is None:
+            return
+        connection.reader.close()
+        if connection.request_id is not None:
             self._sock_by_request.pop(connection.request_id, None)
             self._sink.caller_disconnected(connection.request_id)
 
--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -279,6 +279,8 @@
         idle = self._idle_by_address[connection.address]
         if sock in idle:
             idle.remove(sock)
+        if connection.reader is not None:
+            connection.reader.close()
         call = connection.call
         if call is not None:
             kind_if_not_sent = ErrorKind.TARGET_UNREACHABLE
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -50,6 +50,16 @@
         self._header_bytes = 0
         self.in_message = False
 
+    def close(self) -> None:
+        """Free the parser and what was received; nothing can be fed any more.
+
+        To be called when the connection ends. The parser and its reader refer to each
+        other, so they would be kept until the garbage collector looks for cycles, which
+        it does after a number of objects, whatever their size.
+        """
+        self._parser = None
+        self._reset()
+
     def on_message_begin(self) -> None:
         """Discard the state of the previous message."""
         self._reset()
@@ -86,19 +96,31 @@
             If the bytes are not valid HTTP/1.1 or exceed a limit.
         """
         self._unreported_bytes += len(data)
+        kind = self._parse(data)
+        if kind is None and self._unreported_bytes > self._max_head:
+            kind = ErrorKind.HEADERS_TOO_LARGE
+        if kind is not None:
+            raise WireError(kind)
+
+    def _parse(self, data: bytes) -> ErrorKind | None:
+        """Return what is wrong with the bytes, if anything.
+
+        The errors of the parser end here: they and those of the callbacks refer to each
+        other, and to the frames that hold the bytes.
+        """
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise WireError(ErrorKind.MALFORMED_REQUEST) from error
+        except httptools.HttpParserUpgrade:
+            return ErrorKind.MALFORMED_REQUEST
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            if isinstance(cause, WireError):
-                raise cause from None
-            raise
-        except httptools.HttpParserError as error:
-            raise WireError(ErrorKind.MALFORMED_REQUEST) from error
-        if self._unreported_bytes > self._max_head:
-            raise WireError(ErrorKind.HEADERS_TOO_LARGE)
+            if not isinstance(cause, WireError):
+                raise
+            cause.__context__ = cause.__traceback__ = error.__context__ = None
+            return cause.kind
+        except httptools.HttpParserError:
+            return ErrorKind.MALFORMED_REQUEST
+        return None
 
 
 class ParsedRequest:
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -374,6 +374,7 @@
         connection = self._connection_by_sock.pop(sock, None)
         if connection is None:
             return
+        connection.reader.close()
         if sock in self._idle:
             self._idle.remove(sock)
         exchange, connection.exchange = connection.exchange, None
