Let go of a request's body once the request is answered

Routers of callers that upload bodies of a few megabytes were killed over their memory limit, and the requests of others ended with them (LOST).

Cause: a cancelled timer stayed in the timer service until it would have been due, with its callback, the request and its body: for 10 s after the answer.

Change: Timer.cancel drops the event.

--- a/rhubarbhall/core/timers.py
+++ b/rhubarbhall/core/timers.py
@@ -33,6 +33,10 @@
         self.fire = ring
 
 
+#: Event of a timer that was cancelled; it is never yielded.
+_NO_EVENT = Event()
+
+
 @dataclass(order=True, slots=True)
 class Timer:
     """A timer that was started.
@@ -59,8 +63,13 @@
     cancelled: bool = field(compare=False, default=False)
 
     def cancel(self) -> None:
-        """Stop the timer: it does not fire any more."""
+        """Stop the timer: it does not fire any more.
+
+        Its event is dropped at once, with all that it refers to, although the timer
+        stays in the service until it would have been due.
+        """
         self.cancelled = True
+        self.event = _NO_EVENT
 
 
 class OnDemandTimer:
--- a/tests/core/test_timers.py
+++ b/tests/core/test_timers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+import weakref
 from dataclasses import dataclass
 
 from rhubarbhall.core.events import Event
@@ -31,3 +32,14 @@
         timers = TimerService()
         timers.at(1.0, SampleEvent("never")).cancel()
         self.assertEqual(list(timers.due(2.0)), [])
+
+    # Cancelled timers kept the requests that they were started for until they were due.
+    def test_a_cancelled_timer_lets_go_of_its_event_at_once(self):
+        timers = TimerService()
+        event = SampleEvent("never")
+        known = weakref.ref(event)
+        timer = timers.at(1000.0, event)
+        del event
+        self.assertIsNotNone(known())
+        timer.cancel()
+        self.assertIsNone(known())
