Bound the bytes of all bodies in a process together

Nothing bounded what the bodies of many callers took together: each could have 64 MB, an answer 8 MB on each slot, and what waited for slow readers any amount. With a process over its limit, the requests of others ended (LOST).

Change: BodyBudget counts the bodies of requests from their first byte to their outcome, at the callers' router and beside the target, the bytes that wait to be sent on all connections, frames received in part, and answers being received. It is a third of the memory that the settings state (limits.memory_mb). A body without room is refused at once, 503 with Retry-After, small ones excepted; a peer's request is refused as overloaded, so that another target can take it. Answers being received have a share of their own, since their requests have run; beyond it the largest is given up. A refused caller's bytes are read on for 2 s: a connection closed with unread bytes is reset, and the refusal with it. The rest of large bytes is sent from a view, without a copy for each part.

Ruled out: reserving the announced length (one slow caller would keep all others out), pausing callers that find no room (bodies received in part could wait for each other), and the memory of the process as the measure (freed memory is not returned at once).

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -21,6 +21,7 @@
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import RawRequest, refusal
+from rhubarbhall.core.traffic.body_budget import BodyBudget
 
 if TYPE_CHECKING:
     import socket
@@ -33,6 +34,8 @@
 #: Time without bytes after which a draining server closes a connection, in seconds:
 #: longer than a caller on the same VM takes to send its first request.
 MIN_IDLE_S = 0.1
+#: Time for which the bytes of a refused request are still read, in seconds.
+LINGER_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -66,6 +69,8 @@
         Id of the request being handled.
     closing : bool
         Whether received bytes are ignored because the connection is about to be closed.
+    lingers_until : float, optional
+        When a connection is closed whose caller is still sending a refused request.
     """
 
     reader: RequestReader
@@ -75,6 +80,12 @@
     current: ParsedRequest | None = None
     request_id: RequestId | None = None
     closing: bool = False
+    lingers_until: Seconds | None = None
+
+    def discard_waiting(self) -> None:
+        for parsed in self.waiting:
+            parsed.release()
+        self.waiting.clear()
 
 
 class CallerServer(Listener):
@@ -90,6 +101,8 @@
         Handles the requests.
     limits : CallerLimits
         Limits on what callers may send.
+    budget : BodyBudget, optional
+        Room for the bodies of all requests.
 
     Attributes
     ----------
@@ -103,10 +116,12 @@
         channel: str,
         sink: RequestSink,
         limits: CallerLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
         super().__init__(bind, channel)
         self._sink = sink
         self._limits = limits
+        self._budget = budget or BodyBudget()
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
         self._sock_by_request: dict[RequestId, socket.socket] = {}
         self._request_ids = itertools.count(1)
@@ -133,7 +148,8 @@
             self.send(sock, encode_response(too_many, keep_alive=False))
             self.finish(sock)
             return
-        reader = RequestReader(self._limits.max_head, self._limits.max_body)
+        limits = self._limits
+        reader = RequestReader(limits.max_head, limits.max_body, self._budget)
         self._connection_by_sock[sock] = _Connection(reader, peer[0], time.monotonic())
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
@@ -163,13 +179,17 @@
     ) -> None:
         """Refuse what cannot be read and close the connection.
 
-        The refusal is left out if another request is still being handled.
+        The refusal is left out if another request is still being handled. What the
+        caller still sends is read and dropped for a while, since it may not read the
+        refusal before it has sent all.
         """
         connection.closing = True
-        connection.waiting.clear()
+        connection.discard_waiting()
+        connection.reader.close()
+        connection.lingers_until = time.monotonic() + LINGER_S
         if connection.current is None:
             self.send(sock, encode_response(refusal(kind), keep_alive=False))
-            self.finish(sock)
+            self.finish_sending(sock)
 
     def _start_next(self, sock: socket.socket, connection: _Connection) -> None:
         while connection.current is None and connection.waiting:
@@ -203,16 +223,21 @@
         self, sock: socket.socket, connection: _Connection, response: Response
     ) -> None:
         parsed = connection.current
+        parsed.release()
         connection.current = None
         connection.request_id = None
         connection.last_active_at = time.monotonic()
         keep = parsed.keep_alive and not self.draining and not connection.closing
         head_only = parsed.method == "HEAD"
         self.send(sock, encode_response(response, keep, head_only))
-        if not keep:
-            connection.closing = True
-            connection.waiting.clear()
+        if keep:
+            return
+        connection.closing = True
+        connection.discard_waiting()
+        if connection.lingers_until is None:
             self.finish(sock)
+        else:
+            self.finish_sending(sock)
 
     def on_closed(self, sock: socket.socket) -> None:
         """Report the unanswered request of an ended connection to the sink."""
@@ -220,6 +245,9 @@
         if connection is None:
             return
         connection.reader.close()
+        connection.discard_waiting()
+        if connection.current is not None:
+            connection.current.release()
         if connection.request_id is not None:
             self._sock_by_request.pop(connection.request_id, None)
             self._sink.caller_disconnected(connection.request_id)
@@ -236,7 +264,10 @@
             idle_s = now - connection.last_active_at
             if connection.current is not None:
                 continue
-            if connection.reader.in_message and idle_s > self._limits.idle_s:
+            if connection.lingers_until is not None:
+                if now >= connection.lingers_until:
+                    self.drop(sock)
+            elif connection.reader.in_message and idle_s > self._limits.idle_s:
                 self._reject(sock, connection, ErrorKind.REQUEST_TIMEOUT)
             elif idle_s > self._limits.keep_s:
                 self.drop(sock)
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -11,6 +11,11 @@
 
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import Response
+from rhubarbhall.core.traffic.body_budget import (
+    SMALL_BODY_BYTES,
+    BodyBudget,
+    BodyReservation,
+)
 
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
 _CONNECTION_HEADERS = frozenset(
@@ -83,6 +88,17 @@
         if len(self._body) > self._max_body:
             raise WireError(self.body_error)
 
+    @property
+    def body_size(self) -> int:
+        """Number of received bytes of a body that is not whole yet."""
+        return len(self._body)
+
+    def _take_body(self) -> bytes:
+        """Return the whole body, which the reader does not keep."""
+        body = bytes(self._body)
+        self._body = bytearray()
+        return body
+
     body_error = ErrorKind.BODY_TOO_LARGE
 
     def feed(self, data: bytes) -> None:
@@ -136,9 +152,11 @@
         The whole body.
     keep_alive : bool
         Whether the connection may be used for another request.
+    reservation : BodyReservation, optional
+        Room that the body takes, to be released by the user; none without a body.
     """
 
-    __slots__ = ("method", "path", "headers", "body", "keep_alive")
+    __slots__ = ("method", "path", "headers", "body", "keep_alive", "reservation")
 
     def __init__(
         self,
@@ -147,12 +165,19 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         keep_alive: bool,
+        reservation: BodyReservation | None = None,
     ) -> None:
         self.method = method
         self.path = path
         self.headers = headers
         self.body = body
         self.keep_alive = keep_alive
+        self.reservation = reservation
+
+    def release(self) -> None:
+        """Give back the room of the body, once the request is done with."""
+        if self.reservation is not None:
+            self.reservation.release()
 
 
 class RequestReader(_MessageReader):
@@ -164,6 +189,8 @@
         Limit of the path and headers of a request, in bytes.
     max_body : int
         Limit of the body of a request, in bytes.
+    budget : BodyBudget, optional
+        Room for the bodies of all connections.
 
     Attributes
     ----------
@@ -175,7 +202,11 @@
         Whether a caller waits for ``100 Continue``; reset by the user.
     """
 
-    def __init__(self, max_head: int, max_body: int) -> None:
+    def __init__(
+        self, max_head: int, max_body: int, budget: BodyBudget | None = None
+    ) -> None:
+        self._budget = budget or BodyBudget()
+        self._reservation: BodyReservation | None = None
         super().__init__(max_head, max_body)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
@@ -195,11 +226,38 @@
     def on_headers_complete(self) -> None:
         """Check the headers before the body is received."""
         for name, value in self._headers:
-            if name.lower() == "content-length" and int(value) > self._max_body:
-                raise WireError(ErrorKind.BODY_TOO_LARGE)
+            if name.lower() == "content-length":
+                self._check_length(int(value))
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.wants_continue = True
 
+    def _check_length(self, length: int) -> None:
+        if length > self._max_body:
+            raise WireError(ErrorKind.BODY_TOO_LARGE)
+        if length > SMALL_BODY_BYTES and not self._budget.has_room(length):
+            raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body if there is room for it."""
+        if self._reservation is None:
+            self._reservation = BodyReservation(self._budget)
+        if not self._reservation.grow(len(data)):
+            raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
+        super().on_body(data)
+
+    def _reset(self) -> None:
+        super()._reset()
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
+
+    def close(self) -> None:
+        """Free the parser and what was received, also whole requests."""
+        super().close()
+        for parsed in self.finished:
+            parsed.release()
+        self.finished.clear()
+
     def on_message_complete(self) -> None:
         """Add the whole request to `finished`."""
         self.in_message = False
@@ -207,13 +265,15 @@
             path = self._url.decode("ascii")
         except UnicodeDecodeError:
             raise WireError(ErrorKind.MALFORMED_REQUEST) from None
+        reservation, self._reservation = self._reservation, None
         self.finished.append(
             ParsedRequest(
                 self._parser.get_method().decode("ascii"),
                 path,
                 tuple(self._headers),
-                bytes(self._body),
+                self._take_body(),
                 self._parser.should_keep_alive(),
+                reservation,
             )
         )
 
@@ -280,7 +340,7 @@
             for name, value in self._headers
             if name.lower() not in _CONNECTION_HEADERS
         )
-        self.response = Response(status, headers, bytes(self._body))
+        self.response = Response(status, headers, self._take_body())
 
 
 def encode_request(
@@ -397,7 +457,7 @@
             headers = tuple(
                 pair for pair in self._headers if pair[0].lower() not in _HOP_HEADERS
             )
-            self.finished.append(Response(status, headers, bytes(self._body)))
+            self.finished.append(Response(status, headers, self._take_body()))
 
     def end(self) -> None:
         """Handle the regular end of the connection by the other side.
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -190,6 +190,13 @@
             self.dialer.drop(link.sock)
         self._abandon_requests(link)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait to be sent, and those of frames received in part."""
+        readers = (each.reader for each in self._link_by_sock.values())
+        received = sum(reader.buffered_bytes for reader in readers)
+        return self.dialer.unsent_bytes + received
+
     def keep(self, addresses: Collection[Address]) -> None:
         """Set the peers that are watched: their links are kept open and pinged."""
         for link in self._link_by_address.values():
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -175,6 +175,13 @@
         for session in list(self._session_by_sock.values()):
             self._send(session, ShutdownNotice())
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait to be sent, and those of frames received in part."""
+        readers = (each.reader for each in self._session_by_sock.values())
+        received = sum(reader.buffered_bytes for reader in readers)
+        return self.acceptor.unsent_bytes + received
+
     @property
     def has_undelivered(self) -> bool:
         """Whether a peer has not been sent an outcome, or is sending a request.
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -13,6 +13,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable
 from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
+from typing import TypeAlias
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
@@ -25,6 +26,15 @@
 _RETRY_ERRORS = (EAGAIN, EWOULDBLOCK, EINTR)
 
 
+#: Bytes to send, or a view of the rest of them.
+_Data: TypeAlias = bytes | memoryview
+
+
+def _held_bytes(data: _Data) -> int:
+    """Return how many bytes are kept in memory for the rest that is to be sent."""
+    return len(data.obj) if isinstance(data, memoryview) else len(data)
+
+
 class _DirectIo(BaseComponent):
     """Reads and writes sockets without an event for each chunk.
 
@@ -40,7 +50,11 @@
         self._sock: socket.socket | None = None
         self._clients: set[socket.socket] = set()
         self._closing: set[socket.socket] = set()
-        self._buffers: dict[socket.socket, deque[bytes]] = defaultdict(deque)
+        #: Sockets whose sending direction ends once all buffered bytes are written.
+        self._half_closing: set[socket.socket] = set()
+        self._buffers: dict[socket.socket, deque[_Data]] = defaultdict(deque)
+        #: Bytes in memory that wait to be sent.
+        self.unsent_bytes = 0
         self._poller: BasePoller | None = None
 
     @handler("registered", "started", channel="*")
@@ -67,15 +81,23 @@
     def _on_write(self, sock: socket.socket) -> None:
         buffer = self._buffers.get(sock)
         if buffer:
-            unsent = self._send_now(sock, buffer.popleft())
-            if unsent:
-                buffer.appendleft(unsent)
+            self._send_first(sock, buffer)
         if self._buffers.get(sock) or sock not in self._clients:
             return
         if sock in self._closing:
             self.drop(sock)
+            return
+        self._poller.removeWriter(sock)
+        if sock in self._half_closing:
+            self._half_close(sock)
+
+    def _send_first(self, sock: socket.socket, buffer: deque[_Data]) -> None:
+        data = buffer.popleft()
+        unsent = self._send_now(sock, data)
+        if unsent:
+            buffer.appendleft(unsent)
         else:
-            self._poller.removeWriter(sock)
+            self.unsent_bytes -= _held_bytes(data)
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """Handle bytes received on a connection."""
@@ -125,10 +147,12 @@
         buffer = self._buffers.get(sock)
         if buffer:
             buffer.append(data)
+            self.unsent_bytes += len(data)
             return
         unsent = self._send_now(sock, data)
         if unsent:
             self._buffers[sock].append(unsent)
+            self.unsent_bytes += len(data)
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
 
@@ -137,10 +161,14 @@
         """Whether bytes are buffered that a connection does not accept yet."""
         return any(self._buffers.values())
 
-    def _send_now(self, sock: socket.socket, data: bytes) -> bytes:
-        """Send what the socket accepts and return the rest; close it on an error."""
+    def _send_now(self, sock: socket.socket, data: _Data) -> _Data:
+        """Send what the socket accepts and return the rest; close it on an error.
+
+        The rest is a view: copies of a large body would take its size each time.
+        """
         try:
-            return data[sock.send(data) :]
+            count = sock.send(data)
+            return b"" if count == len(data) else memoryview(data)[count:]
         except OSError as error:
             if error.errno in _RETRY_ERRORS:
                 return data
@@ -154,6 +182,22 @@
         else:
             self.drop(sock)
 
+    def finish_sending(self, sock: socket.socket) -> None:
+        """End the sending direction once all buffered bytes are written.
+
+        Received bytes are still read: a connection that is closed with unread bytes is
+        reset, and what was sent on it may be lost.
+        """
+        if self._buffers.get(sock):
+            self._half_closing.add(sock)
+        elif sock in self._clients:
+            self._half_close(sock)
+
+    def _half_close(self, sock: socket.socket) -> None:
+        self._half_closing.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+
     def drop(self, sock: socket.socket) -> None:
         """Close a connection at once, without writing the buffered bytes."""
         if sock in self._clients:
@@ -161,9 +205,11 @@
 
     def _close(self, sock: socket.socket) -> None:
         self._poller.discard(sock)
-        self._buffers.pop(sock, None)
+        for data in self._buffers.pop(sock, ()):
+            self.unsent_bytes -= _held_bytes(data)
         self._clients.discard(sock)
         self._closing.discard(sock)
+        self._half_closing.discard(sock)
         with contextlib.suppress(OSError):
             sock.close()
         self.on_closed(sock)
--- a/rhubarbhall/core/errors.py
+++ b/rhubarbhall/core/errors.py
@@ -23,6 +23,7 @@
     MALFORMED_REQUEST = "malformed_request"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    NO_ROOM_FOR_BODY = "no_room_for_body"
     REQUEST_TIMEOUT = "request_timeout"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     UNKNOWN_SERVICE = "unknown_service"
@@ -87,6 +88,9 @@
     ErrorKind.BODY_TOO_LARGE: AnswerSpec(
         413, _NO, None, "The request body exceeds the limit."
     ),
+    ErrorKind.NO_ROOM_FOR_BODY: AnswerSpec(
+        503, _NO, 1, "The daemon holds too many bytes to read this body at present."
+    ),
     ErrorKind.REQUEST_TIMEOUT: AnswerSpec(
         408, _NO, None, "The request was not received whole within the idle time."
     ),
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
 from rhubarbhall.core.errors import ErrorKind
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.traffic.body_budget import BodyReservation
     from rhubarbhall.types import Fingerprint, Seconds
 
 Headers: TypeAlias = "tuple[tuple[str, str], ...]"
@@ -50,6 +51,8 @@
         Whether its answer was lost at another target, which may have ended under it.
     fingerprint : bytes
         Identifies equal requests, as `fingerprint_of` returns it; empty until needed.
+    reservation : BodyReservation, optional
+        Room that the body takes at this daemon, if another one has sent the request.
     """
 
     id: str
@@ -70,6 +73,7 @@
     max_attempts: int = 1
     is_suspected: bool = False
     fingerprint: Fingerprint = b""
+    reservation: BodyReservation | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -15,6 +16,10 @@
     parse_time,
 )
 
+#: Memory of a process if the file does not state it.
+DEFAULT_MEMORY_MB = 300.0
+BYTES_PER_MB = 1 << 20
+
 
 class _Listen(msgspec.Struct, frozen=True):
     inbound: str
@@ -27,6 +32,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = DEFAULT_MEMORY_MB
+
+
 class _File(msgspec.Struct, frozen=True):
     """The fields of the file that the router uses; unknown ones are ignored.
 
@@ -43,6 +52,7 @@
     port_range: tuple[int, int] = (0, 0)
     bounds: list[str] = []
     grants: str = GRANTS_BY_HEARTBEAT
+    limits: _Limits = _Limits()
 
 
 _GRANTS_WAYS = (GRANTS_BY_HEARTBEAT, GRANTS_BY_REQUEST)
@@ -79,6 +89,8 @@
     grants_by_request : bool
         Whether the target takes keys by requests, and not from the answers to its
         heartbeats.
+    memory_bytes : float
+        Memory above which the platform kills the process.
     """
 
     vm: str
@@ -97,6 +109,7 @@
     drain_s: float
     grace_s: float
     grants_by_request: bool = False
+    memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
 
 
 def _bounds(lines: list[str]) -> dict[str, str]:
@@ -138,6 +151,7 @@
             drain_s=parse_time(bounds.get("drain", "2500ms")),
             grace_s=parse_time(bounds.get("grace", "6s")),
             grants_by_request=_grants_by_request(file.grants),
+            memory_bytes=file.limits.memory_mb * BYTES_PER_MB,
         )
     except ValueError as error:
         raise ConfigurationError([f"settings: {error}"]) from error
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -17,6 +17,7 @@
 )
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
 from rhubarbhall.core.traffic.requests import (
     Answered,
     NotRun,
@@ -38,6 +39,9 @@
 #: that answers on all slots at the same time fit into the memory of a small VM.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 8 << 20
+#: Share of the room for bodies that answers which are being received may take. It is
+#: theirs alone: their requests have run, so no body of a request displaces them.
+ANSWERS_SHARE = 0.5
 #: Timeout for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.5
 #: Idle timeout of a connection, in seconds, if the target does not report its own.
@@ -175,6 +179,9 @@
     on_notice : callable
         Called before `on_outcome` for each valid answer of the target, with the ticket
         of its request and what the target says of itself.
+    budget : BodyBudget, optional
+        Room for all bodies in the process. Beyond the share that answers have, the
+        largest one that is being received is given up.
     """
 
     def __init__(
@@ -185,8 +192,11 @@
         on_unreachable: Callable[[bool], None],
         on_reachable: Callable[[], None],
         on_notice: Callable[[int, TargetNotice], None],
+        budget: BodyBudget | None = None,
     ) -> None:
         super().__init__(channel)
+        self._budget = budget or BodyBudget()
+        self._budget.add_source(lambda: self.received_bytes + self.unsent_bytes)
         self.address = address
         self._on_notice = on_notice
         self._on_outcome = on_outcome
@@ -319,6 +329,25 @@
             self.drop(sock)
             return
         self._take_finished(sock, connection)
+        is_large = connection.reader.body_size > SMALL_BODY_BYTES
+        room = ANSWERS_SHARE * self._budget.limit
+        if is_large and self.received_bytes > room:
+            self._give_up_largest()
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of answers that are being received."""
+        connections = self._connection_by_sock.values()
+        return sum(connection.reader.body_size for connection in connections)
+
+    def _give_up_largest(self) -> None:
+        """Close the connection with the largest answer that is being received."""
+        self.drop(
+            max(
+                self._connection_by_sock,
+                key=lambda sock: self._connection_by_sock[sock].reader.body_size,
+            )
+        )
 
     def on_eof(self, sock: socket.socket) -> None:
         """Handle the end of a connection, which may also end an answer."""
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -144,6 +144,10 @@
             "Keys that the table gives the local target.",
             float(owned),
         ),
+        "body_bytes": (
+            "Bytes of bodies that are held.",
+            float(daemon.body_budget.used),
+        ),
         "orders_running": (
             "Requests at the target.",
             float(load.running),
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -23,6 +23,7 @@
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.key_load import TargetLoad
 from rhubarbhall.core.ownership.store_port import epoch_of
+from rhubarbhall.core.traffic.body_budget import BodyReservation
 from rhubarbhall.core.traffic.requests import NotRun
 from rhubarbhall.platform.names import CONFIGURATION_KEY
 from rhubarbhall.programs.router_store import NO_VERSION
@@ -35,6 +36,8 @@
 
 #: Time that a record takes at most from its writer to all daemons, in seconds.
 PUSH_GRACE_S = 0.3
+#: Time after which a request is sent again that found no room for its body, in seconds.
+NO_ROOM_RETRY_AFTER_S = 1.0
 
 
 class RecordGap:
@@ -91,6 +94,10 @@
         if self._shutdown_announced:
             on_outcome(NotRun(ErrorKind.SHUTTING_DOWN))
             return 0
+        request.reservation = BodyReservation(self.body_budget)
+        if not request.reservation.grow(len(request.body)):
+            on_outcome(NotRun(ErrorKind.OVERLOADED, NO_ROOM_RETRY_AFTER_S))
+            return 0
         return self.admission_queue.submit(now, request, on_outcome)
 
     def on_cancel(self, ticket: int) -> None:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -49,6 +49,7 @@
 from rhubarbhall.core.ownership.target_keys import TargetKeys
 from rhubarbhall.core.timers import TimerCallback, TimerService
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
+from rhubarbhall.core.traffic.body_budget import BodyBudget
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects
 from rhubarbhall.core.traffic.request_router import RequestRouter
 from rhubarbhall.core.traffic.retry_budget import ServiceRetryBudget
@@ -111,6 +112,9 @@
 MAX_CONTROL_CONNECTIONS = 32
 #: Frames of the stack that the log shows of a timer's failure.
 FAILURE_FRAMES = 4
+#: Share of the process's memory for bodies. While a body is encoded it is held up to
+#: three times, and the program itself takes a fifth.
+BODY_SHARE = 1 / 3
 #: Bits of the random number that distinguishes this run of the process from others.
 SESSION_BITS = 63
 
@@ -207,6 +211,7 @@
     def _build_traffic(self) -> None:
         settings = self.settings
         session = self._rng.getrandbits(SESSION_BITS)
+        self.body_budget = BodyBudget(BODY_SHARE * settings.memory_bytes)
         self.links = PeerLinks(
             self.local_address, settings.service, self, self.now, session
         )
@@ -218,6 +223,7 @@
             self._on_target_unreachable,
             self._on_target_reachable,
             self._on_target_notice,
+            self.body_budget,
         )
         self.key_requests = KeyRequestClient(
             f"key-requests-{self.local_address}",
@@ -333,7 +339,11 @@
             f"callers-{self.local_address}",
             callers,
             CallerLimits(connections=MAX_CALLER_CONNECTIONS),
+            self.body_budget,
         )
+        self.body_budget.add_source(lambda: self.callers.unsent_bytes)
+        self.body_budget.add_source(lambda: self.links.held_bytes)
+        self.body_budget.add_source(lambda: self.sessions.held_bytes)
         self._heartbeat_port = CallerServer(
             split_address(settings.heartbeat_address),
             f"heartbeats-{self.local_address}",
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -10,6 +10,7 @@
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.requests import Response
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -58,3 +59,134 @@
             self.tick()
         self.server.close_idle()
         self.assertEqual(self.caller.recv(4096), b"")
+
+
+class KeepingSink:
+    """Keeps requests until the test answers them."""
+
+    def __init__(self):
+        self.taken: list = []
+
+    def take(self, request_id, raw):
+        self.taken.append((request_id, raw))
+
+    def caller_disconnected(self, request_id):
+        pass
+
+
+class BodyRoomTests(unittest.TestCase):
+    """Large bodies took a router over its memory limit; others lost their answers."""
+
+    LIMIT = 2_000_000
+
+    def setUp(self):
+        self.sink = KeepingSink()
+        self.budget = BodyBudget(self.LIMIT)
+        limits = CallerLimits(max_body=64 << 20)
+        self.server = CallerServer(
+            ("127.0.0.1", 0), "callers", self.sink, limits, self.budget
+        )
+        self.budget.add_source(lambda: self.server.unsent_bytes)
+        self.addCleanup(self.server.close)
+        self.loop = Loop()
+        self.loop.add(self.server)
+        self.loop.manager._running = True
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection((self.server.host, self.server.port))
+        caller.setblocking(False)
+        self.addCleanup(caller.close)
+        return caller
+
+    def tick(self):
+        for _ in range(50):
+            self.loop.manager.tick(0.0)
+
+    def send(self, caller: socket.socket, data: bytes) -> None:
+        """Send all bytes, as a caller does that reads nothing before."""
+        rest = memoryview(data)
+        while rest:
+            try:
+                rest = rest[caller.send(rest) :]
+            except BlockingIOError:
+                pass
+            self.loop.manager.tick(0.0)
+        self.tick()
+
+    def put(self, caller: socket.socket, size: int, head: str = "") -> None:
+        lines = f"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n{head}\r\n"
+        self.send(caller, lines.encode() + bytes(size))
+
+    def received(self, caller: socket.socket) -> bytes:
+        self.tick()
+        try:
+            return caller.recv(65536)
+        except BlockingIOError:
+            return b""
+
+    def test_a_body_without_room_is_refused_and_the_caller_can_read_why(self):
+        first, second = self.connect(), self.connect()
+        self.put(first, 1_500_000)
+        self.put(second, 900_000)
+        self.assertEqual(len(self.sink.taken), 1)
+        answer = self.received(second)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"no_room_for_body", answer)
+        self.assertIn(b"Retry-After", answer)
+        self.assertEqual(self.budget.used, 1_500_000)
+
+    def test_a_chunked_body_is_refused_once_there_is_no_room(self):
+        caller = self.connect()
+        self.send(
+            caller, b"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+        self.send(caller, chunk * 40 + b"0\r\n\r\n")
+        self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 503"))
+        self.assertEqual(self.budget.used, 0)
+
+    def test_a_caller_that_asks_first_is_refused_before_it_sends(self):
+        caller = self.connect()
+        head = "PUT /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        self.send(caller, f"{head}Content-Length: {self.LIMIT + 1}\r\n\r\n".encode())
+        self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 503"))
+
+    def test_small_bodies_are_taken_beside_large_ones(self):
+        self.put(self.connect(), self.LIMIT)
+        self.put(self.connect(), SMALL_BODY_BYTES)
+        self.assertEqual(len(self.sink.taken), 2)
+
+    def test_room_is_free_again_after_the_answer(self):
+        for _ in range(3):
+            caller = self.connect()
+            self.put(caller, self.LIMIT)
+            request_id, _ = self.sink.taken.pop()
+            self.server.answer(request_id, Response(200, (), b"ok"))
+            self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 200"))
+            self.assertEqual(self.budget.used, 0)
+
+    def test_room_is_free_again_after_the_caller_has_left(self):
+        for size in (self.LIMIT, 1_000_000):
+            caller = self.connect()
+            head = f"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
+            self.send(caller, head.encode() + bytes(1_000_000))
+            self.assertEqual(self.budget.used, 1_000_000)
+            caller.close()
+            self.tick()
+            self.assertEqual(self.budget.used, 0)
+
+    def test_an_answer_that_is_not_read_takes_room(self):
+        caller = self.connect()
+        self.put(caller, 10)
+        answer = Response(200, (), bytes(16 << 20))
+        self.server.answer(self.sink.taken.pop()[0], answer)
+        self.assertGreater(self.budget.used, self.LIMIT)
+        self.put(self.connect(), 900_000)
+        self.assertEqual(self.sink.taken, [])
+        caller.close()
+        self.tick()
+        self.assertEqual(self.budget.used, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -67,5 +67,47 @@
         self.assertEqual(self.kept_bodies(), [])
 
 
+class BoundedBodiesTests(LargeBodiesCase):
+    """Bodies of many callers at a time took a router over its memory limit (LOST)."""
+
+    LIMIT = 4 << 20
+
+    def setUp(self):
+        super().setUp()
+        for router in self.routers:
+            router.body_budget.limit = self.LIMIT
+
+    def test_uploads_together_stay_within_the_room_and_leave_nothing(self):
+        answers = [self.put(f"u{number}") for number in range(12)]
+        most = 0
+
+        def are_answered() -> bool:
+            nonlocal most
+            most = max(most, *(r.body_budget.reserved for r in self.routers))
+            return all(answers)
+
+        self.tick_until(are_answered, TIMEOUT_MS / 1000)
+        statuses = [results[0].status for results in answers]
+        self.assertLessEqual(
+            set(statuses), {HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE}
+        )
+        self.assertIn(HTTPStatus.OK, statuses)
+        self.assertLessEqual(most, self.LIMIT)
+        self.tick_until(
+            lambda: not any(router.body_budget.used for router in self.routers), 3.0
+        )
+
+    def test_small_requests_are_served_beside_bodies_without_room(self):
+        self.routers[CALLER].body_budget.limit = 0
+        self.assertEqual(self.put_and_wait("large"), HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertEqual(self.put_and_wait("small", 1000), HTTPStatus.OK)
+
+    def test_a_target_without_room_is_passed_over(self):
+        self.routers[TARGETS[0]].body_budget.limit = 0
+        for number in range(6):
+            self.assertEqual(self.put_and_wait(f"u{number}"), HTTPStatus.OK)
+        self.assertEqual(self.targets[TARGETS[0]].executed_requests, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -10,7 +10,12 @@
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import Response
 from rhubarbhall.core.traffic.requests import Answered, NotRun, TargetNotice, Unknown
-from rhubarbhall.platform.target import MAX_UNSERVED_IDS, HttpTargetClient, _notice
+from rhubarbhall.platform.target import (
+    ANSWERS_SHARE,
+    MAX_UNSERVED_IDS,
+    HttpTargetClient,
+    _notice,
+)
 from tests.core.traffic.test_admission_queue import REQUEST
 
 
@@ -117,6 +122,26 @@
         self.tick()
 
 
+class LargeAnswerTests(AnsweringTargetCase):
+    # Endless answers on all slots took a router over its memory limit.
+    def test_the_largest_answer_is_given_up_beyond_the_room_for_bodies(self):
+        self.client._budget.limit = 1_000_000 / ANSWERS_SHARE
+        first = self.send(1, "a")
+        second = self.send(2, "b")
+        head = "HTTP/1.1 200 X\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
+        for sock, id, size in ((first, "a", 700_000), (second, "b", 400_000)):
+            lines = head.format(id) + "Content-Length: 900000\r\n\r\n"
+            sock.sendall(lines.encode())
+            for _ in range(size // 50_000):
+                sock.sendall(bytes(50_000))
+                self.tick(2)
+        self.assertEqual(self.outcomes, [Unknown(ErrorKind.ANSWER_LOST)])
+        second.sendall(bytes(500_000))
+        self.tick(20)
+        self.assertIsInstance(self.outcomes[1], Answered)
+        self.assertEqual(self.client.received_bytes, 0)
+
+
 class NoticeTests(AnsweringTargetCase):
     def notice_of(self, *headers: str, status: int = 200) -> TargetNotice:
         self.answer(self.send(1, "q"), "q", *headers, status=status)
