Apply new limits on sizes to open connections

Callers on open connections got 413 for proper bodies after the operators had raised the limit, and routers that had just started refused bodies above 1 MiB with 413 although no configuration was known.

Cause: RequestReader got the limits when its connection was opened, before the first configuration those built into the program.

Ruled out: a limit beside the target; the refusal came from the callers' port.

Change: CallerServer.limit sets them for the readers of open connections. Without a configuration a body is bounded by the room for bodies, and its request gets 503.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -128,8 +128,10 @@
         self.draining = False
 
     def limit(self, limits: CallerLimits) -> None:
-        """Set the limits; those on request sizes apply to new connections only."""
+        """Set the limits, also for what open connections receive from now on."""
         self._limits = limits
+        for connection in self._connection_by_sock.values():
+            connection.reader.limit(limits.max_head, limits.max_body)
 
     @property
     def sockets(self) -> list[socket.socket]:
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -213,6 +213,10 @@
         self.finished: list[ParsedRequest] = []
         self.wants_continue = False
 
+    def limit(self, max_head: int, max_body: int) -> None:
+        """Set the limits for what is received from now on, in bytes."""
+        self._max_head, self._max_body = max_head, max_body
+
     def on_message_begin(self) -> None:
         """Discard the state of the previous message."""
         super().on_message_begin()
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -70,7 +70,7 @@
     ShutdownHandlers,
     file_version,
 )
-from rhubarbhall.programs.router_store import MAX_CALLER_CONNECTIONS, StoreHandlers
+from rhubarbhall.programs.router_store import UNKNOWN_LIMITS, StoreHandlers
 from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
     DepartureAnswer,
@@ -338,7 +338,7 @@
             split_address(settings.caller_address),
             f"callers-{self.local_address}",
             callers,
-            CallerLimits(connections=MAX_CALLER_CONNECTIONS),
+            UNKNOWN_LIMITS,
             self.body_budget,
         )
         self.body_budget.add_source(lambda: self.callers.unsent_bytes)
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -151,6 +151,22 @@
         self.send(caller, f"{head}Content-Length: {self.LIMIT + 1}\r\n\r\n".encode())
         self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 503"))
 
+    # Callers on open connections got 413 for bodies that a new configuration allowed.
+    def test_new_limits_hold_for_open_connections(self):
+        caller = self.connect()
+        self.server.limit(CallerLimits(max_body=1000))
+        self.put(caller, 500)
+        self.server.answer(self.sink.taken.pop()[0], Response(200, (), b"ok"))
+        self.received(caller)
+        self.server.limit(CallerLimits(max_body=100_000))
+        self.put(caller, 50_000)
+        self.assertEqual(len(self.sink.taken), 1)
+        self.server.answer(self.sink.taken.pop()[0], Response(200, (), b"ok"))
+        self.received(caller)
+        self.server.limit(CallerLimits(max_body=1000))
+        self.put(caller, 50_000)
+        self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 413"))
+
     def test_small_bodies_are_taken_beside_large_ones(self):
         self.put(self.connect(), self.LIMIT)
         self.put(self.connect(), SMALL_BODY_BYTES)
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -109,5 +109,17 @@
         self.assertEqual(self.targets[TARGETS[0]].executed_requests, [])
 
 
+class UnknownLimitsTests(LargeBodiesCase):
+    # A router that had just started refused proper bodies with 413, for good.
+    def test_a_body_is_not_refused_for_good_before_a_configuration_is_known(self):
+        self.close_router(self.routers[CALLER])
+        self.routers[CALLER].unregister()
+        self.store.faults.refuses = True
+        self.routers[CALLER] = self.new_router(CALLER)
+        self.assertEqual(
+            self.put_and_wait("early", 2 << 20), HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
