Keep an ended run from coming back after a target's clock went back

Found by reading the order of heartbeats afresh: once a run with an earlier start had taken over, a late heartbeat of the run before it has the later start and was taken for a new run, so the present one counted as ended.

Change: a run that is known to have ended is refused first, whatever its start. Beside it: a peer's request without a body takes no reservation.

Before: test_the_run_before_a_clock_went_back_does_not_come_back fails by the order of the checks. After: it passes. Ruled out: comparing sequences of different runs, which begin anew with each run.

--- a/rhubarbhall/core/ownership/heartbeat_order.py
+++ b/rhubarbhall/core/ownership/heartbeat_order.py
@@ -90,12 +90,12 @@
             Whether the known run has said that it leaves, so that another one is
             expected.
         """
-        if not self.run or heartbeat.born > self._born:
-            return True
         if heartbeat.run == self.run:
             return heartbeat.sequence > self._sequence
         if heartbeat.run in self._ended:
             return False
+        if not self.run or heartbeat.born > self._born:
+            return True
         if run_leaves and heartbeat.sequence <= FIRST_SEQUENCE:
             return True
         return self._is_confirmed(now, heartbeat)
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -94,12 +94,19 @@
         if self._shutdown_announced:
             on_outcome(NotRun(ErrorKind.SHUTTING_DOWN))
             return 0
-        request.reservation = BodyReservation(self.body_budget)
-        if not request.reservation.grow(len(request.body)):
+        if request.body and not self._reserve_room(request):
             on_outcome(NotRun(ErrorKind.OVERLOADED, NO_ROOM_RETRY_AFTER_S))
             return 0
         return self.admission_queue.submit(now, request, on_outcome)
 
+    def _reserve_room(self, request: RoutedRequest) -> bool:
+        """Return whether there is room for the body of a peer's request.
+
+        It is taken until the request is dropped.
+        """
+        request.reservation = BodyReservation(self.body_budget)
+        return request.reservation.grow(len(request.body))
+
     def on_cancel(self, ticket: int) -> None:
         """Cancel a peer's request for the local target."""
         self.admission_queue.cancel(self._advance_timers(), ticket)
--- a/tests/core/ownership/test_heartbeat_order.py
+++ b/tests/core/ownership/test_heartbeat_order.py
@@ -66,6 +66,14 @@
         self.assertFalse(self.arrives("i", 3000, 1))
         self.assertTrue(self.arrives("i", 3000, 3))
 
+    def test_the_run_before_a_clock_went_back_does_not_come_back(self):
+        self.arrives("i", 5000, 9)
+        self.arrives("i", 3000, 1)
+        self.now += CONFIRMATION_S + 0.01
+        self.assertTrue(self.arrives("i", 3000, 2))
+        self.assertFalse(self.arrives("i", 5000, 10))
+        self.assertTrue(self.arrives("i", 3000, 3))
+
     def test_late_heartbeats_beside_those_of_the_known_run_do_not_count(self):
         self.arrives("i", 5000, 1)
         for sequence in range(2, 12):
