Choose witnesses in a module of its own

Ruled out: moving them to range_witness.py, which tells both sides of a lease apart already. Also: the tests of unsent bytes share their setting.

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -8,22 +8,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership import range_distribution
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
-from rhubarbhall.core.ownership.range_witness import (
-    LAST_WITNESS_TIMEOUT_S,
-    SPARE_WITNESS_TIMEOUT_S,
-    WITNESS_TIMEOUT_S,
-    majority,
-    witness_count,
-)
 from rhubarbhall.core.ownership.read_lease import takeover_wait_s
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.ownership.table_restore import TableRestore
+from rhubarbhall.core.ownership.witness_chooser import WitnessChooser
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
@@ -60,8 +54,6 @@
 #: Time without a lease and without a new record in the log after which a record is
 #: written only to make the log grow.
 LOG_GROWTH_TIMEOUT_S = 1.0
-#: Time after a change of witnesses before their number is increased.
-WITNESS_INCREASE_DELAY_S = 5.0
 #: Reason of a change in which witnesses replace an owner. It goes to the operators' log
 #: and also decides whether a change names the owners that it replaces; both have to use
 #: the same text.
@@ -147,9 +139,11 @@
         self._witnessed_lease = witnessed_lease
         self._started_at = started_at
         self._restore = TableRestore(service, directory)
+        self._witnesses = WitnessChooser(
+            local_address, service, region, directory, liveness, witnessed_lease
+        )
         self._replaced: list[Address] = []
         self._freed: list[Range] = []
-        self._witnesses_changed_at: Seconds = float("-inf")
         #: Since when the lease is missing while the log does not grow, and its end.
         self._lease_missing: tuple[Seconds, Offset] | None = None
         #: Since when a step has been due, by the name of the step.
@@ -216,7 +210,7 @@
         for owner in change.replaced:
             self._range_witness.vote_to_replace(now, owner, at)
         if change.changes_witnesses:
-            self._witnesses_changed_at = now
+            self._witnesses.record_change(now)
             self._witnessed_lease.record_change(now, at)
 
     def is_blocked(self, now: Seconds) -> bool:
@@ -324,10 +318,10 @@
         if not self._rank_delay_passed(now, "found", needed) or not claims:
             return None
         table = KeyTable.divided(claims)
+        receivers = self._receivers(now)
         for claim in claims:
-            table = table.with_witnesses(
-                claim.owner, self._witnesses_for(now, claim.owner)
-            )
+            witnesses = self._witnesses.witnesses_for(claim.owner, claims, receivers)
+            table = table.with_witnesses(claim.owner, witnesses)
         table = table.in_epoch(self._directory.epoch, renews_fences=True)
         return TableChange(table, "found")
 
@@ -348,84 +342,12 @@
 
     # Steps
 
-    def _witnesses_for(
-        self, now: Seconds, owner: Address, avoided: Container[Address] = ()
-    ) -> tuple[Address, ...]:
-        """Return the witnesses that an owner needs; itself if it is alone.
-
-        Daemons of the owner's region come first because they answer soonest. The rest
-        follow by address, beginning after the owner, so that each daemon is a witness
-        of about as many owners. Watched daemons that are silent are left out; of those
-        that are not watched, the owner drops the ones that do not answer.
-        """
-        members = self._directory.member_by_address
-        region = members[owner].region if owner in members else self._region
-        watched = set(self._liveness.watched)
-        receivers = {claim.owner for claim in self._receivers(now)}
-        others = [
-            claim.owner
-            for claim in self._claims(now)
-            if claim.owner != owner
-            and claim.owner not in avoided
-            and (claim.owner in receivers or claim.owner not in watched)
-        ]
-        in_order = sorted(
-            others,
-            key=lambda each: (members[each].region != region, each < owner, each),
-        )
-        chosen = in_order[: witness_count(len(in_order))]
-        return tuple(sorted(chosen)) or (owner,)
-
     def _choose_witnesses(self, now: Seconds, table: KeyTable) -> KeyTable:
-        """Choose other witnesses for the local target.
-
-        The present ones are kept while they are complete and responsive. Without any
-        other candidate, the local daemon becomes its own witness; see `_is_alone`.
-        """
+        """Choose other witnesses for the local target, if it needs them."""
         if not table.owned_by(self._local_address) or not self._target_keys.run:
             return table
-        present = table.witnesses_of(self._local_address)
-        unresponsive = self._witnessed_lease.unresponsive(now, WITNESS_TIMEOUT_S)
-        spare = len(present) - len(unresponsive) - majority(present)
-        if spare > 0:
-            unresponsive = self._witnessed_lease.unresponsive(
-                now, SPARE_WITNESS_TIMEOUT_S
-            )
-        wanted = self._witnesses_for(now, self._local_address, unresponsive)
-        if wanted == present:
-            return table
-        if wanted == (self._local_address,):
-            is_due = self._is_alone(now, present)
-        else:
-            has_others = present not in ((), (self._local_address,))
-            may_grow = now - self._witnesses_changed_at > WITNESS_INCREASE_DELAY_S
-            grows = may_grow and len(wanted) > len(present)
-            is_due = not has_others or bool(unresponsive) or grows
-        return table.with_witnesses(self._local_address, wanted) if is_due else table
-
-    def _is_alone(self, now: Seconds, witnesses: tuple[Address, ...]) -> bool:
-        """Return whether too few witnesses are left for the lease of the local target.
-
-        A witness whose target has left counts for nothing: its daemon ends soon. One
-        that is only silent may run out of sight, and is then given the time to replace
-        the local target.
-        """
-        silent = self._witnessed_lease.silent(now, LAST_WITNESS_TIMEOUT_S)
-        left = [
-            witness
-            for witness in witnesses
-            if witness not in silent and self._serves(witness)
-        ]
-        return len(left) < majority(witnesses)
-
-    def _serves(self, address: Address) -> bool:
-        """Return whether the target beside a daemon serves the local service."""
-        member = self._directory.member_by_address.get(address)
-        return (
-            member is not None
-            and member.service == self._service
-            and member.state is TargetState.READY
-        )
+        claims = list(self._claims(now))
+        return self._witnesses.changed(now, table, claims, self._receivers(now))
 
     def _replace_lapsed(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Replace owners whose lease a majority of witnesses has let lapse."""
--- a/tests/adapters/test_sockets.py
+++ b/tests/adapters/test_sockets.py
@@ -20,50 +20,46 @@
 
 
 class UnsentTests(unittest.TestCase):
+    SIZE = 16 << 20
+
+    def setUp(self):
+        self.listener = SilentListener(("127.0.0.1", 0), "silent")
+        self.addCleanup(self.listener.close)
+        self.loop = Loop()
+        self.loop.add(self.listener)
+        self.loop.manager._running = True
+        address = (self.listener.host, self.listener.port)
+        self.peer = socket.create_connection(address)
+        self.addCleanup(self.peer.close)
+        for _ in range(20):
+            self.loop.manager.tick(0.01)
+
+    def test_bytes_that_the_peer_does_not_read_are_unsent(self):
+        self.assertFalse(self.listener.has_unsent)
+        self.listener.send(self.listener.accepted, bytes(self.SIZE))
+        self.assertTrue(self.listener.has_unsent)
+        self.assertEqual(self.listener.unsent_bytes, self.SIZE)
+        received = 0
+        while received < self.SIZE:
+            received += len(self.peer.recv(1 << 20))
+            self.loop.manager.tick(0.0)
+        self.assertFalse(self.listener.has_unsent)
+        self.assertEqual(self.listener.unsent_bytes, 0)
+
     # Each part that a socket took of a large body cost a copy of the rest.
     def test_the_rest_of_large_bytes_is_not_copied(self):
-        listener = SilentListener(("127.0.0.1", 0), "silent")
-        self.addCleanup(listener.close)
-        loop = Loop()
-        loop.add(listener)
-        loop.manager._running = True
-        peer = socket.create_connection((listener.host, listener.port))
-        self.addCleanup(peer.close)
-        for _ in range(20):
-            loop.manager.tick(0.01)
-        data = bytes(16 << 20)
+        data = bytes(self.SIZE)
+        self.peer.setblocking(False)
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
-        listener.send(listener.accepted, data)
-        peer.setblocking(False)
+        self.listener.send(self.listener.accepted, data)
         for _ in range(20):
             with contextlib.suppress(BlockingIOError):
-                peer.recv(1 << 16)
-            loop.manager.tick(0.0)
+                self.peer.recv(1 << 16)
+            self.loop.manager.tick(0.0)
         _, peak = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        self.assertTrue(listener.has_unsent)
+        self.assertTrue(self.listener.has_unsent)
         self.assertLess(peak, 4 << 20)
-        listener.drop(listener.accepted)
-        self.assertEqual(listener.unsent_bytes, 0)
-
-    def test_bytes_that_the_peer_does_not_read_are_unsent(self):
-        listener = SilentListener(("127.0.0.1", 0), "silent")
-        self.addCleanup(listener.close)
-        loop = Loop()
-        loop.add(listener)
-        loop.manager._running = True
-        peer = socket.create_connection((listener.host, listener.port))
-        self.addCleanup(peer.close)
-        for _ in range(20):
-            loop.manager.tick(0.01)
-        self.assertFalse(listener.has_unsent)
-        listener.send(listener.accepted, bytes(16 << 20))
-        self.assertTrue(listener.has_unsent)
-        self.assertEqual(listener.unsent_bytes, 16 << 20)
-        received = 0
-        while received < 16 << 20:
-            received += len(peer.recv(1 << 20))
-            loop.manager.tick(0.0)
-        self.assertFalse(listener.has_unsent)
-        self.assertEqual(listener.unsent_bytes, 0)
+        self.listener.drop(self.listener.accepted)
+        self.assertEqual(self.listener.unsent_bytes, 0)
