--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -31,8 +31,8 @@
 #: zlib memory level, which sets the size of the table of matches: 16 KiB.
 MEMORY_LEVEL = 5
 
-#: Size of a request's or an answer's body from which its frame is not compressed: the
-#: process does nothing else meanwhile.
+#: Size of a request's or an answer's body from which its frame is not compressed. The
+#: process does nothing else while it compresses, so peers would take it for silent.
 STORED_BODY_BYTES = 128 * 1024
 #: Largest content of a stored block of a deflate stream.
 STORED_BLOCK_BYTES = 0xFFFF
--- a/rhubarbhall/core/ownership/range_witness.py
+++ b/rhubarbhall/core/ownership/range_witness.py
@@ -88,7 +88,7 @@
         self._confirmed_at: dict[Address, Seconds] = {}
         #: Since when each witness has not answered.
         self._unanswered_since: dict[Address, Seconds] = {}
-        #: The same, however often a change of witnesses was tried since.
+        #: The same, but not reset when a change of witnesses is tried.
         self._silent_since: dict[Address, Seconds] = {}
         #: Offset of a change of witnesses whose outcome is unknown.
         self._pending_at: Offset | None = None
@@ -157,8 +157,7 @@
     def silent(self, now: Seconds, longer_than_s: Seconds) -> list[Address]:
         """Return the witnesses that have not answered for a time.
 
-        Other than for `unresponsive`, a change that was tried and is not known to be
-        written does not begin the time anew.
+        Unlike in `unresponsive`, the time goes on when a change of witnesses is tried.
         """
         return [
             witness
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -50,8 +50,8 @@
 CONFIGURATION_POLL = LongPoll(8.0, ANSWER_TIMEOUT_S)
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
-#: Limits while no configuration is known. Callers give up what is refused as too large,
-#: so nothing is that the operators may allow; the room for bodies bounds them.
+#: Limits while no configuration is known. Callers never repeat a request that was
+#: refused as too large, so these are above what operators set; the body budget applies.
 UNKNOWN_LIMITS = CallerLimits(MAX_CALLER_CONNECTIONS, 256 << 10, 1 << 40)
 
 
