--- a/review/standins2/target.py
+++ b/review/standins2/target.py
@@ -102,16 +102,16 @@
 
     def _unexpired(self) -> list[tuple[int, int, int, float]]:
         now = time.monotonic()
-        if any(row[3] <= now for row in self.held):
-            self._set_held([row for row in self.held if row[3] > now])
+        self.held = [row for row in self.held if row[3] > now]
         return self.held
 
     def _set_held(self, rows: list[tuple[int, int, int, float]]) -> None:
-        before = {row[:3] for row in self.held}
-        self.held = rows
-        if {row[:3] for row in rows} != before:
-            held = sorted(row[:3] for row in rows)
+        """Hold these keys from now on; a row that has expired counts for nothing."""
+        if rows or self.held:
+            now = time.monotonic()
+            held = [(*row[:3], round(row[3] - now, 3)) for row in sorted(rows)]
             self._record("holds", target=self.name, rows=held)
+        self.held = rows
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -7,6 +7,7 @@
 import json
 import os
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -218,6 +219,11 @@
         for vm in vms:
             await self.wait_until(vm.is_ready, timeout_s, f"{vm.name} ready")
 
+    def keep_logs(self) -> None:
+        """Copy the logs of the routers to the folder that KEEP_LOGS names, if any."""
+        if os.environ.get("KEEP_LOGS"):
+            shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
+
     async def close(self) -> None:
         """End all processes that this script has started."""
         for target in self.targets:
