--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,8 +15,8 @@
 REUSE_AFTER_S = 2.0
 #: Time from SIGTERM to SIGKILL, in seconds.
 GRACE_S = 6.0
-#: Requests per second from the clients of the machine.
-RATE = 78
+#: Requests per second from the clients of each such machine.
+RATE = 40
 CONFIGURATION = {
     "version": 1,
     "resources": [
@@ -61,7 +61,7 @@
     await vm.wait_for_end(GRACE_S)
     await asyncio.sleep(max(0.0, ended_at + REUSE_AFTER_S - world.now()))
     vm.write_settings("beta")
-    await world.add_target(vm, "i-new", "beta")
+    await world.add_target(vm, f"i-new-{vm.name}", "beta")
     await vm.start()
 
 
@@ -85,21 +85,24 @@
         await world.start_store(CONFIGURATION)
         alphas = [world.add_vm(f"a{i}", 10 + i, "z1") for i in range(4)]
         beta = world.add_vm("b", 21, "z1")
-        # The only machine of its zone, so clients go on sending while it is not ready.
-        alone = world.add_vm("x", 31, "z2")
+        # The only machines of their zones, so clients go on sending while they are not
+        # ready.
+        alone = [world.add_vm(f"x{i}", 31 + i, f"z{i + 2}") for i in range(2)]
         target_by_vm = {}
-        for vm in (*alphas, beta, alone):
+        for vm in (*alphas, beta, *alone):
             name = "beta" if vm is beta else "alpha"
             vm.write_settings(name)
             await vm.start()
             target_by_vm[vm.name] = await world.add_target(vm, f"i-{vm.name}", name)
         await world.wait_ready(world.vms)
-        traffic = asyncio.create_task(_traffic(world, alone))
+        traffic = [asyncio.create_task(_traffic(world, vm)) for vm in alone]
         await asyncio.sleep(4.0)
         if trouble:
-            await _replace(world, alone, target_by_vm["x"])
+            ends = (_replace(world, vm, target_by_vm[vm.name]) for vm in alone)
+            await asyncio.gather(*ends)
         await asyncio.sleep(8.0)
-        traffic.cancel()
+        for task in traffic:
+            task.cancel()
         await asyncio.sleep(1.6)
         return _breaches(world)
     finally:
--- a/review/standins2/target.py
+++ b/review/standins2/target.py
@@ -10,7 +10,7 @@
 from review.standins2.http import Message, Server, call, encode_answer
 
 #: Time to the next heartbeat after a release or a failed one, in seconds.
-SOON_S = 0.1
+SOON_S = 0.05
 #: Called with a kind of event and its fields.
 Record = Callable[..., None]
 
