Refuse requests for other services at the queue of the local target

Cause: the chooser took the local candidate from the member record of the local address, which an earlier process had written for another service. Only requests from peers were compared with the settings of the process.

The admission queue, which every way to the local target passes, knows its service by the settings and refuses any other one as not run; the check in on_forward went there. The chooser asks the process for the local target, so a request goes at once to another target of its service, and a request for the local service no longer waits for the record. A key whose owner's address belongs to another service is refused at once, with a time to retry after.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -82,6 +82,9 @@
 
     Parameters
     ----------
+    service : str
+        Service of the target. Requests for any other one are refused, whoever has sent
+        them here.
     target : TargetClient
         Port that sends requests to the target.
     key_ownership : KeyOwnership
@@ -108,12 +111,14 @@
 
     def __init__(
         self,
+        service: str,
         target: TargetClient,
         key_ownership: KeyOwnership,
         suspects: CrashSuspects,
         on_answered: Callable[[str, Seconds, Seconds], None] = lambda *_: None,
     ) -> None:
         self._on_answered = on_answered
+        self._service = service
         self._target = target
         self._key_ownership = key_ownership
         self._suspects = suspects
@@ -195,6 +200,10 @@
             Ticket for `cancel`.
         """
         entry = QueueEntry(next(self._tickets), request, now, on_outcome)
+        if request.service != self._service:
+            # Another service had this address before, or the sender has old records.
+            on_outcome(NotRun(ErrorKind.NO_TARGET))
+            return entry.ticket
         if request.key is not None and self._key_ownership.is_assigned(request.key):
             self._key_ownership.record_request(now, request.key)
         refusal = self._refusal(now, request)
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -502,6 +502,11 @@
         if outcome.kind is ErrorKind.CRASHES_TARGETS:
             self._finish(now, pending, outcome)
             return
+        if outcome.kind is ErrorKind.NO_TARGET and request.key is not None:
+            # Another service uses the address of the owner, so the owner has ended.
+            refusal = NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
+            self._finish(now, pending, refusal)
+            return
         seen_by_target = outcome.kind is ErrorKind.TARGET_REFUSED
         pending.attempts += seen_by_target
         self._chooser.view(address).record_served(False)
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -9,8 +9,8 @@
 
 import random
 from collections.abc import Collection
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Protocol
 
 from rhubarbhall.core.digest import digest
 from rhubarbhall.core.ownership.records import TargetState
@@ -108,6 +108,21 @@
         self.avoided_until = float("-inf")
 
 
+class LocalTarget(Protocol):
+    """Port for what this process knows of the target beside it.
+
+    The directory may still hold a record of the local address that an earlier process
+    has written, for a target of another service.
+    """
+
+    @property
+    def service(self) -> str:
+        """Service of the local target."""
+
+    def candidate(self, now: Seconds) -> Member | None:
+        """Return the member record of the target; `None` if it does not accept work."""
+
+
 class TargetChooser:
     """Ranks the targets of a service by the estimated time until their answer.
 
@@ -115,27 +130,29 @@
     ----------
     local_address : str
         Address of the local daemon.
-    domain, region : str
-        Failure domain and region of the local VM.
+    region : str
+        Region of the local VM.
     directory : KeyDirectory
-        Members of all services.
+        Members of all services. What it says of the local address is not used.
     liveness : Liveness
         Time since the last contact with each other daemon.
+    local_target : LocalTarget
+        The target beside the local daemon.
     """
 
     def __init__(
         self,
         local_address: Address,
-        domain: str,
         region: str,
         directory: KeyDirectory,
         liveness: Liveness,
+        local_target: LocalTarget,
     ) -> None:
         self._local_address = local_address
-        self._domain = domain
         self._region = region
         self._directory = directory
         self._liveness = liveness
+        self._local_target = local_target
         self.view_by_address: dict[Address, TargetView] = {}
         self._mean_by_route: dict[str, Seconds] = {}
         self._candidates_by_service: dict[str, _Candidates] = {}
@@ -217,7 +234,7 @@
         str or None
             The address; None if no target can be used.
         """
-        candidates = self._candidates(service)
+        candidates = self._candidates(now, service)
         near = self._ranked(now, candidates.local_region, route, tried)
         for avoided, cost_s, address in near:
             if cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s and not avoided:
@@ -242,7 +259,7 @@
         str or None
             Address of its daemon; None if no target can be used.
         """
-        candidates = self._candidates(service)
+        candidates = self._candidates(now, service)
         usable = [
             address
             for address, member in (*candidates.local_region, *candidates.other_regions)
@@ -257,16 +274,27 @@
             default=None,
         )
 
-    def _candidates(self, service: str) -> _Candidates:
-        """Return the targets of a service that accept work, by their records."""
+    def _candidates(self, now: Seconds, service: str) -> _Candidates:
+        """Return the targets of a service that accept work."""
+        others = self._other_candidates(service)
+        if service != self._local_target.service:
+            return others
+        local = self._local_target.candidate(now)
+        if local is None:
+            return others
+        local_region = [(self._local_address, local), *others.local_region]
+        return replace(others, local_region=local_region)
+
+    def _other_candidates(self, service: str) -> _Candidates:
+        """Return the targets of other daemons that accept work, by their records."""
         known = self._candidates_by_service.get(service)
         if known is not None and known.version == self._directory.state_version:
             return known
         candidates = _Candidates(self._directory.state_version, [], [])
         for address, member in self._directory.members_of(service):
-            if member.state is not TargetState.READY or self._directory.is_lost(
-                address
-            ):
+            is_local = address == self._local_address
+            is_ready = member.state is TargetState.READY
+            if is_local or not is_ready or self._directory.is_lost(address):
                 continue
             if member.region == self._region:
                 candidates.local_region.append((address, member))
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -88,9 +88,6 @@
             self.request_log.record_local_outcome(request, outcome)
             self.sessions.answer(origin, outcome, self.admission_queue.load)
 
-        if request.service != self.settings.service:
-            on_outcome(NotRun(ErrorKind.NO_TARGET))
-            return 0
         if self._shutdown_announced:
             on_outcome(NotRun(ErrorKind.SHUTTING_DOWN))
             return 0
@@ -283,7 +280,7 @@
         """Record a witness's vote that an owner may be replaced by a record at `at`."""
         now = self._advance_timers()
         self.replacement_votes.record_vote(witness, owner, at)
-        self.publisher.write_due(now, self._local_member(now))
+        self.publisher.write_due(now, self.local_member(now))
 
     def _update_witnesses(self, now: Seconds) -> tuple[Address, ...]:
         """Update and return the witnesses of the local target that the table names."""
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -124,7 +124,7 @@
         self._answer_heartbeat_if_free(now)
         self._answer_departures_if_recorded()
         self.admission_queue.on_keys_changed(now)
-        self.publisher.write_due(now, self._local_member(now))
+        self.publisher.write_due(now, self.local_member(now))
 
     def _on_complete(self, now: Seconds, sent_at: Seconds, end: Offset) -> None:
         is_first = not self.directory.is_loaded
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -23,6 +23,7 @@
 from rhubarbhall.core.traffic.requests import Unknown
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.records import Member
     from rhubarbhall.core.ownership.target_keys import Grant, HeartbeatAnswer
     from rhubarbhall.core.traffic.requests import Outcome, TargetNotice
     from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
@@ -106,6 +107,35 @@
         return span.owner == self._daemon.local_address and not span.previous_lost
 
 
+class LocalCandidate:
+    """The local target as a candidate for requests, by what this process knows of it.
+
+    Parameters
+    ----------
+    daemon : RoutingDaemon
+        Daemon whose settings, directory and target are used.
+    """
+
+    def __init__(self, daemon: RoutingDaemon) -> None:
+        self._daemon = daemon
+
+    @property
+    def service(self) -> str:
+        """Service of the local target, by the settings of this process."""
+        return self._daemon.settings.service
+
+    def candidate(self, now: Seconds) -> Member | None:
+        """Return the present record of the target; `None` if it does not accept work.
+
+        Before the directory is loaded it is not known whether the target has left.
+        """
+        if not self._daemon.directory.is_loaded:
+            return None
+        member = self._daemon.local_member(now)
+        is_ready = member is not None and member.state is TargetState.READY
+        return member if is_ready else None
+
+
 class TargetHandlers:
     """Handles the local target; a mix-in of `RoutingDaemon` that uses its fields."""
 
@@ -185,7 +215,7 @@
             self.balancer.slots = self.target_keys.heartbeat.slots
         elif previous_state is not TargetState.LEAVING:
             self._close_queue_later(now)
-        self.publisher.write_due(now, self._local_member(now))
+        self.publisher.write_due(now, self.local_member(now))
 
     def _grant(self, now: Seconds, heartbeat_age_s: Seconds) -> Grant | None:
         if not self.publisher.by_key:
@@ -226,7 +256,7 @@
             self.log_event(LogEvent(217, fields))
         self.admission_queue.on_keys_changed(now)
         if isinstance(request, ReleaseRequest):
-            self.publisher.write_due(now, self._local_member(now))
+            self.publisher.write_due(now, self.local_member(now))
 
     def _close_queue_later(self, now: Seconds) -> None:
         """Close the admission queue shortly before a target's drain period ends."""
@@ -291,7 +321,7 @@
         """Announce that the target leaves, and soon send it no more requests."""
         self.log_event(LogEvent(212, {"run": self.target_keys.run, "state": state}))
         self._close_queue_later(now)
-        self.publisher.write_due(now, self._local_member(now))
+        self.publisher.write_due(now, self.local_member(now))
 
     def on_bad_heartbeat(self, reason: str) -> None:
         """Log a heartbeat that could not be read."""
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -74,6 +74,7 @@
 from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
     DepartureAnswer,
+    LocalCandidate,
     LocalKeyOwnership,
     TargetHandlers,
     UnansweredHeartbeat,
@@ -233,6 +234,7 @@
         )
         self.request_log = RouterRequestLog(settings.vm, self)
         self.admission_queue = AdmissionQueue(
+            settings.service,
             self.target,
             LocalKeyOwnership(self),
             self.suspects,
@@ -240,10 +242,10 @@
         )
         self.chooser = TargetChooser(
             self.local_address,
-            settings.domain,
             settings.region,
             self.directory,
             self.liveness,
+            LocalCandidate(self),
         )
         self.request_router = RequestRouter(
             self.local_address,
@@ -427,7 +429,7 @@
         self._request_replacement_votes(now)
         if self.witnessed_lease.remaining_s(now) <= 0:
             self._request_renewals(now)
-        self.publisher.write_due(now, self._local_member(now))
+        self.publisher.write_due(now, self.local_member(now))
         if self.shutdown is not None:
             self._check_stop(now)
 
@@ -511,7 +513,7 @@
         """Return the end up to which the outcome of writes to the table is known."""
         return self.directory.settled_end(self.settings.service)
 
-    def _local_member(self, now: Seconds) -> Member | None:
+    def local_member(self, now: Seconds) -> Member | None:
         """Return the member record to publish; none while the target is unknown."""
         settings = self.settings
         place = (settings.service, settings.domain, settings.region)
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -77,7 +77,7 @@
         self.target = FakeTarget()
         self.keys = FakeKeys()
         self.suspects = CrashSuspects()
-        self.queue = AdmissionQueue(self.target, self.keys, self.suspects)
+        self.queue = AdmissionQueue("s", self.target, self.keys, self.suspects)
         self.queue.open(self.SLOTS)
         self.outcomes: dict[str, object] = {}
 
@@ -527,6 +527,20 @@
         self.assertEqual(self.queue.limit.value, self.SLOTS)
 
 
+class OtherServiceTests(AdmissionQueueCase):
+    # Guards against: a request that a target of another service runs, as the address
+    # belonged to its service before.
+    def test_requests_for_another_service_are_refused_as_not_run(self):
+        self.keys.held.add(7)
+        self.submit(0.0, "plain", service="former")
+        self.submit(0.0, "keyed", service="former", key=7)
+        self.keys.awaited.add(8)
+        self.submit(0.0, "awaited", service="former", key=8)
+        self.assertEqual(self.sent_ids(), [])
+        refused = NotRun(ErrorKind.NO_TARGET)
+        self.assertEqual(list(self.outcomes.values()), [refused] * 3)
+
+
 class UnreachableTargetTests(AdmissionQueueCase):
     # A request that was given up while its connection opened ended others as well, and
     # the handler of the check failed on these: callers waited for nothing.
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -21,7 +21,10 @@
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects
 from rhubarbhall.core.traffic.pending_requests import CallerRequest
-from rhubarbhall.core.traffic.request_router import RequestRouter
+from rhubarbhall.core.traffic.request_router import (
+    LOST_OWNER_RETRY_AFTER_S,
+    RequestRouter,
+)
 from rhubarbhall.core.traffic.requests import Answered, NotRun, Unknown
 from rhubarbhall.core.traffic.retry_budget import ServiceRetryBudget
 from rhubarbhall.core.traffic.routes import (
@@ -32,6 +35,7 @@
 )
 from rhubarbhall.core.traffic.target_chooser import TargetChooser
 from tests.core.traffic.test_admission_queue import FakeKeys, FakeTarget
+from tests.core.traffic.test_target_chooser import FakeLocalTarget
 
 LOCAL, NEAR, FAR = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
 ANSWER = Answered(200, (("X", "y"),), b"ok")
@@ -97,9 +101,13 @@
         liveness = Liveness(0.0)
         for address in (NEAR, FAR):
             liveness.record_contact(0.0, address)
-        chooser = TargetChooser(LOCAL, "d1", "r1", self.directory, liveness)
+        self.local_target = FakeLocalTarget("own")
+        chooser = TargetChooser(
+            LOCAL, "r1", self.directory, liveness, self.local_target
+        )
         self.suspects = CrashSuspects()
-        self.queue = AdmissionQueue(FakeTarget(), FakeKeys(), self.suspects)
+        self.target, self.keys = FakeTarget(), FakeKeys()
+        self.queue = AdmissionQueue("own", self.target, self.keys, self.suspects)
         self.budget = ServiceRetryBudget(0.2, 10.0)
         self.router = RequestRouter(
             LOCAL,
@@ -324,6 +332,20 @@
         repeats = len(self.peers.sent) - count
         self.assertLessEqual(repeats, 0.2 * count)
 
+    # Guards against: a caller that is not told when to come back, or a request that
+    # waits, while the address of the owner belongs to another service.
+    def test_a_key_whose_owner_address_is_used_by_another_service(self):
+        refused = NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
+        for number, owner in enumerate((NEAR, LOCAL)):
+            with self.subTest(owner=owner):
+                self.set_table(KeyTable.divided([Claim(owner, "i@1")]), 40 + number)
+                self.keys.held.add(7)
+                self.submit(f"/status/{number}", key=7)
+                if owner == NEAR:
+                    self.outcome(0.0, NotRun(ErrorKind.NO_TARGET))
+                self.assertEqual(self.replies, [refused] * (number + 1))
+        self.assertEqual(self.target.sent, {})
+
     def test_request_without_a_key_is_refused(self):
         self.submit("/status/1")
         self.assertEqual(self.replies[0].kind, ErrorKind.KEY_MISSING)
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -25,11 +25,25 @@
 WORK_S = 0.3
 
 
+class FakeLocalTarget:
+    """A local target that accepts work while `member` is set."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.member: Member | None = None
+
+    def candidate(self, now):
+        return self.member
+
+
 class TargetChooserCase(unittest.TestCase):
     def setUp(self):
         self.directory = KeyDirectory()
         self.liveness = Liveness(0.0)
-        self.chooser = TargetChooser(LOCAL, "d", "r1", self.directory, self.liveness)
+        self.local_target = FakeLocalTarget("ledger")
+        self.chooser = TargetChooser(
+            LOCAL, "r1", self.directory, self.liveness, self.local_target
+        )
         for address, region in ((NEAR, "r1"), (OTHER_NEAR, "r1"), (FAR, "r2")):
             member = Member("ledger", "d", region, "i@1", SLOTS, TargetState.READY)
             offset = len(self.directory.member_by_address)
@@ -107,3 +121,40 @@
         self.chooser.view(NEAR).load = Load(1, 0, SLOTS, 400.0)
         self.set_occupancy(OTHER_NEAR, 1.0)
         self.assertEqual(self.choose(latency_budget_s=1.5), NEAR)
+
+
+class LocalTargetTests(TargetChooserCase):
+    """The local target is known by the process, not by the records of its address."""
+
+    def record_local(self, service: str, state: TargetState) -> None:
+        member = Member(service, "d", "r1", "i@1", SLOTS, state)
+        entry = Entry(90, member_key(LOCAL), encode_member(member))
+        self.directory.apply(entry)
+
+    def hashed(self, service: str) -> set[str | None]:
+        """Return the targets that the hashes of several requests choose."""
+        return {
+            self.chooser.choose_by_hash(0.0, service, bytes([number]), ())
+            for number in range(30)
+        }
+
+    # Guards against: requests for the service that the address had before, which its
+    # present target runs.
+    def test_a_record_of_the_former_service_of_the_address_is_not_used(self):
+        self.local_target.service = "stock"
+        self.record_local("ledger", TargetState.READY)
+        others = {NEAR, OTHER_NEAR, FAR}
+        self.assertIsNone(self.choose(1.5, tried=others))
+        self.assertEqual(self.hashed("ledger"), others)
+
+    def test_a_target_is_used_before_its_record_is_written(self):
+        self.local_target.service = "stock"
+        self.local_target.member = Member("stock", "d", "r1", "i@2", SLOTS)
+        self.record_local("ledger", TargetState.READY)
+        chosen = self.chooser.choose(0.0, "stock", "pull", (), 1.5)
+        self.assertEqual(chosen, LOCAL)
+        self.assertEqual(self.hashed("stock"), {LOCAL})
+
+    def test_a_target_that_takes_no_work_is_not_used_whatever_its_record_says(self):
+        self.record_local("ledger", TargetState.READY)
+        self.assertNotIn(LOCAL, self.hashed("ledger"))
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -69,10 +69,6 @@
         self.routers[LEAVING] = self.new_router(LEAVING)
         self.tick_until(self.router.is_ready, 8.0)
 
-    def pass_time(self, seconds: float) -> None:
-        end = self.elapsed_s + seconds
-        self.tick_until(lambda: self.elapsed_s >= end, seconds + 1.0)
-
     def count_runs(self, requests: int = 8) -> int:
         """Send requests for the service; return how many the leaving target ran."""
         before = len(self.target.executed_requests)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -126,13 +126,13 @@
         for event in list(self.timers.due(time.monotonic())):
             event.fire(time.monotonic())
 
-    def new_target(self, vm: int) -> PlatformTarget:
-        service = VMS[vm][0]
+    def new_target(self, vm: int, service: str = "") -> PlatformTarget:
+        service = service or VMS[vm][0]
         target = PlatformTarget(
             address(vm, 5),
             service,
             address(vm, 4),
-            SERVICES[service],
+            SERVICES.get(service, False),
             self.timers,
             self.client,
             TargetBehaviour(grants_by_request=self.GRANTS == "request"),
@@ -140,8 +140,8 @@
         self.loop.add(target.port)
         return target
 
-    def new_router(self, vm: int) -> RoutingDaemon:
-        service, region = VMS[vm]
+    def new_router(self, vm: int, service: str = "") -> RoutingDaemon:
+        region = VMS[vm][1]
         path = self.folder / f"{vm}.json"
         path.write_bytes(
             msgspec.json.encode(
@@ -156,7 +156,7 @@
                         "control": address(vm, 4),
                     },
                     "app_addr": address(vm, 5),
-                    "service": service,
+                    "service": service or VMS[vm][0],
                     "platform": {"address": STORE},
                     "grants": self.GRANTS,
                     "bounds": [f"grace={self.GRACE}"],
--- a/tests/platform/virtual_time.py
+++ b/tests/platform/virtual_time.py
@@ -46,3 +46,7 @@
             self.assertLess(self.elapsed_s, end, "condition not met in time")
             self.elapsed_s += TURN_S
             self.loop.manager.tick(0.0005)
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.elapsed_s + seconds
+        self.tick_until(lambda: self.elapsed_s >= end, seconds + 1.0)
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -67,7 +67,7 @@
     def settled_end(self):
         return self.directory.end
 
-    def _local_member(self, now):
+    def local_member(self, now):
         return self.target_keys.member(now, "s", "d", "r")
 
     def _write(self, now, member):
