Let keys of a reused address wait for the lease of their owner

Cause: the step replace_reused took that record for the end of the target at the address and freed its keys at once, the only takeover without the wait for a lease; it also removed the owner's witnesses from the table, on whose absence another step relies. Ruled out: a late table (tables are written on condition of the end of the log), and a lease that is renewed for too long (the log of the case gives replace_reused as the reason of the change).

Such an owner is now marked as lost, with the code for owners that do not respond; its witnesses stay and free the keys once its lease has lapsed.

One test asserted that these keys are free at once, which is the fault. In its place three assert that they wait for a whole lease, that witnesses free them when they let the lease lapse, and that a living owner releases them itself.

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -358,8 +358,7 @@
         ]
         for owner in self._replaced:
             table = self._reassigned(now, table.with_owner_lost(owner), owner)
-            ranges = [(span.first, span.last) for span in table.unreleased_by(owner)]
-            table = table.released(owner, ranges, {}).with_witnesses(owner, ())
+            table = self._freed_from(table, owner).with_witnesses(owner, ())
         return table
 
     def _release_relinquished(self, now: Seconds, table: KeyTable) -> KeyTable:
@@ -451,10 +450,11 @@
         return table
 
     def _replace_reused(self, now: Seconds, table: KeyTable) -> KeyTable:
-        """Reassign the keys of addresses that now belong to another service.
+        """Mark addresses that now belong to another service as lost.
 
-        The daemon at that address has written its new service itself. An address
-        belongs to one VM at a time, so the target that held the keys has ended.
+        The record that says so may be an old one that the store has written late, so
+        their keys wait for the end of a lease, as those of any lost owner do. If the
+        record is true, the witnesses let that lease lapse and free the keys.
         """
         members = self._directory.member_by_address
         reused = [
@@ -465,9 +465,7 @@
         if not self._rank_delay_passed(now, "replace_reused", bool(reused)):
             return table
         for address in reused:
-            table = self._reassigned(now, table.with_owner_lost(address), address)
-            ranges = [(span.first, span.last) for span in table.unreleased_by(address)]
-            table = table.released(address, ranges, {}).with_witnesses(address, ())
+            table = self._with_owner_lost(now, table, address)
         return table
 
     def _replace_unresponsive(self, now: Seconds, table: KeyTable) -> KeyTable:
@@ -482,15 +480,28 @@
         if not self._rank_delay_passed(now, "replace_silent", bool(unresponsive)):
             return table
         for address in unresponsive:
-            table = self._reassigned(now, table.with_owner_lost(address), address)
-            if not table.witnesses_of(address):
-                # An owner without witnesses never had a lease and was granted nothing.
-                ranges = [
-                    (span.first, span.last) for span in table.unreleased_by(address)
-                ]
-                table = table.released(address, ranges, {})
+            table = self._with_owner_lost(now, table, address)
         return table
 
+    def _with_owner_lost(
+        self, now: Seconds, table: KeyTable, owner: Address
+    ) -> KeyTable:
+        """Mark an owner as lost and reassign its keys, to be granted after its lease.
+
+        Its witnesses stay in the table, so that they can free the keys sooner.
+        """
+        table = self._reassigned(now, table.with_owner_lost(owner), owner)
+        if table.witnesses_of(owner):
+            return table
+        # An owner without witnesses never had a lease and was granted nothing.
+        return self._freed_from(table, owner)
+
+    @staticmethod
+    def _freed_from(table: KeyTable, owner: Address) -> KeyTable:
+        """Free all ranges that an owner would have to release; its lease has ended."""
+        ranges = [(span.first, span.last) for span in table.unreleased_by(owner)]
+        return table.released(owner, ranges, {})
+
     def _replace_departed(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Reassign the keys of targets that have left, if their daemons do not."""
         members = self._directory.member_by_address
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -109,14 +109,49 @@
         self.pass_time(10.0)
         self.assertIsNone(self.propose())
 
-    def test_keys_of_an_address_that_went_to_another_service_are_reassigned(self):
+    def reuse_address(self) -> KeyTable:
+        """Let a record name another service for an owner; return the table then."""
         self.set_member(B, service="other")
         self.pass_time(1.0)
         self.propose()
         self.pass_time(RANK_DELAY_S)
         changed = self.propose()
+        self.set_table(changed)
+        self.propose()
+        return changed
+
+    # Guards against: keys that are granted while the former owner still holds them, as
+    # a late record of the former service of its address counted as its end.
+    def test_keys_of_an_address_that_went_to_another_service_wait_for_its_lease(self):
+        size = self.table.size_by_owner()[B]
+        changed = self.reuse_address()
         self.assertNotIn(B, changed.size_by_owner())
-        self.assertTrue(all(span.is_free for span in changed.spans))
+        waiting = changed.unreleased_by(B)
+        self.assertEqual(sum(span.size for span in waiting), size)
+        self.assertTrue(all(span.previous_lost for span in waiting))
+        self.pass_time(takeover_wait_s() - 0.2)
+        self.assertIsNone(self.propose())
+        self.pass_time(0.4)
+        freed = self.propose()
+        self.assertTrue(all(span.is_free for span in freed.owned_by(LOCAL)))
+
+    def test_its_witnesses_free_them_once_they_let_its_lease_lapse(self):
+        self.set_table(self.table.with_witnesses(B, (LOCAL,)))
+        changed = self.reuse_address()
+        self.assertEqual(changed.witnesses_of(B), (LOCAL,))
+        self.assertFalse(all(span.is_free for span in changed.spans))
+        self.pass_time(WITNESS_LEASE_S)
+        freed = self.propose()
+        self.assertTrue(all(span.is_free for span in freed.spans))
+        self.assertEqual(freed.witnesses_of(B), ())
+
+    def test_a_living_owner_at_a_wrongly_named_address_releases_its_keys_itself(self):
+        self.set_table(
+            self.table.with_owner_lost(LOCAL).moved([((0, 9), Claim(B, "i@1"))])
+        )
+        self.target_keys.grant(self.now, self.table, 5.0, self.offset)
+        self.pass_time(0.3)
+        self.assertTrue(self.propose().find(5).is_free)
 
     def lose_others(self) -> None:
         """Let the local target own all keys; the others have no target any more."""
