Free nothing by the run that a table names

Cause: other daemons copy the run of a member record into the table. The daemon beside that target found an earlier run there, took it for a restart, and KeyTable.renewed freed everything that its target still had to release, although the present run held it. Ruled out: the lease, and with_runs in itself, which frees nothing.

KeyTable.renewed is gone; the local target's run is written with with_runs, like those of others. What a target has released is known to the daemon beside it alone (_release_relinquished): it has seen a new run begin, heartbeats do not list the ranges, or every grant has ended.

--- a/rhubarbhall/core/ownership/key_table.py
+++ b/rhubarbhall/core/ownership/key_table.py
@@ -287,28 +287,12 @@
 
         return self._mapped(change)
 
-    def renewed(self, owner: Address, run: str) -> KeyTable:
-        """Return the table after a target was restarted and holds nothing.
-
-        Spans that it owns get a new fence for the new run. Spans that it had to release
-        are free.
-        """
-        fence = self.next_fence
-
-        def change(span: Span) -> Span:
-            if span.previous == owner:
-                span = replace(span, previous="", previous_lost=False, token="")
-            if span.owner == owner and span.run != run:
-                span = replace(span, run=run, fence=fence, token="")
-            return span
-
-        return replace(self._mapped(change), next_fence=fence + 1)
-
     def with_runs(self, run_by_owner: Mapping[Address, str]) -> KeyTable:
         """Return the table after targets of several owners were restarted.
 
         Spans that they own get a new fence for the new run. What they had to release
-        stays with them.
+        stays with them: only the daemon beside a target knows what it holds, and a run
+        in the table may come from a record that was written late.
         """
         fence = self.next_fence
 
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -372,12 +372,15 @@
         return table.released(self._local_address, ranges, tokens)
 
     def _renew_run(self, now: Seconds, table: KeyTable) -> KeyTable:
-        """Assign the keys of an earlier run of the local target to its present run."""
+        """Assign the keys of an earlier run of the local target to its present run.
+
+        What the earlier run had to release is freed by `_release_relinquished`.
+        """
         run = self._target_keys.run
         if not run or self._target_keys.state(now) is not TargetState.READY:
             return table
         stale = any(span.run != run for span in table.owned_by(self._local_address))
-        return table.renewed(self._local_address, run) if stale else table
+        return table.with_runs({self._local_address: run}) if stale else table
 
     def _renew_other_runs(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Assign the keys of earlier runs of other targets to their present runs.
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -355,6 +355,47 @@
         self.witnessed_lease.confirm(self.now, B, self.now, self.offset + 9)
         self.assertFalse(self.reconciler.is_blocked(self.now))
 
+    def move_local_keys(self, run: str) -> None:
+        """Let the local target release some keys; the table names a run of the rest."""
+        table = self.table.moved([((0, 9), Claim(B, "i@1"))])
+        self.set_table(table.with_runs({LOCAL: run}))
+        self.hear_from_peers()
+
+    def hear_from_peers(self) -> None:
+        for address in (B, C):
+            self.liveness.record_contact(self.now, address)
+
+    def test_a_new_run_of_the_local_target_has_released_what_the_last_one_held(self):
+        self.move_local_keys("i@1")
+        self.target_keys.grant(self.now, self.table, 5.0, self.offset)
+        self.now += 0.5
+        self.send_heartbeat(born=2)
+        self.now += 0.01
+        changed = self.propose()
+        self.assertTrue(changed.find(5).is_free)
+        self.assertEqual({span.run for span in changed.owned_by(LOCAL)}, {"i@2"})
+
+    # Guards against: keys that are free while the present run holds them, as a record
+    # of an earlier run, written late, had changed the run in the table.
+    def test_an_earlier_run_in_the_table_frees_nothing_that_the_present_one_holds(self):
+        self.target_keys.grant(self.now, self.table, 5.0, self.offset)
+        self.move_local_keys("i@0")
+        self.now += 0.1
+        self.send_heartbeat(holds=((0, 99, 1),))
+        changed = self.propose()
+        self.assertEqual(changed.find(5).previous, LOCAL)
+        self.assertEqual({span.run for span in changed.owned_by(LOCAL)}, {"i@1"})
+
+    def test_a_restarted_daemon_frees_nothing_before_earlier_grants_have_ended(self):
+        self.now = MAX_HOLD_S - 0.1
+        self.move_local_keys("i@0")
+        self.send_heartbeat()
+        self.assertEqual(self.propose().find(5).previous, LOCAL)
+        self.now += 0.5
+        self.hear_from_peers()
+        self.send_heartbeat()
+        self.assertTrue(self.propose().find(5).is_free)
+
     def test_a_leaving_targets_keys_go_to_the_others(self):
         self.pass_time(1.0)
         self.target_keys.grant(self.now, self.table, 5.0, self.offset)
