Let a loss report name the member record that it is about

What could be seen: a loss report on an earlier process at an address, which the store writes late, counts for the present one. Its target gets no requests, and a daemon of its service marks it as lost, until it has written its record again.

Cause: a report counted for every member record before it in the log. Ruled out: that reporters repeat it (they report nobody who is reported).

The report holds the position of the member record that its writer knew, and counts for that record and earlier ones. Reports of earlier builds ("1") count as before, and earlier builds read any text as a report.

Before (reports read as those of earlier builds): 5 of 5 subtests of test_a_report_on_an_earlier_process_changes_nothing fail. After: none. test_loss_reports, test_late_records, test_directory, test_table_restore pass.

--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -22,9 +22,9 @@
     MemberVersion,
     boot_key,
     decode_known_table,
+    decode_loss,
     decode_member,
     decode_table,
-    lost_key,
     member_key,
     table_key,
 )
@@ -90,6 +90,9 @@
         #: The record of each key that counts.
         self._entry_by_key: dict[str, Entry] = {}
         self._member_order = MemberOrder()
+        #: Position up to which the member record of each reported daemon counts as that
+        #: of a lost one.
+        self._lost_position_by_address: dict[Address, Offset] = {}
         #: Known epoch of the store.
         self.epoch: StoreEpoch = 0
         #: The end that was reached in each earlier epoch.
@@ -203,7 +206,7 @@
 
     def _decode(self, entry: Entry) -> None:
         if entry.key.startswith(LOST_PREFIX):
-            self.state_version += 1
+            self._set_loss(entry)
         elif entry.key.startswith(TABLE_PREFIX) and entry.value:
             service = entry.key.removeprefix(TABLE_PREFIX)
             self.table_by_service[service] = decode_table(entry.value)
@@ -221,16 +224,31 @@
         if known is None or member is None or known.region != member.region:
             self.member_version += 1
 
+    def _set_loss(self, entry: Entry) -> None:
+        address = entry.key.removeprefix(LOST_PREFIX)
+        if not entry.value:
+            self._lost_position_by_address.pop(address, None)
+        else:
+            reported = decode_loss(entry.value)
+            # One that names no record counts for every member record before it.
+            lost_position = entry.offset if reported is None else reported
+            self._lost_position_by_address[address] = lost_position
+        self.state_version += 1
+
     def is_lost(self, address: Address) -> bool:
-        """Return whether a watcher has recorded that a daemon does not respond.
+        """Return whether a watcher has reported that a daemon does not respond.
 
-        The record counts until the daemon writes its member record again.
+        The report counts until the daemon writes its member record again.
         """
-        lost = self._entry_by_key.get(lost_key(address))
-        if lost is None or not lost.value:
+        lost_position = self._lost_position_by_address.get(address)
+        if lost_position is None:
             return False
-        member = self._entry_by_key.get(member_key(address))
-        return member is None or member.offset < lost.offset
+        return self.member_position(address) <= lost_position
+
+    def member_position(self, address: Address) -> Offset:
+        """Return the position of the member record that counts; -1 without one."""
+        entry = self._entry_by_key.get(member_key(address))
+        return -1 if entry is None else entry.offset
 
     def advance_end(self, end: Offset) -> None:
         """Record that every record before `end` is known."""
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -12,6 +12,7 @@
     MemberVersion,
     boot_key,
     encode_known_table,
+    encode_loss,
     encode_member,
     encode_table,
     lost_key,
@@ -153,7 +154,8 @@
             return
         lost = self._losses.due(now)
         if lost is not None:
-            self._write(now, lost_key(lost), b"1", False, "lost")
+            value = encode_loss(self._directory.member_position(lost))
+            self._write(now, lost_key(lost), value, False, "lost")
             return
         if not self.by_key:
             return
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Annotated
 
@@ -30,6 +31,9 @@
 LOST_PREFIX = "lost/"
 #: Records that only make the log grow; see `rhubarbhall.core.ownership.range_witness`.
 BOOT_PREFIX = "boot/"
+#: Value of a loss report; positions have at most 19 digits.
+_LOSS = re.compile(rb"@([0-9]{1,19})")
+_LOSS_OF_EARLIER_BUILDS = b"1"
 #: Largest number of slots of a target; a higher one is an error of whoever wrote it.
 MAX_SLOTS = 1_000_000
 #: Number that only grows. A record holds 64 bits; later numbers have to fit in as well.
@@ -184,6 +188,36 @@
     return int(data)
 
 
+def encode_loss(position: Offset) -> bytes:
+    """Return the value of a loss report.
+
+    Parameters
+    ----------
+    position : int
+        Position of the member record of the daemon that does not respond, as far as the
+        reporter knows it.
+    """
+    return b"@%d" % position
+
+
+def decode_loss(data: bytes) -> Offset | None:
+    """Return the position of the member record that a loss report is about.
+
+    Reports of earlier builds do not name one.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not the value of such a report.
+    """
+    if data == _LOSS_OF_EARLIER_BUILDS:
+        return None
+    found = _LOSS.fullmatch(data)
+    if found is None:
+        raise ValueError(f"loss report {data[:40]!r}; allowed: '@' and a position")
+    return int(found[1])
+
+
 def table_key(service: str) -> str:
     """Return the key of a service's table."""
     return f"{TABLE_PREFIX}{service}"
--- a/tests/core/ownership/test_late_records.py
+++ b/tests/core/ownership/test_late_records.py
@@ -12,7 +12,9 @@
     Member,
     MemberVersion,
     TargetState,
+    encode_loss,
     encode_member,
+    lost_key,
     member_key,
 )
 from tests.core.ownership.mesh import SERVICE, FakeDaemon, FaultPlan, OwnershipMesh
@@ -92,6 +94,24 @@
                     members = daemon.directory.member_by_address.values()
                     self.assertEqual({each.service for each in members}, {SERVICE})
 
+    def test_a_report_on_an_earlier_process_changes_nothing(self):
+        for seed in range(5):
+            mesh = OwnershipMesh(seed, by_request=self.by_request)
+            mesh.simulation.run_until(SETTLED_S)
+            before = spans(mesh)
+            records = len(mesh.log.records(TOPIC))
+            for daemon in mesh.daemons:
+                address = daemon.local_address
+                position = daemon.directory.member_position(address)
+                # The first record of the log has none before it.
+                value = encode_loss(position - 1) if position else b""
+                mesh.log.append(TOPIC, lost_key(address), value, None)
+            mesh.simulation.run_until(SETTLED_S + SERVED_AGAIN_S)
+            with self.subTest(seed=seed):
+                self.assertEqual(spans(mesh), before)
+                written = len(mesh.log.records(TOPIC)) - records
+                self.assertEqual(written, len(mesh.daemons))
+
     def test_a_daemon_that_starts_with_a_late_record_learns_the_present_one(self):
         mesh = OwnershipMesh(1, by_request=self.by_request)
         mesh.simulation.run_until(SETTLED_S)
--- a/tests/core/ownership/test_loss_reports.py
+++ b/tests/core/ownership/test_loss_reports.py
@@ -10,6 +10,8 @@
 from rhubarbhall.core.ownership.records import (
     Member,
     TargetState,
+    decode_loss,
+    encode_loss,
     encode_member,
     lost_key,
     member_key,
@@ -64,6 +66,32 @@
         self.put_member(NEXT, "r")
         self.assertFalse(self.directory.is_lost(NEXT))
 
+    # Guards against: a daemon that gets no requests and loses its keys, as a report on
+    # an earlier process at its address was written late.
+    def test_a_late_report_does_not_count_for_a_later_record(self):
+        report = encode_loss(self.directory.member_position(NEXT))
+        self.put_member(NEXT, "r")
+        self.put(lost_key(NEXT), report)
+        self.assertFalse(self.directory.is_lost(NEXT))
+        self.put(lost_key(NEXT), encode_loss(self.directory.member_position(NEXT)))
+        self.assertTrue(self.directory.is_lost(NEXT))
+
+    def test_a_report_that_cannot_be_read_changes_nothing(self):
+        self.put(lost_key(NEXT), encode_loss(self.directory.member_position(NEXT)))
+        for value in (b"2", b"@", b"@-1", b"@1.5", b"@" + b"9" * 30, b"\xff"):
+            with self.subTest(value=value), self.assertRaises(ValueError):
+                decode_loss(value)
+            self.put(lost_key(NEXT), value)
+            self.assertTrue(self.directory.is_lost(NEXT))
+        self.put(lost_key(NEXT), b"")
+        self.assertFalse(self.directory.is_lost(NEXT))
+
+    # Earlier builds write that, and count any text as a report.
+    def test_reports_of_earlier_builds_count_until_the_next_record(self):
+        self.assertIsNone(decode_loss(b"1"))
+        self.put(lost_key(NEXT), b"1")
+        self.assertTrue(self.directory.is_lost(NEXT))
+
     def test_a_daemon_that_is_cut_off_reports_nobody(self):
         now = SAME_REGION_TIMEOUT_S + 4.0
         self.assertIsNone(self.due_at(now, NEXT, SECOND, FAR))
