Record a departure where no late member record undoes it

The next router sends requests to the target again.

Cause: a daemon that starts reads the newest record of each key alone, so the versions of member records do not help it.

The departure is written to left/<address> as well, with the run that leaves, and acknowledged once both records are in the store. A router that starts takes a run that is named there for one that has left, whatever the member record says. Cost: one more append for each departure, in front of its acknowledgement.

Before: test_a_late_record_does_not_bring_it_back fails (ready in two directories).

--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -15,16 +15,19 @@
 
 from rhubarbhall.core.ownership.member_order import MemberOrder
 from rhubarbhall.core.ownership.records import (
+    DEPARTURE_PREFIX,
     LOST_PREFIX,
     MEMBER_PREFIX,
     TABLE_PREFIX,
     Member,
     MemberVersion,
     boot_key,
+    decode_departure,
     decode_known_table,
     decode_loss,
     decode_member,
     decode_table,
+    departure_key,
     member_key,
     table_key,
 )
@@ -93,6 +96,8 @@
         #: Position up to which the member record of each reported daemon counts as that
         #: of a lost one.
         self._lost_position_by_address: dict[Address, Offset] = {}
+        #: Last run of the target beside each daemon that has said that it leaves.
+        self._departed_run_by_address: dict[Address, str] = {}
         #: Known epoch of the store.
         self.epoch: StoreEpoch = 0
         #: The end that was reached in each earlier epoch.
@@ -207,6 +212,9 @@
     def _decode(self, entry: Entry) -> None:
         if entry.key.startswith(LOST_PREFIX):
             self._set_loss(entry)
+        elif entry.key.startswith(DEPARTURE_PREFIX):
+            address = entry.key.removeprefix(DEPARTURE_PREFIX)
+            self._departed_run_by_address[address] = decode_departure(entry.value)
         elif entry.key.startswith(TABLE_PREFIX) and entry.value:
             service = entry.key.removeprefix(TABLE_PREFIX)
             self.table_by_service[service] = decode_table(entry.value)
@@ -250,6 +258,15 @@
         entry = self._entry_by_key.get(member_key(address))
         return -1 if entry is None else entry.offset
 
+    def departed_run(self, address: Address) -> str:
+        """Return the last run of a target that has left; empty if none is known."""
+        return self._departed_run_by_address.get(address, "")
+
+    def is_departure_written(self, address: Address, run: str) -> bool:
+        """Return whether the store has the record that a run of a target leaves."""
+        is_written = self.is_written(departure_key(address))
+        return is_written and self.departed_run(address) == run
+
     def advance_end(self, end: Offset) -> None:
         """Record that every record before `end` is known."""
         if self.is_earlier(end):
--- a/rhubarbhall/core/ownership/heartbeat_order.py
+++ b/rhubarbhall/core/ownership/heartbeat_order.py
@@ -81,6 +81,10 @@
         self._born = split_run(run)[1]
         self._sequence = -1
 
+    def record_ended(self, run: str) -> None:
+        """Record that a run has ended, or is not to be used again."""
+        self._ended.append(run)
+
     def accepts(self, now: Seconds, heartbeat: Heartbeat, run_leaves: bool) -> bool:
         """Return whether a heartbeat is newer than the last one.
 
@@ -111,7 +115,7 @@
     def record(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat that was accepted."""
         if self.run and heartbeat.run != self.run:
-            self._ended.append(self.run)
+            self.record_ended(self.run)
         self.run = heartbeat.run
         self._born, self._sequence = heartbeat.born, heartbeat.sequence
         self._unconfirmed = None
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -11,6 +11,8 @@
 from rhubarbhall.core.ownership.records import (
     MemberVersion,
     boot_key,
+    departure_key,
+    encode_departure,
     encode_known_table,
     encode_loss,
     encode_member,
@@ -152,6 +154,13 @@
                 now, member_key(self._local_address), value, False, member.state
             )
             return
+        if member is not None and self._needs_departure_record(member):
+            key, value = (
+                departure_key(self._local_address),
+                encode_departure(member.run),
+            )
+            self._write(now, key, value, False, "departed")
+            return
         lost = self._losses.due(now)
         if lost is not None:
             value = encode_loss(self._directory.member_position(lost))
@@ -191,6 +200,12 @@
             return True
         return self._directory.is_lost(address)
 
+    def _needs_departure_record(self, member: Member) -> bool:
+        if not member.leaves or not member.run:
+            return False
+        address = self._local_address
+        return not self._directory.is_departure_written(address, member.run)
+
     def _next_version(self) -> MemberVersion:
         """Return a version above those of all known member records of the address."""
         if self._version is None:
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -31,6 +31,9 @@
 LOST_PREFIX = "lost/"
 #: Records that only make the log grow; see `rhubarbhall.core.ownership.range_witness`.
 BOOT_PREFIX = "boot/"
+#: Records that name the last run of a target that has said that it leaves. A member
+#: record that is written late does not undo them.
+DEPARTURE_PREFIX = "left/"
 #: Value of a loss report; positions have at most 19 digits.
 _LOSS = re.compile(rb"@([0-9]{1,19})")
 _LOSS_OF_EARLIER_BUILDS = b"1"
@@ -166,6 +169,27 @@
     return f"{BOOT_PREFIX}{address}"
 
 
+def departure_key(address: Address) -> str:
+    """Return the key of the record that says which run of a target has left."""
+    return f"{DEPARTURE_PREFIX}{address}"
+
+
+def encode_departure(run: str) -> bytes:
+    """Return the value of the record that a run leaves."""
+    return run.encode()
+
+
+def decode_departure(data: bytes) -> str:
+    """Return the run that a record says has left.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not UTF-8.
+    """
+    return data.decode()
+
+
 def encode_known_table(position: Offset) -> bytes:
     """Return the value of a boot record after a restore of the store.
 
--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -185,6 +185,18 @@
         self.last_contact_at = float("-inf")
         self._announced_leaving = member.has_left_run
 
+    def restore_departure(self, run: str) -> None:
+        """Take over which run of the target has left; empty if none has.
+
+        The record that `restore` takes may be an earlier one that was written late.
+        """
+        if not run:
+            return
+        if run == self._order.run:
+            self._announced_leaving = True
+        else:
+            self._order.record_ended(run)
+
     def record_departure(self) -> None:
         """Record that the target has reported that it is gone."""
         self._has_left = True
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -294,7 +294,11 @@
         member = self.directory.member_by_address.get(self.local_address)
         is_written = self.directory.is_written(member_key(self.local_address))
         keys = self.target_keys
-        return not keys.leaves or (is_written and keys.is_departure_in(member))
+        if not keys.leaves:
+            return True
+        address, run = self.local_address, keys.known_run
+        has_record = self.directory.is_departure_written(address, run)
+        return is_written and keys.is_departure_in(member) and has_record
 
     def _answer_departures_if_recorded(self) -> None:
         if not self._unanswered_departures or not self._is_departure_recorded():
@@ -314,8 +318,10 @@
         member = self.directory.member_by_address.get(self.local_address)
         if member is not None and member.service == self.settings.service:
             self.target_keys.restore(member)
-            if self.target_keys.leaves:
-                self.admission_queue.close(ErrorKind.SHUTTING_DOWN)
+        departed_run = self.directory.departed_run(self.local_address)
+        self.target_keys.restore_departure(departed_run)
+        if self.target_keys.leaves:
+            self.admission_queue.close(ErrorKind.SHUTTING_DOWN)
 
     def _on_target_leaving(self, now: Seconds, state: str) -> None:
         """Announce that the target leaves, and soon send it no more requests."""
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -468,6 +468,8 @@
         if is_first:
             member = self.directory.member_by_address.get(self.local_address)
             self.target_keys.restore(member)
+            run = self.directory.departed_run(self.local_address)
+            self.target_keys.restore_departure(run)
         self.lease.confirm(sent_at)
 
     def _on_written(self, now, entry, reason) -> None:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from rhubarbhall.core.ownership.records import TargetState
+from rhubarbhall.core.ownership.publisher import TOPIC
+from rhubarbhall.core.ownership.records import (
+    MemberVersion,
+    TargetState,
+    encode_member,
+    member_key,
+)
 from rhubarbhall.programs.routing_daemon import RoutingDaemon
 from rhubarbhall.standins.platform_target import PlatformTarget
 from tests.platform.test_path import address
@@ -89,6 +95,25 @@
             self.assertNotIn(TargetState.READY, self.recorded_states())
             self.assertEqual(self.count_runs(), 0)
 
+    # Guards against: a departure that the next process does not know, as the member
+    # record from before it was written late and is the newest one.
+    def test_a_late_record_does_not_bring_it_back(self):
+        self.fall_silent()
+        late = self.heartbeat(self.target._sequence, self.target._born)
+        member = self.router.local_member(self.router.now())
+        record = encode_member(member, MemberVersion(0, 1))
+        self.assertEqual(self.call("DELETE"), HTTPStatus.OK)
+        self.close_router(self.router)
+        self.router.unregister()
+        self.store.put(TOPIC, member_key(address(LEAVING, 1)), record)
+        self.pass_time(0.3)
+        self.routers[LEAVING] = self.new_router(LEAVING)
+        self.tick_until(self.router.is_ready, 8.0)
+        self.call("PUT", late)
+        self.pass_time(2.0)
+        self.assertNotIn(TargetState.READY, self.recorded_states())
+        self.assertEqual(self.count_runs(), 0)
+
     def test_its_own_heartbeats_after_a_restart_do_not_bring_it_back(self):
         self.assertEqual(self.call("DELETE"), HTTPStatus.OK)
         self.restart_router()
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -48,7 +48,10 @@
         #: Whether the store takes the record that the target leaves.
         self.records_departures = True
         self.directory = SimpleNamespace(
-            end=5, member_by_address={}, is_written=lambda key: True
+            end=5,
+            member_by_address={},
+            is_written=lambda key: True,
+            is_departure_written=lambda address, run: True,
         )
         self._unanswered_departures = []
         self.table = KeyTable.divided([Claim(LOCAL, "i@1"), Claim(OTHER, "j@1")])
