Send the member record to a peer once its connection opens

Cause: a record is passed on over the connections that are open when it is written. A router that starts opens those to its watched peers up to 0.5 s after it has read the log, and its target may be known before. The record then reached some peers by their own read, after 2 to 3.5 s, unless a comparison of directories came first, which depended on the turns that sockets take, and so on the real clock. Ruled out by a trace: a heartbeat that is not accepted (it counted after 0.02 s), and a record that is written late (after 0.03 s).

The record is sent to a watched peer when the connection to it opens, and passed on from there like any other.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -352,6 +352,18 @@
                 regions.add(link.region)
                 self._send(link, Push(entry, relay=True))
 
+    def push_to(self, address: Address, entry: SyncEntry) -> None:
+        """Send a record to one watched peer, if its link is open.
+
+        It passes the record on as if all peers of its region were sent it.
+        """
+        link = self._link_by_address.get(address)
+        if link is None or not link.is_open or not link.is_kept:
+            return
+        peers, local = self.same_region_peers(), self._local_address
+        limit = dict(relay_plan(local, peers, local)).get(address, "")
+        self._send(link, Push(entry, relay=not link.same_region, limit=limit))
+
     def relay(self, entry: SyncEntry, limit: Address) -> None:
         """Pass a record on within the local region.
 
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -255,9 +255,13 @@
 
     def member_position(self, address: Address) -> Offset:
         """Return the position of the member record that counts; -1 without one."""
-        entry = self._entry_by_key.get(member_key(address))
+        entry = self.member_entry(address)
         return -1 if entry is None else entry.offset
 
+    def member_entry(self, address: Address) -> Entry | None:
+        """Return the member record that counts as it is stored; none without one."""
+        return self._entry_by_key.get(member_key(address))
+
     def departed_run(self, address: Address) -> str:
         """Return the last run of a target that has left; empty if none is known."""
         return self._departed_run_by_address.get(address, "")
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -122,9 +122,16 @@
         if is_up:
             self.request_router.on_peer_connected(self._advance_timers(), address)
             self._send_all_suspects(address)
+            self._push_local_member(address)
             if self._may_be_outdated():
                 self.links.ping(address)
 
+    def _push_local_member(self, address: Address) -> None:
+        """Send a peer the record of this daemon, which may be older than the link."""
+        entry = self.directory.member_entry(self.local_address)
+        if entry is not None and self.directory.is_written(entry.key):
+            self.links.push_to(address, SyncEntry(entry.offset, entry.key, entry.value))
+
     def on_pong(self, address: Address, asked_at: Seconds, pong: Pong) -> None:
         """Record a peer's load, and compare its directory with the local one.
 
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from unittest import mock
 
 import msgspec
 
@@ -13,6 +14,8 @@
     encode_member,
     member_key,
 )
+from rhubarbhall.programs import router_store
+from rhubarbhall.programs.router_peers import PeerHandlers
 from rhubarbhall.programs.routing_daemon import RoutingDaemon
 from rhubarbhall.standins.platform_target import PlatformTarget
 from tests.platform.test_path import address
@@ -184,6 +187,26 @@
         self.pass_time(2.0)
         self.assertNotIn(TargetState.READY, self.recorded_states())
 
+    # Guards against: a target that others use only once they read the store, as its
+    # record was written before the connections of its router were open.
+    def test_a_record_of_a_router_that_starts_reaches_all_without_a_read(self):
+        for owner, name, value in (
+            (router_store, "READER_MAX_AGE_RANGE_S", (60.0, 60.0)),
+            (PeerHandlers, "_lacks_records", lambda *args: False),
+        ):
+            patch = mock.patch.object(owner, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.fall_silent()
+        self.pass_time(1.0)
+        self.assertEqual(self.call("DELETE"), HTTPStatus.OK)
+        left = {TargetState.LEAVING}
+        self.tick_until(lambda: self.recorded_states() == left, DRAIN_S)
+        self.restart_router()
+        born = self.target._born + 5000
+        self.assertEqual(self.call("PUT", self.heartbeat(1, born)), HTTPStatus.OK)
+        self.tick_until(lambda: self.recorded_states() == {TargetState.READY}, DRAIN_S)
+
     def test_a_target_that_starts_again_under_its_id_is_served_at_once(self):
         # Its clock may have gone back since the run that left.
         for difference_ms in (5000, -5000):
