Part the claims of targets from the table reconciler

Ruled out: parting the steps themselves, which share the table and their order. Also: encode_member writes an array without a second struct.

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.ownership import range_distribution
-from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.claims import ServiceClaims
+from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.read_lease import takeover_wait_s
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.ownership.table_restore import TableRestore
@@ -29,7 +30,6 @@
         ReplacementVotes,
         WitnessedLease,
     )
-    from rhubarbhall.core.ownership.records import Member
     from rhubarbhall.core.ownership.target_keys import TargetKeys
     from rhubarbhall.types import Address, Offset, Seconds
 
@@ -43,14 +43,6 @@
 MAX_RANKS = 8
 #: Time for which a new target is known before keys are assigned to it.
 NEW_TARGET_DELAY_S = 0.3
-#: Time since the last contact up to which a daemon is assigned keys or becomes a
-#: witness: a ping to another region and its answer. It is shorter than the lease
-#: that witnesses renew, so an owner that was replaced is assigned nothing.
-ASSIGNMENT_TIMEOUT_S = 2.8
-#: Time since the last lease renewal from which a daemon is suspected and gets neither
-#: keys nor leases to witness: two requests for a renewal and their answers. It applies
-#: to owners that this daemon is a witness of and to witnesses of the local target.
-SUSPICION_TIMEOUT_S = 1.2
 #: Time without a lease and without a new record in the log after which a record is
 #: written only to make the log grow.
 LOG_GROWTH_TIMEOUT_S = 1.0
@@ -129,7 +121,6 @@
     ) -> None:
         self._local_address = local_address
         self._service = service
-        self._region = region
         self._directory = directory
         self._target_keys = target_keys
         self._liveness = liveness
@@ -138,6 +129,16 @@
         self._votes = votes
         self._witnessed_lease = witnessed_lease
         self._started_at = started_at
+        self._claims = ServiceClaims(
+            local_address,
+            service,
+            region,
+            directory,
+            target_keys,
+            liveness,
+            range_witness,
+            witnessed_lease,
+        )
         self._restore = TableRestore(service, directory)
         self._witnesses = WitnessChooser(
             local_address, service, region, directory, liveness, witnessed_lease
@@ -235,70 +236,13 @@
         self._lease_missing = (now, end)
         return True
 
-    # Targets and their daemons
-
-    def _claims(self, now: Seconds) -> Iterator[Claim]:
-        """Yield the claims of the targets that may own keys."""
-        for address, member in self._directory.members_of(self._service):
-            if address == self._local_address:
-                if self._target_keys.state(now) is TargetState.READY:
-                    yield self._target_keys.claim()
-            elif self._may_claim(now, address, member):
-                yield Claim(address, member.run)
-
-    def _may_claim(self, now: Seconds, address: Address, member: Member) -> bool:
-        """Return whether the target beside another daemon may own keys.
-
-        After a restore of the store, a daemon that cannot write to it gets no lease.
-        """
-        return (
-            member.state is TargetState.READY
-            and self._directory.has_booted(address)
-            and not self._is_unresponsive(now, address)
-        )
-
-    def _receivers(self, now: Seconds) -> list[Claim]:
-        """Return the claims of targets that may get keys and witness other owners.
-
-        The condition is stricter than that for keeping keys: a key that is assigned to
-        a daemon that is lost as well has no owner for another takeover wait.
-        """
-        return [
-            claim
-            for claim in self._claims(now)
-            if claim.owner == self._local_address
-            or not self._is_suspected(now, claim.owner)
-        ]
-
-    def _is_suspected(self, now: Seconds, address: Address) -> bool:
-        contact_age_s = self._liveness.time_since_contact_s(now, address)
-        if not self._liveness.has_been_contacted(address):
-            return True
-        if (
-            contact_age_s > ASSIGNMENT_TIMEOUT_S
-            or self._range_witness.time_since_renewal_s(now, address)
-            > SUSPICION_TIMEOUT_S
-        ):
-            return True
-        misses_renewals = address in self._witnessed_lease.unresponsive(
-            now, SUSPICION_TIMEOUT_S
-        )
-        return misses_renewals and contact_age_s > SUSPICION_TIMEOUT_S
-
-    def _is_unresponsive(self, now: Seconds, address: Address) -> bool:
-        member = self._directory.member_by_address.get(address)
-        same_region = member is not None and member.region == self._region
-        return self._directory.is_lost(address) or self._liveness.is_unresponsive(
-            now, address, same_region
-        )
-
     def _rank_delay_passed(self, now: Seconds, step_name: str, needed: bool) -> bool:
         """Return whether a step has been due for the delay of the local rank."""
         if not needed:
             self._due_since.pop(step_name, None)
             return False
         since = self._due_since.setdefault(step_name, now)
-        ranked = [claim.owner for claim in self._claims(now)]
+        ranked = [claim.owner for claim in self._claims.all(now)]
         rank = (
             ranked.index(self._local_address)
             if self._local_address in ranked
@@ -309,7 +253,7 @@
     # First table
 
     def _create_table(self, now: Seconds) -> TableChange | None:
-        claims = list(self._claims(now))
+        claims = list(self._claims.all(now))
         peers_discovered = (
             now - self._started_at > DISCOVERY_PERIOD_S and self._directory.is_loaded
         )
@@ -318,7 +262,7 @@
         if not self._rank_delay_passed(now, "found", needed) or not claims:
             return None
         table = KeyTable.divided(claims)
-        receivers = self._receivers(now)
+        receivers = self._claims.receivers(now)
         for claim in claims:
             witnesses = self._witnesses.witnesses_for(claim.owner, claims, receivers)
             table = table.with_witnesses(claim.owner, witnesses)
@@ -346,8 +290,8 @@
         """Choose other witnesses for the local target, if it needs them."""
         if not table.owned_by(self._local_address) or not self._target_keys.run:
             return table
-        claims = list(self._claims(now))
-        return self._witnesses.changed(now, table, claims, self._receivers(now))
+        claims = list(self._claims.all(now))
+        return self._witnesses.changed(now, table, claims, self._claims.receivers(now))
 
     def _replace_lapsed(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Replace owners whose lease a majority of witnesses has let lapse."""
@@ -429,7 +373,7 @@
 
     def _reassigned(self, now: Seconds, table: KeyTable, owner: Address) -> KeyTable:
         spans = table.owned_by(owner)
-        receivers = self._receivers(now) or list(self._claims(now))
+        receivers = self._claims.receivers(now) or list(self._claims.all(now))
         claims = [claim for claim in receivers if claim.owner != owner]
         if not spans or not claims:
             return table
@@ -477,7 +421,7 @@
         unresponsive = [
             address
             for address in sorted(daemons - {self._local_address})
-            if self._is_unresponsive(now, address)
+            if self._claims.is_unresponsive(now, address)
             and self._liveness.may_declare_lost(now, address)
         ]
         if not self._rank_delay_passed(now, "replace_silent", bool(unresponsive)):
@@ -524,9 +468,9 @@
     def _assign_to_new_targets(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Assign an even share of the keys to targets that own none yet."""
         owners = table.size_by_owner()
-        claims = list(self._claims(now))
+        claims = list(self._claims.all(now))
         new_targets = [
-            claim for claim in self._receivers(now) if claim.owner not in owners
+            claim for claim in self._claims.receivers(now) if claim.owner not in owners
         ]
         is_due = self._rank_delay_passed(
             now - NEW_TARGET_DELAY_S, "welcome", bool(new_targets)
@@ -542,7 +486,7 @@
         """Move busy ranges of the local target to targets that are less busy."""
         if self._target_keys.state(now) is not TargetState.READY:
             return table
-        moves = self._balancer.moves(now, table, self._receivers(now))
+        moves = self._balancer.moves(now, table, self._claims.receivers(now))
         if not moves:
             return table
         self._balancer.record_moves(now, moves)
--- a/rhubarbhall/core/ownership/records.py
+++ b/rhubarbhall/core/ownership/records.py
@@ -251,10 +251,8 @@
     """Return the encoded record of a member; without a version as earlier builds do."""
     if version is None:
         return _ENCODER.encode(member)
-    record = _MemberRecord(
-        *msgspec.structs.astuple(member), version.incarnation, version.sequence
-    )
-    return _ENCODER.encode(record)
+    fields = msgspec.structs.astuple(member)
+    return _ENCODER.encode((*fields, version.incarnation, version.sequence))
 
 
 def decode_member(data: bytes) -> VersionedMember:
