Keep a daemon from marking its own address as reused

What could be seen: a daemon gives away the keys of its own target, when the record that counts for its own address is one of an earlier process for another service.

Cause: replace_reused did not leave out the local address, as the other takeovers do; what a record says of it is about the past. Ruled out: replace_silent, which leaves it out, and the claim of the local target, which no record decides.

Before: test_a_record_of_another_service_for_the_local_address_moves_no_key fails.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -355,7 +355,8 @@
     def push_to(self, address: Address, entry: SyncEntry) -> None:
         """Send a record to one watched peer, if its link is open.
 
-        It passes the record on as if all peers of its region were sent it.
+        It passes the record on: in its whole region if that is another one, else up to
+        the next peer that this daemon is connected with.
         """
         link = self._link_by_address.get(address)
         if link is None or not link.is_open or not link.is_kept:
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -406,7 +406,7 @@
         members = self._directory.member_by_address
         reused = [
             address
-            for address in sorted(_owners_and_holders(table))
+            for address in sorted(_owners_and_holders(table) - {self._local_address})
             if address in members and members[address].service != self._service
         ]
         if not self._rank_delay_passed(now, "replace_reused", bool(reused)):
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -135,6 +135,15 @@
         freed = self.propose()
         self.assertTrue(all(span.is_free for span in freed.owned_by(LOCAL)))
 
+    # Guards against: a daemon that gives its own keys away, as a late record of an
+    # earlier process names another service for its address.
+    def test_a_record_of_another_service_for_the_local_address_moves_no_key(self):
+        self.set_member(LOCAL, service="other")
+        self.pass_time(10 * RANK_DELAY_S)
+        self.assertIsNone(self.propose())
+        self.pass_time(10 * RANK_DELAY_S)
+        self.assertIsNone(self.propose())
+
     def test_its_witnesses_free_them_once_they_let_its_lease_lapse(self):
         self.set_table(self.table.with_witnesses(B, (LOCAL,)))
         changed = self.reuse_address()
