Delete the record of a departure that the target takes back

What could be seen: a target reports that it drains, then that it is ready again, and its router is started again: the target is not used any more, since its record left/<address> outlives what it has said since.

Ruled out: late heartbeats (the last one accepted decides, as before).

The record is deleted when the run does not leave any more.

--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -155,10 +155,8 @@
             )
             return
         if member is not None and self._needs_departure_record(member):
-            key, value = (
-                departure_key(self._local_address),
-                encode_departure(member.run),
-            )
+            value = encode_departure(member.run) if member.leaves else b""
+            key = departure_key(self._local_address)
             self._write(now, key, value, False, "departed")
             return
         lost = self._losses.due(now)
@@ -201,10 +199,12 @@
         return self._directory.is_lost(address)
 
     def _needs_departure_record(self, member: Member) -> bool:
-        if not member.leaves or not member.run:
+        """Return whether the record of a departure has to be written or deleted."""
+        if not member.run:
             return False
-        address = self._local_address
-        return not self._directory.is_departure_written(address, member.run)
+        address, run = self._local_address, member.run
+        is_written = self._directory.is_departure_written(address, run)
+        return is_written != member.leaves
 
     def _next_version(self) -> MemberVersion:
         """Return a version above those of all known member records of the address."""
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -174,6 +174,22 @@
         draining = self.heartbeat(sequence + 2, born, "draining")
         self.assertEqual(self.call("PUT", draining), HTTPStatus.OK)
 
+    # Guards against: a target that is never used again, as the record that it leaves
+    # outlives what it has said since.
+    def test_a_target_that_takes_its_leaving_back_is_used_after_a_restart(self):
+        self.fall_silent()
+        born, sequence = self.target._born, self.target._sequence
+        draining = self.heartbeat(sequence + 1, born, "draining")
+        self.assertEqual(self.call("PUT", draining), HTTPStatus.OK)
+        again = self.heartbeat(sequence + 2, born)
+        self.assertEqual(self.call("PUT", again), HTTPStatus.OK)
+        self.pass_time(1.0)
+        self.restart_router()
+        again = self.heartbeat(sequence + 3, born)
+        self.assertEqual(self.call("PUT", again), HTTPStatus.OK)
+        self.tick_until(lambda: self.recorded_states() == {TargetState.READY}, DRAIN_S)
+        self.assertIsNone(self.router.admission_queue.closed_reason)
+
     def test_a_departure_that_reaches_the_next_process_first_is_kept(self):
         self.fall_silent()
         late = self.heartbeat(self.target._sequence, self.target._born)
