Test late records of all kinds beside random faults

RandomLateRecordTests plays 20 seeds of the simulated mesh in which half of the records that are written without a condition are written once more, late, and member records of other processes come at random. Cause for the test: each step that acts on a record was tested for itself only. Ruled out: adding such faults to the plan of test_sole_owner, which would change the schedules of its pinned seeds.

No code of the package is changed.

--- a/tests/core/ownership/test_late_records.py
+++ b/tests/core/ownership/test_late_records.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
+import random
 import unittest
 from unittest import mock
 
@@ -17,6 +19,7 @@
     lost_key,
     member_key,
 )
+from rhubarbhall.types import Offset
 from tests.core.ownership.mesh import SERVICE, FakeDaemon, FaultPlan, OwnershipMesh
 
 #: Times of the late records, in seconds: when all keys have holders, and as some move.
@@ -150,3 +153,59 @@
             with self.subTest(seed=seed):
                 self.assertEqual(mesh.overlaps, [], "\n".join(plan.injected))
                 self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+
+
+class LateRecordPlan:
+    """Writes half of the unconditional records once more, late, and some foreign ones.
+
+    Its random numbers are its own, so that the faults of a seed stay as they are.
+    """
+
+    #: Times after which a record is written once more, in seconds.
+    DELAYS_S = (0.5, 2.0, 6.0)
+    #: Number of member records of other processes, and the time in which they come.
+    FOREIGN_RECORDS = 4
+    FOREIGN_PERIOD_S = (8.0, 35.0)
+
+    def __init__(self, mesh: OwnershipMesh) -> None:
+        self._mesh = mesh
+        self._rng = random.Random(f"late records {mesh.seed}")
+        self._append = mesh.log.append
+        mesh.log.append = self.append
+        for _ in range(self.FOREIGN_RECORDS):
+            at_s = self._rng.uniform(*self.FOREIGN_PERIOD_S)
+            mesh.simulation.after(at_s, self.put_foreign)
+
+    def append(
+        self, topic: str, key: str, value: bytes, at: int | None
+    ) -> Offset | None:
+        offset = self._append(topic, key, value, at)
+        if offset is not None and at is None and self._rng.random() < 0.5:
+            delay_s = self._rng.choice(self.DELAYS_S)
+            repeat = functools.partial(self._append, topic, key, value, None)
+            self._mesh.simulation.after(delay_s, repeat)
+        return offset
+
+    def put_foreign(self) -> None:
+        daemon = self._rng.choice(self._mesh.daemons)
+        version = self._rng.choice([None, MemberVersion(0, 1)])
+        state = self._rng.choice(list(TargetState))
+        put_late(self._mesh, daemon, version, service="former", state=state)
+
+
+class RandomLateRecordTests(unittest.TestCase):
+    """Late records of all kinds beside random faults.
+
+    Guards against: a step that acts on a record as if nothing newer had been written.
+    """
+
+    def test_no_key_has_two_holders_and_every_key_has_one_again(self):
+        for seed in range(20):
+            mesh = OwnershipMesh(seed, 3 + seed % 3, by_request=seed % 2 == 1)
+            plan = FaultPlan(mesh)
+            plan.schedule(12, 6.0, 35.0)
+            LateRecordPlan(mesh)
+            mesh.simulation.run_until(65.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(mesh.overlaps, [], "\n".join(plan.injected))
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
