Let a test wait until the record of a departure is deleted

Cause: write_more_records ended while the deletion of left/<address> was still due; the store then refused calls, and the write was repeated once to the topic of the old epoch, which nobody follows any more. Ruled out: a write to the old topic after the restore was learned of.

--- a/tests/platform/test_restored_ownership.py
+++ b/tests/platform/test_restored_ownership.py
@@ -87,6 +87,8 @@
                 lambda state=state: directory.member_by_address[local].state is state,
                 3.0,
             )
+        # The record of the departure is deleted last.
+        self.serve_until(lambda: not directory.departed_run(local), 3.0)
 
     def restore(self, older) -> None:
         """Serve requests while the store is away, and restore it."""
