--- a/rhubarbhall/core/ownership/member_order.py
+++ b/rhubarbhall/core/ownership/member_order.py
@@ -79,5 +79,5 @@
         return self._overwriting_by_key.get(key)
 
     def all_overwriting(self) -> list[Entry]:
-        """Return these records of all addresses."""
+        """Return the last outdated records of all addresses that have one."""
         return list(self._overwriting_by_key.values())
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -445,7 +445,7 @@
 
     @staticmethod
     def _freed_from(table: KeyTable, owner: Address) -> KeyTable:
-        """Free all ranges that an owner would have to release; its lease has ended."""
+        """Free what an owner without a lease would have to release."""
         ranges = [(span.first, span.last) for span in table.unreleased_by(owner)]
         return table.released(owner, ranges, {})
 
