Reserve slots for short work by its measured load

Cause: long work got at most int(0.65 x slots) slots. Ruled out: the concurrency limit (3 in 104,475 of 105,226 cases).

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -33,6 +33,7 @@
     RoutedRequest,
     Unknown,
 )
+from rhubarbhall.core.traffic.slot_reservation import SlotReservation
 from rhubarbhall.core.traffic.suspect_runs import SuspectRuns
 from rhubarbhall.core.traffic.waiting_requests import WaitingRequests
 
@@ -46,8 +47,6 @@
 #: daemon was started: only an answer tells which rate the target states. At one request
 #: per second, four restarts within 5 s stay within the users' bound.
 FIRST_REQUESTS = 3
-#: Maximum share of the slots that long work may occupy.
-MAX_LONG_WORK_SHARE = 0.65
 #: Maximum wait for a key that the target is about to own: the interval between the
 #: target's heartbeats, whose answers grant keys.
 KEY_WAIT_TIMEOUT_S = 1.0
@@ -129,6 +128,7 @@
         self._entry_by_ticket: dict[int, QueueEntry] = {}
         self._waiting_for_key: dict[int, QueueEntry] = {}
         self._late_service = LateService()
+        self._slot_reservation = SlotReservation()
         self._running = 0
         self._long_running = 0
         self.limit = ConcurrencyLimit(1)
@@ -313,7 +313,7 @@
                 break
             if self._demote_if_late(now, entry):
                 self._waiting.push(entry)
-            elif self._is_held_back(entry):
+            elif self._is_held_back(now, entry):
                 held_back.append(entry)
             elif self._may_begin(now, entry):
                 self._send(now, entry)
@@ -346,11 +346,14 @@
         entry.urgency = Urgency.RETRIED if request.is_retry else Urgency.LATE
         return True
 
-    def _is_held_back(self, entry: QueueEntry) -> bool:
+    def _is_held_back(self, now: Seconds, entry: QueueEntry) -> bool:
         """Return whether long work would take the slots reserved for short work."""
         entry.is_long = self.durations.is_long(entry.request.route)
-        allowed = max(1, int(MAX_LONG_WORK_SHARE * self.limit.value))
-        return entry.is_long and self._long_running >= allowed
+        if not entry.is_long:
+            return False
+        return self._long_running >= self._slot_reservation.max_long(
+            now, self.limit.value
+        )
 
     def _may_begin(self, now: Seconds, entry: QueueEntry) -> bool:
         """Return whether a request may run beside those that run now.
@@ -515,6 +518,8 @@
             self._suspects.record_answered(now, entry.request)
             took_s = now - entry.sent_at
             self.durations.record(entry.request.route, took_s)
+            if not entry.is_long:
+                self._slot_reservation.record_short(now, took_s)
             waited_s = entry.sent_at - entry.arrived_at
             self._on_answered(entry.request.service, waited_s, took_s)
             if entry.request.key is not None:
