Keep requests in the regions that their routes allow

Callers of some routes need their requests to run, and their bodies to stay, in certain regions. The configuration could not say so.

A route's spec may name allowed_regions. Each choice of a target now takes an Eligibility: by load, by hash, and of a key's owner. It is derived from the configuration in force at that moment, so requests that wait for a key or a connection take a new one. The admission queue checks its own configuration again, also for waiting requests when one comes into force, and refuses as not run. A configuration without such routes costs one comparison for each choice.

Earlier builds close a connection that brings an unknown error kind, so region_not_allowed is sent between daemons as no_target.

Changed fixtures: choose and choose_by_hash are called with ANYWHERE, the request router is built with rules, and the fake daemon of the configuration tests has an admission queue. No check is weaker.

--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -14,6 +14,9 @@
 )
 
 _MS_PER_S = 1000
+#: Error kinds that earlier builds do not know, each with the one that is sent instead:
+#: those builds close a connection that brings an unknown kind.
+_SENT_KINDS = {ErrorKind.REGION_NOT_ALLOWED: ErrorKind.NO_TARGET}
 _NO_KEY = -1
 
 
@@ -70,7 +73,7 @@
     retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else 0.0
     return RequestFailed(
         number,
-        outcome.kind,
+        _SENT_KINDS.get(outcome.kind, outcome.kind),
         isinstance(outcome, NotRun),
         int(retry_after_s * _MS_PER_S),
         load.running,
--- a/rhubarbhall/core/errors.py
+++ b/rhubarbhall/core/errors.py
@@ -51,6 +51,7 @@
     DEADLINE_PASSED = "deadline_passed"
     OUTCOME_NOT_VOUCHED = "outcome_not_vouched"
     CRASHES_TARGETS = "crashes_targets"
+    REGION_NOT_ALLOWED = "region_not_allowed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +182,9 @@
     ErrorKind.CRASHES_TARGETS: AnswerSpec(
         400, _NO, None, "Targets have crashed under equal requests; it was not sent."
     ),
+    ErrorKind.REGION_NOT_ALLOWED: AnswerSpec(
+        503, _NO, 1, "The target is in a region that the route does not allow."
+    ),
 }
 
 
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -94,6 +94,9 @@
     on_answered : callable
         Called for each answered request with its service, the time that it waited in
         the queue and the time that the target worked on it, both in seconds.
+    local_refusal : callable
+        Returns the refusal of a request that may not run at the local target by the
+        rules in force; None for any other request.
 
     Attributes
     ----------
@@ -116,7 +119,9 @@
         key_ownership: KeyOwnership,
         suspects: CrashSuspects,
         on_answered: Callable[[str, Seconds, Seconds], None] = lambda *_: None,
+        local_refusal: Callable[[RoutedRequest], NotRun | None] = lambda _: None,
     ) -> None:
+        self._local_refusal = local_refusal
         self._on_answered = on_answered
         self._service = service
         self._target = target
@@ -219,6 +224,9 @@
         return entry.ticket
 
     def _refusal(self, now: Seconds, request: RoutedRequest) -> NotRun | None:
+        not_allowed = self._local_refusal(request)
+        if not_allowed is not None:
+            return not_allowed
         if self.closed_reason is not None:
             return NotRun(self.closed_reason)
         if now < self._unreachable_until:
@@ -532,6 +540,16 @@
         self._probed_until = float("-inf")
         self.dispatch(now)
 
+    def on_placement_changed(self, now: Seconds) -> None:
+        """Refuse the waiting requests that may not run here by the rules in force."""
+        for entry in list(self._entry_by_ticket.values()):
+            # The outcome of another request may have ended this one as well.
+            if entry.sent_at is None and entry.ticket in self._entry_by_ticket:
+                refusal = self._local_refusal(entry.request)
+                if refusal is not None:
+                    self._refuse_waiting(entry, refusal)
+        self.dispatch(now)
+
     def on_suspects_changed(self, now: Seconds) -> None:
         """Refuse the waiting requests that are rejected now."""
         for entry in list(self._entry_by_ticket.values()):
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -18,6 +18,7 @@
     Standing,
     fingerprint_of,
 )
+from rhubarbhall.core.traffic.eligibility import NOT_ELIGIBLE_RETRY_AFTER_S
 from rhubarbhall.core.traffic.pending_requests import (
     CallerRequest,
     PeerClient,
@@ -41,9 +42,10 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
-    from rhubarbhall.core.ownership.key_table import KeyTable
+    from rhubarbhall.core.ownership.key_table import Span
     from rhubarbhall.core.timers import TimerService
     from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
+    from rhubarbhall.core.traffic.eligibility import Eligibility, PlacementRules
     from rhubarbhall.core.traffic.requests import Load
     from rhubarbhall.core.traffic.routes import HostRoute, RoutingTable
     from rhubarbhall.core.traffic.target_chooser import TargetChooser
@@ -94,11 +96,11 @@
         Requests under which targets have ended.
     request_log : RequestLog
         Port that logs where requests are sent and their outcomes.
+    rules : PlacementRules
+        Where requests may run; it also holds the operators' configuration.
 
     Attributes
     ----------
-    routing : RoutingTable or None
-        The operators' configuration; None until it is known.
     budget_by_service : dict of str to ServiceRetryBudget
         Retry budgets of the services that callers have requested.
     """
@@ -115,6 +117,7 @@
         new_budget: Callable[[], ServiceRetryBudget],
         suspects: CrashSuspects,
         request_log: RequestLog,
+        rules: PlacementRules,
     ) -> None:
         self._local_address = local_address
         self.caller_service = caller_service
@@ -126,7 +129,7 @@
         self._new_budget = new_budget
         self._suspects = suspects
         self._request_log = request_log
-        self.routing: RoutingTable | None = None
+        self._rules = rules
         self.budget_by_service: dict[str, ServiceRetryBudget] = {}
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
@@ -135,6 +138,15 @@
         #: Time at which the process exits, so that callers need outcomes by then.
         self._drain_end: Seconds = float("inf")
 
+    @property
+    def routing(self) -> RoutingTable | None:
+        """The operators' configuration; None until it is known."""
+        return self._rules.routing
+
+    @routing.setter
+    def routing(self, routing: RoutingTable | None) -> None:
+        self._rules.routing = routing
+
     @property
     def in_flight(self) -> int:
         """Number of requests without an outcome."""
@@ -211,6 +223,7 @@
             target_latency_deadline=now + route.target_latency_s - spent_s,
             is_retry=spent_s > RETRY_DETECTION_S,
             max_attempts=route.max_attempts,
+            allowed_regions=route.allowed_regions,
         )
 
     def _is_by_key(self, service: str) -> bool:
@@ -255,10 +268,15 @@
         self, now: Seconds, pending: PendingRequest, standing: Standing
     ) -> Address | None:
         request = pending.request
+        eligibility = self._rules.eligibility(request)
         if standing is not Standing.CLEAR:
             # All daemons choose the same target, so that it runs on one at a time.
             return self._chooser.choose_by_hash(
-                now, request.service, fingerprint_of(request), pending.tried
+                now,
+                request.service,
+                fingerprint_of(request),
+                pending.tried,
+                eligibility,
             )
         return self._chooser.choose(
             now,
@@ -266,6 +284,7 @@
             request.route,
             pending.tried,
             request.target_latency_deadline - now,
+            eligibility,
         )
 
     def _send_by_key(self, now: Seconds, pending: PendingRequest) -> None:
@@ -275,34 +294,35 @@
                 now, pending, NotRun(ErrorKind.NO_OWNER, NO_OWNER_RETRY_AFTER_S)
             )
             return
-        address = self._present_owner(table, pending)
-        if address is None and pending.span.previous_lost:
-            # The key cannot be granted to anybody within the time that callers wait.
-            self._finish(
-                now, pending, NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
-            )
+        span = pending.span = table.find(pending.request.key)
+        owners = self._owners(span, self._rules.eligibility(pending.request))
+        if not owners:
+            self._finish(now, pending, _refusal_without_owner(span))
             return
+        address = next(
+            (each for each in owners if (each, span.fence) not in pending.non_owners),
+            None,
+        )
         if address is not None and pending.sends < MAX_SENDS:
             self._send(now, pending, address)
         else:
             self._wait_and_retry(now, pending)
 
-    def _present_owner(
-        self, table: KeyTable, pending: PendingRequest
-    ) -> Address | None:
-        """Return the daemon whose target is expected to hold the key now, if any.
+    def _owners(self, span: Span, eligibility: Eligibility) -> list[Address]:
+        """Return the daemons where a request may run whose targets may hold its key.
 
         While a range moves, the previous owner serves it until it answers that it does
         not own the key any more.
         """
-        span = pending.span = table.find(pending.request.key)
-        candidates = [] if span.previous_lost else [span.owner]
-        if span.previous and not span.previous_lost:
-            candidates.insert(0, span.previous)
-        for address in candidates:
-            if (address, span.fence) not in pending.non_owners:
-                return address
-        return None
+        if span.previous_lost:
+            return []
+        owners = [span.previous, span.owner] if span.previous else [span.owner]
+        return [each for each in owners if self._is_eligible(each, eligibility)]
+
+    def _is_eligible(self, address: Address, eligibility: Eligibility) -> bool:
+        if address == self._local_address:
+            return eligibility.allows(self._rules.local_place)
+        return eligibility.allows(self._directory.member_by_address.get(address))
 
     def _wait_and_retry(self, now: Seconds, pending: PendingRequest) -> None:
         """Try the request again soon, or refuse it if it has waited too long.
@@ -598,6 +618,14 @@
         pending.reply(outcome)
 
 
+def _refusal_without_owner(span: Span) -> NotRun:
+    """Return the refusal of a request whose key has no owner that may serve it."""
+    if span.previous_lost:
+        # The key cannot be granted to anybody within the time that callers wait.
+        return NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
+    return NotRun(ErrorKind.REGION_NOT_ALLOWED, NOT_ELIGIBLE_RETRY_AFTER_S)
+
+
 #: Refusals that are no sign of a failure of the target or its daemon.
 _NOT_TARGET_FAULTS = frozenset(
     {
@@ -605,5 +633,6 @@
         ErrorKind.OVERLOADED,
         ErrorKind.DEADLINE_UNREACHABLE,
         ErrorKind.TARGET_REFUSED,
+        ErrorKind.REGION_NOT_ALLOWED,
     }
 )
--- a/rhubarbhall/core/traffic/routes.py
+++ b/rhubarbhall/core/traffic/routes.py
@@ -51,6 +51,8 @@
         still meet it are preferred under load.
     max_attempts : int
         Maximum number of targets that may receive one request.
+    allowed_regions : frozenset of str
+        Regions in which the requests may run; all if empty.
     """
 
     name: str
@@ -62,6 +64,7 @@
     timeout_s: Seconds | None = None
     target_latency_s: Seconds = 1.0
     max_attempts: int = 1
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,12 +124,15 @@
         All services by name.
     callers : CallerRules
         Limits on callers.
+    restricts_regions : bool
+        Whether any route allows some regions only.
     """
 
     version: int
     routes: tuple[HostRoute, ...]
     services_by_name: dict[str, ServiceRules]
     callers: CallerRules = field(default_factory=CallerRules)
+    restricts_regions: bool = field(init=False)
     _routes_by_host: dict[str, dict[str, HostRoute]] = field(init=False, repr=False)
     _longest_prefix: int = field(init=False, repr=False)
     _credits_by_route: dict[str, list[float]] = field(init=False, repr=False)
@@ -134,6 +140,7 @@
     def __post_init__(self) -> None:
         self._routes_by_host = defaultdict(dict)
         self._credits_by_route = {}
+        self.restricts_regions = any(each.allowed_regions for each in self.routes)
         self._longest_prefix = max(
             (len(each.prefix) for each in self.routes), default=0
         )
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -21,6 +21,7 @@
     from rhubarbhall.core.ownership.directory import KeyDirectory
     from rhubarbhall.core.ownership.liveness import Liveness
     from rhubarbhall.core.ownership.records import Member
+    from rhubarbhall.core.traffic.eligibility import Eligibility
     from rhubarbhall.types import Address, Fingerprint, Seconds
 
 #: Assumed round-trip times of a hop to another VM of the local region and to another
@@ -155,7 +156,7 @@
         self._local_target = local_target
         self.view_by_address: dict[Address, TargetView] = {}
         self._mean_by_route: dict[str, Seconds] = {}
-        self._candidates_by_service: dict[str, _Candidates] = {}
+        self._known_candidates: dict[tuple[str, Eligibility], _Candidates] = {}
         self._rng = random.Random(local_address)
 
     def view(self, address: Address) -> TargetView:
@@ -210,6 +211,7 @@
         route: str,
         tried: Collection[Address],
         latency_budget_s: Seconds,
+        eligibility: Eligibility,
     ) -> Address | None:
         """Return the address of the daemon whose target gets the request.
 
@@ -228,13 +230,15 @@
             Addresses of daemons that must not be chosen.
         latency_budget_s : float
             Time left in which the answer meets the target latency, in seconds.
+        eligibility : Eligibility
+            Where the request may run. No other target is chosen, whatever the load.
 
         Returns
         -------
         str or None
             The address; None if no target can be used.
         """
-        candidates = self._candidates(now, service)
+        candidates = self._candidates(now, service, eligibility)
         near = self._ranked(now, candidates.local_region, route, tried)
         for avoided, cost_s, address in near:
             if cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s and not avoided:
@@ -248,18 +252,19 @@
         service: str,
         fingerprint: Fingerprint,
         tried: Collection[Address],
+        eligibility: Eligibility,
     ) -> Address | None:
         """Return the target that all daemons choose for a request, whatever its load.
 
-        The choice is a rendezvous hash of the request over the targets that accept
-        work; those that are avoided after a failure come last.
+        The choice is a rendezvous hash of the request over the eligible targets that
+        accept work; those that are avoided after a failure come last.
 
         Returns
         -------
         str or None
             Address of its daemon; None if no target can be used.
         """
-        candidates = self._candidates(now, service)
+        candidates = self._candidates(now, service, eligibility)
         usable = [
             address
             for address, member in (*candidates.local_region, *candidates.other_regions)
@@ -274,33 +279,40 @@
             default=None,
         )
 
-    def _candidates(self, now: Seconds, service: str) -> _Candidates:
-        """Return the targets of a service that accept work."""
-        others = self._other_candidates(service)
+    def _candidates(
+        self, now: Seconds, service: str, eligibility: Eligibility
+    ) -> _Candidates:
+        """Return the eligible targets of a service that accept work."""
+        others = self._other_candidates(service, eligibility)
         if service != self._local_target.service:
             return others
         local = self._local_target.candidate(now)
-        if local is None:
+        if local is None or not eligibility.allows(local):
             return others
         local_region = [(self._local_address, local), *others.local_region]
         return replace(others, local_region=local_region)
 
-    def _other_candidates(self, service: str) -> _Candidates:
+    def _other_candidates(self, service: str, eligibility: Eligibility) -> _Candidates:
         """Return the targets of other daemons that accept work, by their records."""
-        known = self._candidates_by_service.get(service)
-        if known is not None and known.version == self._directory.state_version:
-            return known
+        known = self._known_candidates.get((service, eligibility))
+        if known is not None:
+            if known.version == self._directory.state_version:
+                return known
+            # Those of rules that are not in force any more go as well.
+            self._known_candidates.clear()
         candidates = _Candidates(self._directory.state_version, [], [])
         for address, member in self._directory.members_of(service):
             is_local = address == self._local_address
             is_ready = member.state is TargetState.READY
             if is_local or not is_ready or self._directory.is_lost(address):
                 continue
+            if not eligibility.allows(member):
+                continue
             if member.region == self._region:
                 candidates.local_region.append((address, member))
             else:
                 candidates.other_regions.append((address, member))
-        self._candidates_by_service[service] = candidates
+        self._known_candidates[service, eligibility] = candidates
         return candidates
 
     def _ranked(
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -66,6 +66,8 @@
     target_latency: str = "1s"
     max_attempts: _Number = 1
     priority: _Number = 0
+    #: Regions in which the requests may run; all if empty.
+    allowed_regions: list[str] = []
 
 
 class _ServiceSpec(msgspec.Struct, frozen=True):
@@ -103,6 +105,7 @@
         timeout_s=None if spec.timeout is None else parse_time(spec.timeout),
         target_latency_s=parse_time(spec.target_latency),
         max_attempts=spec.max_attempts,
+        allowed_regions=frozenset(spec.allowed_regions),
     )
 
 
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -243,3 +243,4 @@
         )
         fields = {"version": routing.version, "routes": len(routing.routes)}
         self.log_event(LogEvent(411, fields))
+        self.admission_queue.on_placement_changed(self._advance_timers())
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -51,6 +51,7 @@
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
 from rhubarbhall.core.traffic.body_budget import BodyBudget
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects
+from rhubarbhall.core.traffic.eligibility import LocalPlace, PlacementRules
 from rhubarbhall.core.traffic.request_router import RequestRouter
 from rhubarbhall.core.traffic.retry_budget import ServiceRetryBudget
 from rhubarbhall.core.traffic.target_chooser import TargetChooser
@@ -233,12 +234,14 @@
             self.target_keys.record_connection_lost,
         )
         self.request_log = RouterRequestLog(settings.vm, self)
+        self.placement_rules = PlacementRules(LocalPlace(settings.region))
         self.admission_queue = AdmissionQueue(
             settings.service,
             self.target,
             LocalKeyOwnership(self),
             self.suspects,
             self.request_log.record_local_durations,
+            self.placement_rules.local_refusal,
         )
         self.chooser = TargetChooser(
             self.local_address,
@@ -258,6 +261,7 @@
             lambda: ServiceRetryBudget(settings.retry_ratio, settings.retry_window_s),
             self.suspects,
             self.request_log,
+            self.placement_rules,
         )
 
     def _build_ownership(self, started_at: Seconds) -> None:
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -20,6 +20,7 @@
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects
+from rhubarbhall.core.traffic.eligibility import LocalPlace, PlacementRules
 from rhubarbhall.core.traffic.pending_requests import CallerRequest
 from rhubarbhall.core.traffic.request_router import (
     LOST_OWNER_RETRY_AFTER_S,
@@ -107,7 +108,14 @@
         )
         self.suspects = CrashSuspects()
         self.target, self.keys = FakeTarget(), FakeKeys()
-        self.queue = AdmissionQueue("own", self.target, self.keys, self.suspects)
+        self.rules = PlacementRules(LocalPlace("r1"))
+        self.queue = AdmissionQueue(
+            "own",
+            self.target,
+            self.keys,
+            self.suspects,
+            local_refusal=self.rules.local_refusal,
+        )
         self.budget = ServiceRetryBudget(0.2, 10.0)
         self.router = RequestRouter(
             LOCAL,
@@ -120,6 +128,7 @@
             lambda: self.budget,
             self.suspects,
             NullRequestLog(),
+            self.rules,
         )
         self.router.routing = routing()
         self.replies: list = []
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -12,6 +12,7 @@
     encode_member,
     member_key,
 )
+from rhubarbhall.core.traffic.eligibility import ANYWHERE
 from rhubarbhall.core.traffic.requests import Load
 from rhubarbhall.core.traffic.target_chooser import (
     CROSS_REGION_HOP_S,
@@ -61,7 +62,9 @@
         self.chooser.view(address).load = Load(SLOTS, waiting, SLOTS)
 
     def choose(self, latency_budget_s: float, tried=()) -> str | None:
-        return self.chooser.choose(0.0, "ledger", "pull", tried, latency_budget_s)
+        return self.chooser.choose(
+            0.0, "ledger", "pull", tried, latency_budget_s, ANYWHERE
+        )
 
 
 class MeteredLinkTests(TargetChooserCase):
@@ -134,7 +137,7 @@
     def hashed(self, service: str) -> set[str | None]:
         """Return the targets that the hashes of several requests choose."""
         return {
-            self.chooser.choose_by_hash(0.0, service, bytes([number]), ())
+            self.chooser.choose_by_hash(0.0, service, bytes([number]), (), ANYWHERE)
             for number in range(30)
         }
 
@@ -151,7 +154,7 @@
         self.local_target.service = "stock"
         self.local_target.member = Member("stock", "d", "r1", "i@2", SLOTS)
         self.record_local("ledger", TargetState.READY)
-        chosen = self.chooser.choose(0.0, "stock", "pull", (), 1.5)
+        chosen = self.chooser.choose(0.0, "stock", "pull", (), 1.5, ANYWHERE)
         self.assertEqual(chosen, LOCAL)
         self.assertEqual(self.hashed("stock"), {LOCAL})
 
--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -64,6 +64,7 @@
         self.read_lease = ReadLease()
         self.request_router = SimpleNamespace(routing=None)
         self.publisher = SimpleNamespace(by_key=False)
+        self.admission_queue = SimpleNamespace(on_placement_changed=lambda now: None)
         self.callers = SimpleNamespace(limit=lambda limits: None)
         load = SimpleNamespace(utilization=0.0, cost=0.0)
         self.balancer = SimpleNamespace(
