Reserve no slot of few for short work that hardly uses it

Cause: after a start the rare probes of the configuration are over a tenth of the requests that are counted, so the main route of a service counts as long work and lost one slot of three.

--- a/rhubarbhall/core/traffic/slot_reservation.py
+++ b/rhubarbhall/core/traffic/slot_reservation.py
@@ -19,6 +19,12 @@
 #: Reserved slots for each slot that short work has kept busy: requests arrive
 #: unevenly.
 HEADROOM = 1.5
+#: Maximum share of the slots that one slot may be for it to be reserved whatever the
+#: load of the short work is.
+MAX_IDLE_SHARE = 0.25
+#: Reserved slots are rounded down if the load of the short work is below this part of
+#: the next one.
+MIN_SLOT_USE = 0.25
 #: Time constant of the average, in seconds.
 AVERAGING_TIME_S = 2.0
 
@@ -44,10 +50,12 @@
     def max_long(self, now: Seconds, slots: int) -> int:
         """Return how many of the slots long work may take; at least one.
 
-        One slot is always reserved if there are two or more.
+        One slot is always reserved if there are four or more. Of fewer slots, one is
+        reserved only while short work uses a good part of it.
         """
         self._decay(now)
-        needed = math.ceil(HEADROOM * self._busy_slots)
+        needed = math.ceil(HEADROOM * self._busy_slots - MIN_SLOT_USE)
+        minimum = 1 if MAX_IDLE_SHARE * slots >= 1 else 0
         limit = math.ceil(MAX_RESERVED_SHARE * slots)
-        reserved = min(max(1, needed), limit)
+        reserved = min(max(minimum, needed), limit)
         return max(1, slots - reserved)
