Withdraw requests that wait at another daemon near their deadline

A request that still waited in the admission queue of another daemon at its deadline was answered 504, so callers could not repeat it although no target had received it. The router now sends a withdrawal (Cancel with a last field that has a default) a round trip and 40 ms before the deadline; the receiver refuses the request as not run if it still waits. A request that is read together with its cancellation is not begun.

Requests of which no byte was given to the socket when a connection ends are reported as not run instead of unknown. Frames sent in part do not count, as the end of a compressed frame carries no data.

Existing fakes get the new members of the ports (FakeDialer.unsent_at_close, FakePeerClient.round_trip_s and withdraw); no existing check is changed.

--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -64,6 +64,9 @@
     def on_cancel(self, ticket: int) -> None:
         """Cancel a request for the local target."""
 
+    def on_withdraw(self, ticket: int) -> None:
+        """Refuse a request for the local target as not run, if it still waits."""
+
     def on_contact(self, address: Address) -> None:
         """Record that a daemon has sent something."""
 
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -153,9 +153,20 @@
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Cancels a request: the sender no longer awaits its outcome."""
+    """Cancels a request.
+
+    Parameters
+    ----------
+    number : int
+        The request's number in its `Forward`.
+    withdraws : bool
+        Whether the request is only withdrawn: if no target has received it, it is
+        removed and reported as not run; otherwise nothing changes. If false, the sender
+        no longer awaits the outcome. Daemons without this field cancel the request.
+    """
 
     number: int
+    withdraws: bool = False
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/rhubarbhall/adapters/peer_link.py
+++ b/rhubarbhall/adapters/peer_link.py
@@ -43,6 +43,12 @@
         Requests that await their outcome, by their number on the link.
     number_by_ticket : dict of int to int
         The reverse of `ticket_by_number`.
+    queued_bytes : int
+        Number of bytes that were given to the present connection.
+    start_by_number : dict of int to int
+        Value of `queued_bytes` before each request on the present connection.
+    withdrawn : set of int
+        Requests that were withdrawn and have no outcome yet.
     broken_at : float, optional
         When the last connection ended, while requests on it may still be resumed.
     dialed_at : float
@@ -78,6 +84,9 @@
     writer: FrameWriter = field(default_factory=FrameWriter)
     ticket_by_number: dict[int, int] = field(default_factory=dict)
     number_by_ticket: dict[int, int] = field(default_factory=dict)
+    queued_bytes: int = 0
+    start_by_number: dict[int, int] = field(default_factory=dict)
+    withdrawn: set[int] = field(default_factory=set)
     broken_at: Seconds | None = None
     dialed_at: Seconds = float("-inf")
     last_used_at: Seconds = float("-inf")
@@ -90,13 +99,41 @@
     renewal_requested_at: dict[int, Seconds] = field(default_factory=dict)
 
     def add(self, number: int, ticket: int) -> None:
-        """Record a request that is sent."""
+        """Record a request that is about to be sent."""
+        self.start_by_number[number] = self.queued_bytes
         self.ticket_by_number[number] = ticket
         self.number_by_ticket[ticket] = number
 
     def pop_ticket(self, number: int) -> int | None:
         """Forget a request and return its ticket; None if it is not awaited."""
         ticket = self.ticket_by_number.pop(number, None)
+        self.start_by_number.pop(number, None)
+        self.withdrawn.discard(number)
         if ticket is not None:
             del self.number_by_ticket[ticket]
         return ticket
+
+    def end_connection(self, unsent_bytes: int) -> list[int]:
+        """Forget the bytes of the present connection, which has ended.
+
+        Parameters
+        ----------
+        unsent_bytes : int
+            Number of bytes at the end of those in `queued_bytes` that were not sent.
+
+        Returns
+        -------
+        list of int
+            Requests of which no byte was sent, so that no target can have received
+            them. A frame that was sent in part may be complete for the receiver: the
+            end of a compressed frame carries no data.
+        """
+        sent_bytes = self.queued_bytes - unsent_bytes
+        unsent = [
+            number
+            for number, start in self.start_by_number.items()
+            if start >= sent_bytes
+        ]
+        self.start_by_number.clear()
+        self.queued_bytes = 0
+        return unsent
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -48,7 +48,7 @@
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.peer_selection import relay_plan
-from rhubarbhall.core.traffic.requests import Load, RoutedRequest, Unknown
+from rhubarbhall.core.traffic.requests import Load, NotRun, RoutedRequest, Unknown
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
@@ -428,11 +428,15 @@
         self._send(link, Hello(self._local_address, self.service, self._session))
         link.broken_at = None
         self._send(link, Resume(list(link.ticket_by_number)))
+        for number in sorted(link.withdrawn):
+            self._send(link, Cancel(number, withdraws=True))
         self._handler.on_contact(link.address)
         self._handler.on_link_changed(link.address, True)
 
     def _send(self, link: PeerLink, frame: Frame) -> None:
-        self.dialer.send(link.sock, link.writer.encode(frame))
+        data = link.writer.encode(frame)
+        link.queued_bytes += len(data)
+        self.dialer.send(link.sock, data)
 
     # Requests to peers
 
@@ -514,6 +518,25 @@
         if link.is_open:
             self._send(link, Cancel(number))
 
+    def withdraw(self, address: Address, ticket: int) -> None:
+        """Withdraw a request that was sent to a daemon, if no target has received it.
+
+        If so, the daemon reports it as not run; otherwise its outcome is still awaited.
+        Without a connection this is sent over the next one.
+        """
+        link = self._link_by_address.get(address)
+        number = link.number_by_ticket.get(ticket) if link is not None else None
+        if number is None:
+            return
+        link.withdrawn.add(number)
+        if link.is_open:
+            self._send(link, Cancel(number, withdraws=True))
+
+    def round_trip_s(self, address: Address) -> Seconds:
+        """Return the round trip to a daemon as last measured, in seconds."""
+        link = self._link_by_address.get(address)
+        return REMOTE_REGION_ROUND_TRIP_S if link is None else link.round_trip_s
+
     def request_sync(self, address: Address, offset: int, configuration: int) -> None:
         """Request records of the store from a daemon, at most once per check interval.
 
@@ -588,7 +611,8 @@
         """Handle the end of a connection.
 
         The next connection brings the outcomes of the requests on this one, if it is
-        established within `RESUME_TIMEOUT_S`.
+        established within `RESUME_TIMEOUT_S`. Requests of which no byte was sent have
+        not run.
 
         Parameters
         ----------
@@ -602,9 +626,11 @@
             return
         had_opened = link.is_open
         link.sock, link.is_open, link.pinged_at = None, False, None
+        unsent = link.end_connection(self.dialer.unsent_at_close)
         if had_opened:
             link.broken_at = self._clock()
             self._handler.on_link_changed(link.address, False)
+        unsent_tickets = [link.pop_ticket(number) for number in unsent]
         if refused:
             # The process that had received the requests has ended.
             self._handler.on_connection_refused(link.address)
@@ -612,6 +638,9 @@
         elif had_opened and link.address in self._link_by_address:
             if link.is_kept or link.ticket_by_number:
                 self._dial(self._clock(), link)
+        for ticket in unsent_tickets:
+            not_run = NotRun(ErrorKind.OWNER_UNREACHABLE, REDIAL_DELAY_S)
+            self._handler.on_outcome(link.address, ticket, not_run, None)
 
     def _abandon_requests(self, link: PeerLink) -> None:
         """Report the outcomes of the requests on an ended connection as unknown."""
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -95,6 +95,19 @@
     is_resumed: bool = False
 
 
+def _read_frames(
+    reader: FrameReader, data: bytes
+) -> tuple[list[Frame], ValueError | None]:
+    """Return the frames that are complete, and the error of bytes that are invalid."""
+    frames: list[Frame] = []
+    try:
+        for frame in reader.feed(data):
+            frames.append(frame)  # noqa: PERF402  # those before an error are kept
+    except ValueError as error:
+        return frames, error
+    return frames, None
+
+
 class _Acceptor(Listener):
     """Accepts connections and passes their bytes and their end to `PeerSessions`."""
 
@@ -218,18 +231,39 @@
         if session is None:
             return
         try:
-            for frame in session.reader.feed(data):
+            frames, error = _read_frames(session.reader, data)
+            cancels = {each.number: each for each in frames if isinstance(each, Cancel)}
+            for frame in frames:
                 # A `Hello` may replace this session by an earlier one.
                 session = self._session_by_sock.get(sock)
                 if session is None:
                     return
-                self._on_frame(session, frame)
+                if not self._cancelled_early(session, frame, cancels):
+                    self._on_frame(session, frame)
+            if error is not None:
+                raise error
         except ValueError:
             self.rejected += 1
             self.acceptor.drop(sock)
         if session.address:
             self._handler.on_contact(session.address)
 
+    def _cancelled_early(
+        self, session: Session, frame: Frame, cancels: dict[int, Cancel]
+    ) -> bool:
+        """Return whether a request was cancelled before this process looked at it.
+
+        While this process is slow, a request and its cancellation arrive together. The
+        request is then not begun; a withdrawn one is reported as not run.
+        """
+        if not isinstance(frame, Forward) or frame.number not in cancels:
+            return False
+        session.last_number = max(session.last_number, frame.number)
+        if cancels[frame.number].withdraws:
+            not_run = NotRun(ErrorKind.DEADLINE_UNREACHABLE)
+            self._send(session, encode_outcome(frame.number, not_run, Load()))
+        return True
+
     def _send(self, session: Session, frame: Frame) -> None:
         if session.sock is not None:
             self.acceptor.send(session.sock, session.writer.encode(frame))
@@ -242,9 +276,7 @@
         elif isinstance(frame, Resume):
             self._on_resume(session, frame)
         elif isinstance(frame, Cancel):
-            ticket = session.ticket_by_number.pop(frame.number, None)
-            if ticket is not None:
-                self._handler.on_cancel(ticket)
+            self._on_cancel(session, frame)
         elif isinstance(frame, Ping):
             self._send(session, self._handler.pong(frame.number))
         elif isinstance(frame, RenewLease):
@@ -262,6 +294,21 @@
         elif isinstance(frame, SyncRequest):
             self._send(session, self._handler.on_sync_request(frame))
 
+    def _on_cancel(self, session: Session, frame: Cancel) -> None:
+        """Cancel or withdraw a request.
+
+        There is nothing to do for a request that is not recorded: its outcome is on its
+        way, or the `Resume` before has been answered for it.
+        """
+        if frame.withdraws:
+            ticket = session.ticket_by_number.get(frame.number)
+            if ticket is not None:
+                self._handler.on_withdraw(ticket)
+            return
+        ticket = session.ticket_by_number.pop(frame.number, None)
+        if ticket is not None:
+            self._handler.on_cancel(ticket)
+
     # Broken and resumed sessions
 
     def _on_hello(self, session: Session, hello: Hello) -> None:
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -55,6 +55,9 @@
         self._buffers: dict[socket.socket, deque[_Data]] = defaultdict(deque)
         #: Bytes in memory that wait to be sent.
         self.unsent_bytes = 0
+        #: Bytes of a connection that were never sent, while `on_closed` reports it.
+        self.unsent_at_close = 0
+        self._failed_bytes = 0
         self._poller: BasePoller | None = None
 
     @handler("registered", "started", channel="*")
@@ -172,7 +175,10 @@
         except OSError as error:
             if error.errno in _RETRY_ERRORS:
                 return data
+            # Nothing of `data` was sent.
+            self._failed_bytes = len(data)
             self.drop(sock)
+            self._failed_bytes = 0
             return b""
 
     def finish(self, sock: socket.socket) -> None:
@@ -205,14 +211,18 @@
 
     def _close(self, sock: socket.socket) -> None:
         self._poller.discard(sock)
+        unsent, self._failed_bytes = self._failed_bytes, 0
         for data in self._buffers.pop(sock, ()):
             self.unsent_bytes -= _held_bytes(data)
+            unsent += len(data)
         self._clients.discard(sock)
         self._closing.discard(sock)
         self._half_closing.discard(sock)
         with contextlib.suppress(OSError):
             sock.close()
+        self.unsent_at_close = unsent
         self.on_closed(sock)
+        self.unsent_at_close = 0
 
     def close(self, sock: socket.socket | None = None) -> None:
         """Close one connection, or all without an argument."""
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -12,12 +12,14 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from rhubarbhall.core.admission import ConcurrencyLimit
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects, Standing
+from rhubarbhall.core.traffic.load_shedding import RefusalStage
 from rhubarbhall.core.traffic.lost_runs import LostRuns
 from rhubarbhall.core.traffic.queue_entries import QueueEntry, Urgency
 from rhubarbhall.core.traffic.queue_estimates import (
@@ -105,6 +107,8 @@
         Requests whose answer was lost since the target has answered last.
     durations : RouteDurations
         Mean durations by route.
+    refusals : Counter
+        Number of refusals by stage.
     closed_reason : ErrorKind or None
         Reason with which all new requests are refused; None while they are admitted.
     """
@@ -124,6 +128,7 @@
         self._suspects = suspects
         self._suspect_runs = SuspectRuns(suspects)
         self.lost_runs = LostRuns()
+        self.refusals: Counter[RefusalStage] = Counter()
         self._tickets = itertools.count(1)
         self._waiting = WaitingRequests()
         self._entry_by_ticket: dict[int, QueueEntry] = {}
@@ -445,6 +450,15 @@
             self.dispatch(now)
         return False
 
+    def withdraw(self, now: Seconds, ticket: int) -> None:
+        """Refuse a request as not run if it still waits; a running one goes on."""
+        entry = self._entry_by_ticket.get(ticket)
+        if entry is not None and entry.sent_at is None:
+            self.refusals[RefusalStage.WITHDRAWN] += 1
+            retry_after_s = room_after_s(now, entry.request)
+            refusal = NotRun(ErrorKind.DEADLINE_UNREACHABLE, retry_after_s)
+            self._refuse_waiting(entry, refusal)
+
     def _release_slot(self, entry: QueueEntry) -> None:
         del self._entry_by_ticket[entry.ticket]
         self._running -= 1
--- /dev/null
+++ b/rhubarbhall/core/traffic/load_shedding.py
@@ -0,0 +1,14 @@
+"""Where requests are refused for lack of room."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RefusalStage(enum.StrEnum):
+    """Stage at which a request is refused as not run for lack of room.
+
+    WITHDRAWN : the router that sent it has withdrawn it, as its deadline is near.
+    """
+
+    WITHDRAWN = "withdrawn"
--- a/rhubarbhall/core/traffic/pending_requests.py
+++ b/rhubarbhall/core/traffic/pending_requests.py
@@ -62,6 +62,15 @@
     def opens_soon(self, now: Seconds, address: Address) -> bool:
         """Return whether the first connection to a daemon is being opened."""
 
+    def round_trip_s(self, address: Address) -> Seconds:
+        """Return the round trip to a daemon as last measured, in seconds."""
+
+    def withdraw(self, address: Address, ticket: int) -> None:
+        """Withdraw a request from a daemon, if no target has received it yet.
+
+        If so, `RequestRouter.on_outcome` gets `NotRun`, else the outcome of the target.
+        """
+
     def cancel(self, address: Address, ticket: int) -> None:
         """Inform a daemon that nobody waits for the outcome of a request."""
 
@@ -95,6 +104,11 @@
         deadline of the request may be earlier, as the process exits.
     deadline_timer : Timer, optional
         Timer that ends the request at its deadline.
+    withdrawal_timer : Timer, optional
+        Timer that withdraws the request from another daemon shortly before its
+        deadline.
+    is_withdrawn : bool
+        Whether that was done.
     retry_timer : Timer, optional
         Timer of the next attempt while the request waits for a key or a connection.
     current_address : str, optional
@@ -129,6 +143,8 @@
     began_at: Seconds
     wanted_until: Seconds
     deadline_timer: Timer | None = None
+    withdrawal_timer: Timer | None = None
+    is_withdrawn: bool = False
     retry_timer: Timer | None = None
     current_address: Address | None = None
     queue_ticket: int | None = None
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -64,6 +64,10 @@
 LOST_OWNER_RETRY_AFTER_S = 1.0
 #: Minimum time until the deadline for which a request is sent again.
 MIN_REPEAT_TIME_S = 0.03
+#: Time beyond the round trip before the deadline at which a request is withdrawn from
+#: another daemon. It covers the work of both processes, which share less than one core
+#: with their targets on the smallest VMs.
+WITHDRAWAL_MARGIN_S = 0.04
 #: Lowest HTTP status of a server error.
 _FIRST_SERVER_ERROR = 500
 _NO_TARGET = NotRun(ErrorKind.NO_TARGET, NO_OWNER_RETRY_AFTER_S)
@@ -375,6 +379,8 @@
             if not self._peers.forward(now, address, ticket, pending.request):
                 refused = NotRun(ErrorKind.OWNER_UNREACHABLE, NO_OWNER_RETRY_AFTER_S)
                 self.on_outcome(now, ticket, address, refused, None)
+            elif (pending.current_address, pending.sends) == (address, sends):
+                self._withdraw_later(pending, address)
             return
         queue_ticket = self._admission_queue.submit(
             now,
@@ -384,6 +390,22 @@
         if pending.current_address == self._local_address and pending.sends == sends:
             pending.queue_ticket = queue_ticket
 
+    def _withdraw_later(self, pending: PendingRequest, address: Address) -> None:
+        """Have a request withdrawn shortly before its deadline.
+
+        The other daemon's answer must arrive before it: only that daemon knows whether
+        the request still waits there or a target has received it.
+        """
+        lead_s = self._peers.round_trip_s(address) + WITHDRAWAL_MARGIN_S
+        withdraw = TimerCallback(lambda later: self._withdraw(pending, address))
+        due = min(pending.request.deadline, self._drain_end) - lead_s
+        pending.withdrawal_timer = self._timers.at(due, withdraw)
+
+    def _withdraw(self, pending: PendingRequest, address: Address) -> None:
+        if pending.current_address == address and not pending.may_have_run:
+            pending.is_withdrawn = True
+            self._peers.withdraw(address, pending.ticket)
+
     def _may_outlast_drain(self, now: Seconds, pending: PendingRequest) -> bool:
         """Return whether the answer could come after the process exits.
 
@@ -444,6 +466,9 @@
             self._chooser.view(pending.current_address).outstanding -= 1
         pending.current_address = None
         pending.queue_ticket = None
+        if pending.withdrawal_timer is not None:
+            pending.withdrawal_timer.cancel()
+            pending.withdrawal_timer = None
 
     def _on_answer(
         self, now: Seconds, pending: PendingRequest, address: Address, answer: Answered
@@ -520,6 +545,7 @@
             refused_by_owner
             or no_attempts_left
             or no_time_left
+            or pending.is_withdrawn
             or pending.sends >= MAX_SENDS
         ):
             self._finish(now, pending, outcome)
@@ -566,8 +592,15 @@
         self._finish(now, pending, Unknown(ErrorKind.CALLER_GONE))
 
     def drain(self, end: Seconds) -> None:
-        """Have all requests that are accepted or sent from now on end by `end`."""
+        """Have all requests that are accepted or sent from now on end by `end`.
+
+        Those that other daemons have are withdrawn before, if they still wait there.
+        """
         self._drain_end = end
+        for pending in self._pending_by_ticket.values():
+            if pending.withdrawal_timer is not None:
+                pending.withdrawal_timer.cancel()
+                self._withdraw_later(pending, pending.current_address)
 
     def end_pending(self, now: Seconds) -> None:
         """End all requests, as the process is about to exit.
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -51,6 +51,8 @@
         #: Outcomes of peers' requests at the local target, by outcome and error kind or
         #: status.
         self.local_outcomes: Counter[tuple[str, str]] = Counter()
+        #: Requests refused for lack of room, by stage.
+        self.refusals: Counter[str] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
         #: Latencies by service and stage: ``whole`` (until the caller has its outcome),
@@ -68,6 +70,7 @@
 _COUNTERS = (
     ("requests_total", "Outcomes that callers got.", ("service", "outcome", "kind")),
     ("orders_total", "Outcomes at the own gate.", ("outcome", "kind")),
+    ("refusals_total", "Refused for lack of room.", ("stage",)),
     ("store_calls_total", "Calls to the store.", ("call", "result")),
 )
 
@@ -88,7 +91,8 @@
     from aioprometheus.renderer import render
 
     registry = Registry()
-    counts = (metrics.outcomes, metrics.local_outcomes, metrics.store_calls)
+    refusals = {(stage,): count for stage, count in metrics.refusals.items()}
+    counts = (metrics.outcomes, metrics.local_outcomes, refusals, metrics.store_calls)
     for (name, text, labels), by_labels in zip(_COUNTERS, counts, strict=True):
         metric = Metric(f"rhubarb_{name}", text, registry=registry)
         for values, count in by_labels.items():
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -108,6 +108,10 @@
         """Cancel a peer's request for the local target."""
         self.admission_queue.cancel(self._advance_timers(), ticket)
 
+    def on_withdraw(self, ticket: int) -> None:
+        """Refuse a peer's request as not run, if it still waits for the target."""
+        self.admission_queue.withdraw(self._advance_timers(), ticket)
+
     def on_contact(self, address: Address) -> None:
         """Record contact with a daemon."""
         self.liveness.record_contact(self._advance_timers(), address)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -240,6 +240,7 @@
             self.suspects,
             self.request_log.record_local_durations,
         )
+        self.admission_queue.refusals = self.request_log.metrics.refusals
         self.chooser = TargetChooser(
             self.local_address,
             settings.region,
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -65,6 +65,7 @@
 
     def __init__(self, channel, links):
         self.links = links
+        self.unsent_at_close = 0
         self.pending: list[tuple[Wire, object]] = []
 
     def open(self, address, on_open):
@@ -436,6 +437,129 @@
         self.assertEqual(self.outcomes(2), [])
 
 
+class WithdrawalTests(ResumeCase):
+    """Requests that their sender withdraws before the deadline.
+
+    Guards against: a caller that is told that its request may have run although no
+    target has received it, and the reverse.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.receiver.on_withdraw = self.refuse_waiting
+        self.begun: set[int] = set()
+        self.refused: set[int] = set()
+
+    def refuse_waiting(self, receiver_ticket: int) -> None:
+        """Do as an admission queue does."""
+        id = list(self.receiver.origin_by_id)[receiver_ticket - 1]
+        ticket = int(id[1:])
+        if ticket not in self.begun:
+            self.refused.add(ticket)
+            not_run = NotRun(ErrorKind.DEADLINE_UNREACHABLE)
+            self.sessions.answer(self.receiver.origin_by_id[id], not_run, Load())
+
+    def kinds(self, ticket: int) -> list:
+        return [(type(each), each.kind) for each in self.outcomes(ticket)]
+
+    def test_a_waiting_request_is_reported_as_not_run_and_a_running_one_goes_on(self):
+        for ticket in (1, 2):
+            self.forward(ticket)
+        self.deliver()
+        self.begun.add(2)
+        for ticket in (1, 2):
+            self.links.withdraw(RECEIVER, ticket)
+        self.deliver()
+        self.assertEqual(self.kinds(1), [(NotRun, ErrorKind.DEADLINE_UNREACHABLE)])
+        self.assertEqual((self.outcomes(2), self.receiver.cancelled), ([], []))
+        self.answer(2)
+        self.deliver()
+        self.assertEqual(self.outcomes(2), [Answered(200, (), b"a2")])
+
+    def test_a_request_that_arrives_with_its_withdrawal_is_not_begun(self):
+        # Load pattern: the receiver's process is slow, and bytes wait in its socket.
+        self.forward(1)
+        self.links.withdraw(RECEIVER, 1)
+        self.forward(2)
+        self.links.cancel(RECEIVER, 2)
+        self.sessions.receive(self.wire, b"".join(self.take_all(self.wire.to_receiver)))
+        self.deliver()
+        self.assertEqual(self.receiver.origin_by_id, {})
+        self.assertEqual(self.kinds(1), [(NotRun, ErrorKind.DEADLINE_UNREACHABLE)])
+        self.assertEqual(self.outcomes(2), [])
+
+    def test_a_request_withdrawn_without_a_connection_is_withdrawn_over_the_next(self):
+        for ticket in (1, 2):
+            self.forward(ticket)
+            if ticket == 1:
+                self.deliver()
+        self.cut()
+        for ticket in (1, 2):
+            self.links.withdraw(RECEIVER, ticket)
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.kinds(1), [(NotRun, ErrorKind.DEADLINE_UNREACHABLE)])
+        self.assertEqual(self.kinds(2), [(NotRun, ErrorKind.OWNER_UNREACHABLE)])
+
+    def test_a_request_of_which_no_byte_was_sent_has_not_run(self):
+        # That of ticket 2 was sent in part, and the receiver may have all its data.
+        sizes = []
+        for ticket in (1, 2, 3):
+            self.forward(ticket)
+            sizes = [len(data) for data in self.wire.to_receiver]
+        self.links.dialer.unsent_at_close = sizes[-1] + sizes[-2] - 1
+        self.cut()
+        self.links.dialer.unsent_at_close = 0
+        self.assertEqual(self.kinds(3), [(NotRun, ErrorKind.OWNER_UNREACHABLE)])
+        self.assertEqual(self.outcomes(2) + self.outcomes(1), [])
+        self.pass_time(RESUME_TIMEOUT_S + CHECK_INTERVAL_S)
+        self.assertEqual(self.kinds(2), [(Unknown, ErrorKind.ANSWER_LOST)])
+
+    def test_requests_of_an_earlier_connection_are_not_judged_by_the_next(self):
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.connect()
+        self.links.dialer.unsent_at_close = 10**6
+        self.cut()
+        self.assertEqual(self.outcomes(1), [])
+
+    def test_outcomes_are_true_while_connections_are_cut_at_random(self):
+        for seed in range(150):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.run_random_steps(random.Random(seed))
+
+    def run_random_steps(self, rng: random.Random) -> None:
+        ticket = 0
+        for _ in range(60):
+            step = rng.random()
+            if step < 0.35:
+                ticket += self.forward(ticket + 1)
+            elif step < 0.5:
+                self.deliver()
+            elif step < 0.6:
+                arrived = {int(id[1:]) for id in self.receiver.origin_by_id}
+                waiting = sorted(arrived - self.refused)
+                self.begun |= {each for each in waiting if rng.random() < 0.4}
+            elif step < 0.85 and ticket:
+                self.links.withdraw(RECEIVER, rng.randint(1, ticket))
+            elif step >= 0.85:
+                self.cut(seen_by_receiver=rng.random() < 0.7)
+                self.connect()
+        self.deliver()
+        for each in range(1, ticket + 1):
+            if each in self.begun:
+                self.answer(each)
+            else:
+                self.links.withdraw(RECEIVER, each)
+        self.deliver()
+        for each in range(1, ticket + 1):
+            self.assertEqual(len(self.outcomes(each)), 1)
+            if isinstance(self.outcomes(each)[0], NotRun):
+                self.assertNotIn(each, self.begun)
+
+
 class InvalidFrameTests(ResumeCase):
     def test_an_invalid_frame_is_not_an_outcome(self):
         self.forward(1)
--- a/tests/adapters/test_sockets.py
+++ b/tests/adapters/test_sockets.py
@@ -16,7 +16,7 @@
         self.accepted = sock
 
     def on_closed(self, sock):
-        pass
+        self.unsent_when_closed = self.unsent_at_close
 
 
 class UnsentTests(unittest.TestCase):
@@ -46,6 +46,23 @@
         self.assertFalse(self.listener.has_unsent)
         self.assertEqual(self.listener.unsent_bytes, 0)
 
+    # Guards against: a request that is reported as not run although it was sent, or the
+    # reverse, as its connection ended while bytes waited to be sent.
+    def test_bytes_that_were_never_sent_are_known_when_a_connection_ends(self):
+        sock, sizes = self.listener.accepted, (self.SIZE, 7, 9)
+        for size in sizes:
+            self.listener.send(sock, bytes(size))
+        received = 0
+        while received < self.SIZE // 2:
+            received += len(self.peer.recv(1 << 20))
+            self.loop.manager.tick(0.0)
+        self.listener.drop(sock)
+        while data := self.peer.recv(1 << 20):
+            received += len(data)
+        unsent = self.listener.unsent_when_closed
+        self.assertEqual(unsent, sum(sizes) - received)
+        self.assertEqual(self.listener.unsent_at_close, 0)
+
     # Each part that a socket took of a large body cost a copy of the rest.
     def test_the_rest_of_large_bytes_is_not_copied(self):
         data = bytes(self.SIZE)
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -275,6 +275,16 @@
         self.finish(0.1, "a")
         self.assertEqual(self.sent_ids(), ["b"])
 
+    def test_a_withdrawn_request_is_refused_while_it_waits_and_runs_on_otherwise(self):
+        tickets = [self.submit(0.0, id) for id in "abc"]
+        for ticket in (*tickets, tickets[2], 99):
+            self.queue.withdraw(0.9, ticket)
+        self.assertEqual(list(self.outcomes), ["c"])
+        self.assertIsInstance(self.outcomes["c"], NotRun)
+        self.finish(0.95, "a")
+        self.assertEqual((self.sent_ids(), self.outcomes["a"]), (["b"], ANSWER))
+        self.assertEqual(self.target.cancelled, [])
+
     def test_running_request_that_is_not_idempotent_is_not_cancelled(self):
         ticket = self.submit(0.0, "a", idempotent=False)
         self.assertFalse(self.queue.cancel(0.1, ticket))
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -46,6 +46,7 @@
     def __init__(self):
         self.sent: list[tuple[str, int]] = []
         self.cancelled: list[tuple[str, int]] = []
+        self.withdrawn: list[tuple[str, int]] = []
         self.down: set[str] = set()
         self.opening: set[str] = set()
 
@@ -58,6 +59,12 @@
     def opens_soon(self, now, address):
         return address in self.opening
 
+    def round_trip_s(self, address):
+        return 0.06
+
+    def withdraw(self, address, ticket):
+        self.withdrawn.append((address, ticket))
+
     def cancel(self, address, ticket):
         self.cancelled.append((address, ticket))
 
@@ -281,6 +288,51 @@
         self.assertEqual(self.router.in_flight, 0)
 
 
+class WithdrawalTests(RequestRouterCase):
+    """Requests that still wait at another daemon when their deadline comes near.
+
+    Guards against: a caller that may not repeat its request, although it never ran.
+    """
+
+    WITHDRAWN_AT = 0.95
+
+    def setUp(self):
+        super().setUp()
+        self.submit("/credit/1")
+
+    def test_a_request_that_waited_is_refused_as_not_run_and_not_sent_again(self):
+        self.fire_timers(0.85)
+        self.assertEqual(self.peers.withdrawn, [])
+        self.fire_timers(self.WITHDRAWN_AT)
+        self.assertEqual(self.peers.withdrawn, self.peers.sent)
+        refusal = NotRun(ErrorKind.DEADLINE_UNREACHABLE, 0.01)
+        self.outcome(0.953, refusal)
+        self.assertEqual(self.replies, [refusal])
+        self.assertEqual((len(self.peers.sent), self.peers.cancelled), (1, []))
+
+    def test_a_request_that_runs_gets_its_answer(self):
+        self.fire_timers(self.WITHDRAWN_AT)
+        self.outcome(0.97, ANSWER)
+        self.assertEqual(self.replies, [ANSWER])
+
+    def test_without_an_answer_of_the_daemon_the_outcome_is_unknown(self):
+        self.fire_timers(self.WITHDRAWN_AT)
+        self.fire_timers(0.995)
+        self.assertEqual(self.replies, [Unknown(ErrorKind.DEADLINE_PASSED)])
+
+    def test_a_request_is_withdrawn_before_this_process_exits(self):
+        self.router.drain(0.5)
+        self.fire_timers(0.45)
+        self.assertEqual(self.peers.withdrawn, self.peers.sent)
+
+    def test_an_attempt_that_may_have_run_is_not_denied(self):
+        self.submit("/look/1", now=0.1, timeout_s=0.8)
+        self.outcome(0.2, Unknown(ErrorKind.ANSWER_LOST))
+        self.fire_timers(0.85)
+        self.outcome(0.86, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+        self.assertIsInstance(self.replies[0], Unknown)
+
+
 class KeyedTests(RequestRouterCase):
     def setUp(self):
         super().setUp()
