Refuse requests at the entrance that their owner would refuse

Requests crossed to the owner of their key, often in another region, to be refused there for lack of room. A refusal now tells the time that the request would have needed (a last field of RequestFailed with a default).

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -140,6 +140,8 @@
         Time after which the caller may try again.
     running, waiting, slots, rate
         As in `Reply`.
+    needed_ms : int
+        Time that the request would have needed until its answer; 0 if not known.
     """
 
     number: int
@@ -150,6 +152,7 @@
     waiting: int
     slots: int
     rate: float | None = None
+    needed_ms: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 from rhubarbhall.adapters.peer_frames import Reply, RequestFailed
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -67,16 +69,19 @@
             load.slots,
             load.rate,
         )
-    retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else 0.0
+    is_not_run = isinstance(outcome, NotRun)
+    retry_after_s = outcome.retry_after_s if is_not_run else 0.0
+    needed_s = outcome.needed_s if is_not_run else 0.0
     return RequestFailed(
         number,
         outcome.kind,
-        isinstance(outcome, NotRun),
+        is_not_run,
         int(retry_after_s * _MS_PER_S),
         load.running,
         load.waiting,
         load.slots,
         load.rate,
+        ceil(needed_s * _MS_PER_S),
     )
 
 
@@ -92,5 +97,6 @@
         return Answered(frame.status, pair_headers(frame.headers), frame.body)
     kind = ErrorKind(frame.kind)
     if frame.not_run:
-        return NotRun(kind, frame.retry_after_ms / _MS_PER_S)
+        retry_after_s = frame.retry_after_ms / _MS_PER_S
+        return NotRun(kind, retry_after_s, frame.needed_ms / _MS_PER_S)
     return Unknown(kind)
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -248,7 +248,10 @@
         is_full = len(self._waiting) >= self._max_waiting()
         if is_full or now + needed_s > request.deadline:
             retry_after_s = min(wait_s, room_after_s(now, request))
-            return NotRun(ErrorKind.OVERLOADED, max(retry_after_s, MIN_RETRY_AFTER_S))
+            retry_after_s = max(retry_after_s, MIN_RETRY_AFTER_S)
+            # In a full queue, a request with as little time would be refused too.
+            needed_s = max(needed_s, request.deadline - now) if is_full else needed_s
+            return NotRun(ErrorKind.OVERLOADED, retry_after_s, needed_s)
         return None
 
     def _late_wait_s(
--- a/rhubarbhall/core/traffic/load_shedding.py
+++ b/rhubarbhall/core/traffic/load_shedding.py
@@ -8,7 +8,9 @@
 class RefusalStage(enum.StrEnum):
     """Stage at which a request is refused as not run for lack of room.
 
+    ENTRANCE : the daemon that would get it has just refused another one of its kind.
     WITHDRAWN : the router that sent it has withdrawn it, as its deadline is near.
     """
 
+    ENTRANCE = "entrance"
     WITHDRAWN = "withdrawn"
--- a/rhubarbhall/core/traffic/pending_requests.py
+++ b/rhubarbhall/core/traffic/pending_requests.py
@@ -125,7 +125,8 @@
     attempts : int
         Number of times that a target may have received the request.
     tried : set of str
-        Addresses of all daemons that the request was sent to.
+        Addresses of all daemons that the request was sent to, and of those left out
+        as they would refuse it.
     non_owners : set of (str, int)
         Addresses of daemons that refused the request as not theirs, each with the fence
         of the span at that time.
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -18,13 +19,15 @@
     Standing,
     fingerprint_of,
 )
+from rhubarbhall.core.traffic.load_shedding import RefusalStage
 from rhubarbhall.core.traffic.pending_requests import (
     CallerRequest,
     PeerClient,
     PendingRequest,
     RequestLog,
 )
-from rhubarbhall.core.traffic.queue_estimates import RouteDurations
+from rhubarbhall.core.traffic.queue_estimates import RouteDurations, room_after_s
+from rhubarbhall.core.traffic.refusal_reports import RefusalReports
 from rhubarbhall.core.traffic.request_limits import (
     RETRY_DETECTION_S,
     EarlierAttempts,
@@ -103,6 +106,8 @@
     ----------
     routing : RoutingTable or None
         The operators' configuration; None until it is known.
+    refusals : Counter
+        Number of refusals by stage.
     budget_by_service : dict of str to ServiceRetryBudget
         Retry budgets of the services that callers have requested.
     """
@@ -134,6 +139,8 @@
         self.budget_by_service: dict[str, ServiceRetryBudget] = {}
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
+        self._refusal_reports = RefusalReports()
+        self.refusals: Counter[RefusalStage] = Counter()
         self._earlier_attempts = EarlierAttempts()
         self._answer_times = RouteDurations()
         #: Time at which the process exits, so that callers need outcomes by then.
@@ -249,12 +256,41 @@
         if pending.request.key is not None:
             self._send_by_key(now, pending)
             return
-        address = self._choose_target(now, pending, standing)
-        if address is None or pending.sends >= MAX_SENDS:
+        address = self._choose_target_with_room(now, pending, standing)
+        if address is None and pending.sends == 0 and pending.tried:
+            self._finish(now, pending, self._entrance_refusal(now, pending))
+        elif address is None or pending.sends >= MAX_SENDS:
             self._finish(now, pending, refusal)
         else:
             self._send(now, pending, address)
 
+    def _entrance_refusal(self, now: Seconds, pending: PendingRequest) -> NotRun:
+        self.refusals[RefusalStage.ENTRANCE] += 1
+        return NotRun(ErrorKind.OVERLOADED, room_after_s(now, pending.request))
+
+    def _choose_target_with_room(
+        self, now: Seconds, pending: PendingRequest, standing: Standing
+    ) -> Address | None:
+        """Return the target to send to, leaving out those that would refuse it."""
+        address = self._choose_target(now, pending, standing)
+        if standing is not Standing.CLEAR:
+            return address
+        while address is not None and self._would_be_refused(now, pending, address):
+            pending.tried.add(address)
+            address = self._choose_target(now, pending, standing)
+        return address
+
+    def _would_be_refused(
+        self, now: Seconds, pending: PendingRequest, address: Address
+    ) -> bool:
+        """Return whether another daemon is known to refuse a request at present."""
+        if address == self._local_address:
+            return False
+        round_trip_s = self._peers.round_trip_s(address)
+        return self._refusal_reports.refuses(
+            now, address, pending.request, round_trip_s
+        )
+
     def _choose_target(
         self, now: Seconds, pending: PendingRequest, standing: Standing
     ) -> Address | None:
@@ -287,6 +323,9 @@
             )
             return
         if address is not None and pending.sends < MAX_SENDS:
+            if self._would_be_refused(now, pending, address):
+                self._finish(now, pending, self._entrance_refusal(now, pending))
+                return
             self._send(now, pending, address)
         else:
             self._wait_and_retry(now, pending)
@@ -451,9 +490,12 @@
         view = self._chooser.view(address)
         if load is not None:
             view.load = load
+            self._refusal_reports.record_load(address, load)
         if pending is None or pending.current_address != address:
             return
         self._clear_destination(pending)
+        if isinstance(outcome, NotRun):
+            self._refusal_reports.record_refusal(now, address, pending.request, outcome)
         if isinstance(outcome, Answered):
             self._on_answer(now, pending, address, outcome)
         elif isinstance(outcome, Unknown):
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -142,10 +142,14 @@
         Reason for the refusal.
     retry_after_s : float
         Time after which a retry may succeed, in seconds.
+    needed_s : float
+        Time that the request would have needed until its answer, as estimated by the
+        queue that refused it for lack of room, in seconds; 0 if not known.
     """
 
     kind: ErrorKind
     retry_after_s: Seconds = 0.0
+    needed_s: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -260,6 +260,7 @@
             self.suspects,
             self.request_log,
         )
+        self.request_router.refusals = self.request_log.metrics.refusals
 
     def _build_ownership(self, started_at: Seconds) -> None:
         settings = self.settings
