--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -140,6 +140,8 @@
         Time after which the caller may try again.
     running, waiting, slots, rate
         As in `Reply`.
+    needed_ms : int
+        Time that the request would have needed until its answer; 0 if not known.
     """
 
     number: int
@@ -150,12 +152,24 @@
     waiting: int
     slots: int
     rate: float | None = None
+    needed_ms: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Cancels a request: the sender no longer awaits its outcome."""
+    """Cancels a request.
+
+    Parameters
+    ----------
+    number : int
+        The request's number in its `Forward`.
+    withdraws : bool
+        Whether the request is only withdrawn: if no target has received it, it is
+        removed and reported as not run; otherwise nothing changes. If false, the sender
+        no longer awaits the outcome. Daemons without this field cancel the request.
+    """
 
     number: int
+    withdraws: bool = False
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -19,13 +20,15 @@
     fingerprint_of,
 )
 from rhubarbhall.core.traffic.eligibility import NOT_ELIGIBLE_RETRY_AFTER_S
+from rhubarbhall.core.traffic.load_shedding import RefusalStage
 from rhubarbhall.core.traffic.pending_requests import (
     CallerRequest,
     PeerClient,
     PendingRequest,
     RequestLog,
 )
-from rhubarbhall.core.traffic.queue_estimates import RouteDurations
+from rhubarbhall.core.traffic.queue_estimates import RouteDurations, room_after_s
+from rhubarbhall.core.traffic.refusal_reports import RefusalReports
 from rhubarbhall.core.traffic.request_limits import (
     RETRY_DETECTION_S,
     EarlierAttempts,
@@ -66,6 +69,10 @@
 LOST_OWNER_RETRY_AFTER_S = 1.0
 #: Minimum time until the deadline for which a request is sent again.
 MIN_REPEAT_TIME_S = 0.03
+#: Time beyond the round trip before the deadline at which a request is withdrawn from
+#: another daemon. It covers the work of both processes, which share less than one core
+#: with their targets on the smallest VMs.
+WITHDRAWAL_MARGIN_S = 0.04
 #: Lowest HTTP status of a server error.
 _FIRST_SERVER_ERROR = 500
 _NO_TARGET = NotRun(ErrorKind.NO_TARGET, NO_OWNER_RETRY_AFTER_S)
@@ -101,6 +108,10 @@
 
     Attributes
     ----------
+    routing : RoutingTable or None
+        The operators' configuration; None until it is known.
+    refusals : Counter
+        Number of refusals by stage.
     budget_by_service : dict of str to ServiceRetryBudget
         Retry budgets of the services that callers have requested.
     """
@@ -133,6 +144,8 @@
         self.budget_by_service: dict[str, ServiceRetryBudget] = {}
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
+        self._refusal_reports = RefusalReports()
+        self.refusals: Counter[RefusalStage] = Counter()
         self._earlier_attempts = EarlierAttempts()
         self._answer_times = RouteDurations()
         #: Time at which the process exits, so that callers need outcomes by then.
@@ -258,12 +271,41 @@
         if pending.request.key is not None:
             self._send_by_key(now, pending)
             return
-        address = self._choose_target(now, pending, standing)
-        if address is None or pending.sends >= MAX_SENDS:
+        address = self._choose_target_with_room(now, pending, standing)
+        if address is None and pending.sends == 0 and pending.tried:
+            self._finish(now, pending, self._entrance_refusal(now, pending))
+        elif address is None or pending.sends >= MAX_SENDS:
             self._finish(now, pending, refusal)
         else:
             self._send(now, pending, address)
 
+    def _entrance_refusal(self, now: Seconds, pending: PendingRequest) -> NotRun:
+        self.refusals[RefusalStage.ENTRANCE] += 1
+        return NotRun(ErrorKind.OVERLOADED, room_after_s(now, pending.request))
+
+    def _choose_target_with_room(
+        self, now: Seconds, pending: PendingRequest, standing: Standing
+    ) -> Address | None:
+        """Return the target to send to, leaving out those that would refuse it."""
+        address = self._choose_target(now, pending, standing)
+        if standing is not Standing.CLEAR:
+            return address
+        while address is not None and self._would_be_refused(now, pending, address):
+            pending.tried.add(address)
+            address = self._choose_target(now, pending, standing)
+        return address
+
+    def _would_be_refused(
+        self, now: Seconds, pending: PendingRequest, address: Address
+    ) -> bool:
+        """Return whether another daemon is known to refuse a request at present."""
+        if address == self._local_address:
+            return False
+        round_trip_s = self._peers.round_trip_s(address)
+        return self._refusal_reports.refuses(
+            now, address, pending.request, round_trip_s
+        )
+
     def _choose_target(
         self, now: Seconds, pending: PendingRequest, standing: Standing
     ) -> Address | None:
@@ -304,6 +346,9 @@
             None,
         )
         if address is not None and pending.sends < MAX_SENDS:
+            if self._would_be_refused(now, pending, address):
+                self._finish(now, pending, self._entrance_refusal(now, pending))
+                return
             self._send(now, pending, address)
         else:
             self._wait_and_retry(now, pending)
@@ -395,6 +440,8 @@
             if not self._peers.forward(now, address, ticket, pending.request):
                 refused = NotRun(ErrorKind.OWNER_UNREACHABLE, NO_OWNER_RETRY_AFTER_S)
                 self.on_outcome(now, ticket, address, refused, None)
+            elif (pending.current_address, pending.sends) == (address, sends):
+                self._withdraw_later(pending, address)
             return
         queue_ticket = self._admission_queue.submit(
             now,
@@ -404,6 +451,22 @@
         if pending.current_address == self._local_address and pending.sends == sends:
             pending.queue_ticket = queue_ticket
 
+    def _withdraw_later(self, pending: PendingRequest, address: Address) -> None:
+        """Have a request withdrawn shortly before its deadline.
+
+        The other daemon's answer must arrive before it: only that daemon knows whether
+        the request still waits there or a target has received it.
+        """
+        lead_s = self._peers.round_trip_s(address) + WITHDRAWAL_MARGIN_S
+        withdraw = TimerCallback(lambda later: self._withdraw(pending, address))
+        due = min(pending.request.deadline, self._drain_end) - lead_s
+        pending.withdrawal_timer = self._timers.at(due, withdraw)
+
+    def _withdraw(self, pending: PendingRequest, address: Address) -> None:
+        if pending.current_address == address and not pending.may_have_run:
+            pending.is_withdrawn = True
+            self._peers.withdraw(address, pending.ticket)
+
     def _may_outlast_drain(self, now: Seconds, pending: PendingRequest) -> bool:
         """Return whether the answer could come after the process exits.
 
@@ -449,9 +512,12 @@
         view = self._chooser.view(address)
         if load is not None:
             view.load = load
+            self._refusal_reports.record_load(address, load)
         if pending is None or pending.current_address != address:
             return
         self._clear_destination(pending)
+        if isinstance(outcome, NotRun):
+            self._refusal_reports.record_refusal(now, address, pending.request, outcome)
         if isinstance(outcome, Answered):
             self._on_answer(now, pending, address, outcome)
         elif isinstance(outcome, Unknown):
@@ -464,6 +530,9 @@
             self._chooser.view(pending.current_address).outstanding -= 1
         pending.current_address = None
         pending.queue_ticket = None
+        if pending.withdrawal_timer is not None:
+            pending.withdrawal_timer.cancel()
+            pending.withdrawal_timer = None
 
     def _on_answer(
         self, now: Seconds, pending: PendingRequest, address: Address, answer: Answered
@@ -540,6 +609,7 @@
             refused_by_owner
             or no_attempts_left
             or no_time_left
+            or pending.is_withdrawn
             or pending.sends >= MAX_SENDS
         ):
             self._finish(now, pending, outcome)
@@ -586,8 +656,15 @@
         self._finish(now, pending, Unknown(ErrorKind.CALLER_GONE))
 
     def drain(self, end: Seconds) -> None:
-        """Have all requests that are accepted or sent from now on end by `end`."""
+        """Have all requests that are accepted or sent from now on end by `end`.
+
+        Those that other daemons have are withdrawn before, if they still wait there.
+        """
         self._drain_end = end
+        for pending in self._pending_by_ticket.values():
+            if pending.withdrawal_timer is not None:
+                pending.withdrawal_timer.cancel()
+                self._withdraw_later(pending, pending.current_address)
 
     def end_pending(self, now: Seconds) -> None:
         """End all requests, as the process is about to exit.
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -243,6 +243,7 @@
             self.request_log.record_local_durations,
             self.placement_rules.local_refusal,
         )
+        self.admission_queue.refusals = self.request_log.metrics.refusals
         self.chooser = TargetChooser(
             self.local_address,
             settings.region,
@@ -263,6 +264,7 @@
             self.request_log,
             self.placement_rules,
         )
+        self.request_router.refusals = self.request_log.metrics.refusals
 
     def _build_ownership(self, started_at: Seconds) -> None:
         settings = self.settings
