Count bytes sent to peers by frame and scope, and bytes of the store's calls

Bytes between regions are priced, and nothing showed which messages cause them. PeerTraffic counts messages and compressed bytes by type of frame and by scope (same region, other region, unknown before the directory is read), with one dict lookup a frame (two on connections that peers opened, whose region is looked up). LogStore reports the bytes of each call, without headers: rhubarb_peer_bytes_total, rhubarb_peer_messages_total and rhubarb_store_bytes_total.

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -45,6 +45,7 @@
     flatten_headers,
 )
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.adapters.peer_traffic import OTHER_REGION, SAME_REGION, PeerTraffic
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.peer_selection import relay_plan
@@ -123,6 +124,8 @@
         Returns the time, in seconds.
     session : int
         Number that each process draws anew.
+    traffic : PeerTraffic, optional
+        Counts what is sent.
 
     Attributes
     ----------
@@ -139,12 +142,14 @@
         handler: PeerEvents,
         clock: Callable[[], Seconds],
         session: int,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._local_address = local_address
         self.service = service
         self._handler = handler
         self._clock = clock
         self._session = session
+        self._traffic = traffic or PeerTraffic()
         #: Never reused within a session, so that a late answer cannot be taken for that
         #: of another request.
         self._numbers = itertools.count(1)
@@ -171,6 +176,7 @@
         """
         self._region = region
         self._region_by_address = region_by_address
+        self._traffic.set_members(region, region_by_address)
         for address in set(self._link_by_address) - set(region_by_address):
             self._remove(self._link_by_address[address])
         for address, link in self._link_by_address.items():
@@ -432,7 +438,10 @@
         self._handler.on_link_changed(link.address, True)
 
     def _send(self, link: PeerLink, frame: Frame) -> None:
-        self.dialer.send(link.sock, link.writer.encode(frame))
+        data = link.writer.encode(frame)
+        scope = SAME_REGION if link.same_region else OTHER_REGION
+        self._traffic.record(frame, scope, len(data))
+        self.dialer.send(link.sock, data)
 
     # Requests to peers
 
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -32,6 +32,7 @@
 )
 from rhubarbhall.adapters.peer_outcomes import decode_key, encode_outcome, pair_headers
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -128,6 +129,8 @@
         Handles messages of peers.
     clock : callable
         Returns the time, in seconds.
+    traffic : PeerTraffic, optional
+        Counts what is sent.
 
     Attributes
     ----------
@@ -138,9 +141,14 @@
     """
 
     def __init__(
-        self, local_address: Address, handler: PeerEvents, clock: Callable[[], Seconds]
+        self,
+        local_address: Address,
+        handler: PeerEvents,
+        clock: Callable[[], Seconds],
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._handler = handler
+        self._traffic = traffic or PeerTraffic()
         self._clock = clock
         self.acceptor = _Acceptor(
             split_address(local_address), f"peers-{local_address}", self
@@ -232,7 +240,10 @@
 
     def _send(self, session: Session, frame: Frame) -> None:
         if session.sock is not None:
-            self.acceptor.send(session.sock, session.writer.encode(frame))
+            data = session.writer.encode(frame)
+            scope = self._traffic.scope(session.address)
+            self._traffic.record(frame, scope, len(data))
+            self.acceptor.send(session.sock, data)
 
     def _on_frame(self, session: Session, frame: Frame) -> None:
         if isinstance(frame, Forward):
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -164,7 +164,8 @@
     address : str
         Address of the store.
     on_call : callable
-        Called with the method and the type of the result of each call, for counters.
+        Called with the method and the type of the result of each call, and the bytes
+        sent (path and body) and received (body), for counters.
     on_epoch : callable
         Called with the epoch when an answer shows that the store was restored from an
         older copy, before the result of that call is passed on.
@@ -175,7 +176,7 @@
         reads: HttpClient,
         writes: HttpClient,
         address: Address,
-        on_call: Callable[[str, str], None] = lambda call, result: None,
+        on_call: Callable[[str, str, int, int], None] = lambda *counted: None,
         on_epoch: Callable[[StoreEpoch], None] = lambda epoch: None,
     ) -> None:
         self._reads = reads
@@ -205,6 +206,16 @@
         reason = f"sent in store epoch {sent_in}, answered in {epoch}"
         return Unavailable(f"{reason}; present: {self.epoch}", outcome_unknown=True)
 
+    def _count(
+        self,
+        call: str,
+        answer: ReadResult | AppendResult,
+        sent: int,
+        reply: Response | Failed,
+    ) -> None:
+        received = 0 if isinstance(reply, Failed) else len(reply.body)
+        self._on_call(call, type(answer).__name__, sent, received)
+
     def read_newest(
         self, topic: str, after: str | None, on_done: Callable[[ReadResult], None]
     ) -> None:
@@ -216,7 +227,7 @@
 
         def on_reply(result: Response | Failed) -> None:
             answer = self._outdated(epoch, result) or _newest_result(epoch, result)
-            self._on_call("read_newest", type(answer).__name__)
+            self._count("read_newest", answer, len(path), result)
             on_done(answer)
 
         self._writes.fetch(
@@ -242,7 +253,7 @@
             answer = self._outdated(epoch, result) or _tail_result(
                 offset, epoch, result
             )
-            self._on_call("read_tail", type(answer).__name__)
+            self._count("read_tail", answer, len(path), result)
             on_done(answer)
 
         timeout_s = poll.hold_s + poll.answer_timeout_s
@@ -262,12 +273,13 @@
             path += f"&at={offset_of(at)}"
         epoch = self.epoch
 
+        body = _record(key, value)
+
         def on_reply(result: Response | Failed) -> None:
             answer = self._outdated(epoch, result) or _append_result(epoch, result)
-            self._on_call("append", type(answer).__name__)
+            self._count("append", answer, len(path) + len(body), result)
             on_done(answer)
 
-        body = _record(key, value)
         self._writes.fetch(
             self._address, "POST", path, _OCTETS, body, ANSWER_TIMEOUT_S, on_reply
         )
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhall.adapters.peer_traffic import PeerTraffic
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
     from rhubarbhall.types import Seconds
 
@@ -53,6 +54,8 @@
         self.local_outcomes: Counter[tuple[str, str]] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
+        #: Bytes of the store's calls, by method and direction.
+        self.store_bytes: Counter[tuple[str, str]] = Counter()
         #: Latencies by service and stage: ``whole`` (until the caller has its outcome),
         #: ``queue`` (wait for the local target) or ``target`` (its work).
         self.latency_by_stage: dict[tuple[str, str], LatencyHistogram] = {}
@@ -69,11 +72,28 @@
     ("requests_total", "Outcomes that callers got.", ("service", "outcome", "kind")),
     ("orders_total", "Outcomes at the own gate.", ("outcome", "kind")),
     ("store_calls_total", "Calls to the store.", ("call", "result")),
+    (
+        "store_bytes_total",
+        "Bytes of the store's calls, without headers.",
+        ("call", "direction"),
+    ),
+    (
+        "peer_messages_total",
+        "Frames sent to other daemons.",
+        ("frame", "scope"),
+    ),
+    (
+        "peer_bytes_total",
+        "Bytes of frames sent to other daemons, as compressed.",
+        ("frame", "scope"),
+    ),
 )
 
 
 def render_metrics(
-    metrics: RouterMetrics, gauges: dict[str, tuple[str, float]]
+    metrics: RouterMetrics,
+    gauges: dict[str, tuple[str, float]],
+    peer_traffic: PeerTraffic,
 ) -> tuple[str, bytes]:
     """Return the media type and the text of all metrics for a scraper.
 
@@ -83,12 +103,24 @@
         Counters and latencies.
     gauges : dict of str to (str, float)
         Help text and present value of each gauge, by name.
+    peer_traffic : PeerTraffic
+        What was sent to peers.
     """
     from aioprometheus import Counter as Metric, Gauge, Registry
     from aioprometheus.renderer import render
 
     registry = Registry()
-    counts = (metrics.outcomes, metrics.local_outcomes, metrics.store_calls)
+    messages, sizes = Counter(), Counter()
+    for frame, scope, number, size in peer_traffic.rows():
+        messages[frame, scope], sizes[frame, scope] = number, size
+    counts = (
+        metrics.outcomes,
+        metrics.local_outcomes,
+        metrics.store_calls,
+        metrics.store_bytes,
+        messages,
+        sizes,
+    )
     for (name, text, labels), by_labels in zip(_COUNTERS, counts, strict=True):
         metric = Metric(f"rhubarb_{name}", text, registry=registry)
         for values, count in by_labels.items():
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -58,8 +58,13 @@
 class StoreHandlers:
     """Handles store records; a mix-in of `RoutingDaemon` that uses its fields."""
 
-    def _count_store_call(self, call: str, result: str) -> None:
-        self.request_log.metrics.store_calls[call, result] += 1
+    def _count_store_call(
+        self, call: str, result: str, sent: int, received: int
+    ) -> None:
+        metrics = self.request_log.metrics
+        metrics.store_calls[call, result] += 1
+        metrics.store_bytes[call, "sent"] += sent
+        metrics.store_bytes[call, "received"] += received
 
     def _needs_directory_read(self, now: Seconds) -> bool:
         age_range_s = (
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -22,6 +22,7 @@
 from rhubarbhall.adapters.log_writer import write_log_event
 from rhubarbhall.adapters.peer_links import CHECK_INTERVAL_S, PeerLinks
 from rhubarbhall.adapters.peer_sessions import PeerSessions
+from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
@@ -213,10 +214,18 @@
         settings = self.settings
         session = self._rng.getrandbits(SESSION_BITS)
         self.body_budget = BodyBudget(BODY_SHARE * settings.memory_bytes)
+        self.peer_traffic = PeerTraffic()
         self.links = PeerLinks(
-            self.local_address, settings.service, self, self.now, session
+            self.local_address,
+            settings.service,
+            self,
+            self.now,
+            session,
+            self.peer_traffic,
+        )
+        self.sessions = PeerSessions(
+            self.local_address, self, self.now, self.peer_traffic
         )
-        self.sessions = PeerSessions(self.local_address, self, self.now)
         self.target = HttpTargetClient(
             f"target-{self.local_address}",
             settings.target_address,
@@ -526,7 +535,9 @@
 
     def _metrics_page(self) -> tuple[str, bytes]:
         return render_metrics(
-            self.request_log.metrics, gauges_of(self, self._advance_timers())
+            self.request_log.metrics,
+            gauges_of(self, self._advance_timers()),
+            self.peer_traffic,
         )
 
     def _dump_page(self) -> tuple[str, bytes]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -52,6 +52,15 @@
         self.store.read_tail("t", 7, LongPoll(1.5, 1.0), self.results.append)
         return self.results[-1]
 
+    def test_bytes_of_a_call_are_counted_with_its_result(self):
+        counted = []
+        self.store = LogStore(
+            self.http, self.http, "10.0.0.9:1", lambda *each: counted.append(each)
+        )
+        self.read_tail(Response(200, (), struct.pack(">QQ", 9, 0)))
+        sent = len(self.http.calls[0][1])
+        self.assertEqual(counted, [("read_tail", "Tail", sent, 16)])
+
     def test_records_of_a_tail_get_consecutive_offsets(self):
         body = struct.pack(">QQ", 9, 0) + record(b"a", b"1") + record(b"b", b"")
         result = self.read_tail(Response(200, (), body))
