--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from rhubarbhall.adapters.peer_traffic import PeerTraffic
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
     from rhubarbhall.types import Seconds
 
@@ -55,6 +56,8 @@
         self.refusals: Counter[str] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
+        #: Bytes of the store's calls, by method and direction.
+        self.store_bytes: Counter[tuple[str, str]] = Counter()
         #: Latencies by service and stage: ``whole`` (until the caller has its outcome),
         #: ``queue`` (wait for the local target) or ``target`` (its work).
         self.latency_by_stage: dict[tuple[str, str], LatencyHistogram] = {}
@@ -72,11 +75,28 @@
     ("orders_total", "Outcomes at the own gate.", ("outcome", "kind")),
     ("refusals_total", "Refused for lack of room.", ("stage",)),
     ("store_calls_total", "Calls to the store.", ("call", "result")),
+    (
+        "store_bytes_total",
+        "Bytes of the store's calls, without headers.",
+        ("call", "direction"),
+    ),
+    (
+        "peer_messages_total",
+        "Frames sent to other daemons.",
+        ("frame", "scope"),
+    ),
+    (
+        "peer_bytes_total",
+        "Bytes of frames sent to other daemons, as compressed.",
+        ("frame", "scope"),
+    ),
 )
 
 
 def render_metrics(
-    metrics: RouterMetrics, gauges: dict[str, tuple[str, float]]
+    metrics: RouterMetrics,
+    gauges: dict[str, tuple[str, float]],
+    peer_traffic: PeerTraffic,
 ) -> tuple[str, bytes]:
     """Return the media type and the text of all metrics for a scraper.
 
@@ -86,13 +106,26 @@
         Counters and latencies.
     gauges : dict of str to (str, float)
         Help text and present value of each gauge, by name.
+    peer_traffic : PeerTraffic
+        What was sent to peers.
     """
     from aioprometheus import Counter as Metric, Gauge, Registry
     from aioprometheus.renderer import render
 
     registry = Registry()
     refusals = {(stage,): count for stage, count in metrics.refusals.items()}
-    counts = (metrics.outcomes, metrics.local_outcomes, refusals, metrics.store_calls)
+    messages, sizes = Counter(), Counter()
+    for frame, scope, number, size in peer_traffic.rows():
+        messages[frame, scope], sizes[frame, scope] = number, size
+    counts = (
+        metrics.outcomes,
+        metrics.local_outcomes,
+        refusals,
+        metrics.store_calls,
+        metrics.store_bytes,
+        messages,
+        sizes,
+    )
     for (name, text, labels), by_labels in zip(_COUNTERS, counts, strict=True):
         metric = Metric(f"rhubarb_{name}", text, registry=registry)
         for values, count in by_labels.items():
