Evacuate failure domains by records of the operators

Operators had no way to take a whole failure domain out of traffic within seconds.

The record evacuate/DOMAIN in the operators' topic evacuates a domain until it is removed. The state is the whole set with a position; a state at or before the position that a daemon knows changes nothing. Readers of the topic pass a change on within their region, pongs and syncs close gaps. New fields of frames go last; the push is a ConfigurationPush, as earlier builds close a connection that brings a frame of an unknown type.

Choosers leave targets of the domain out. Its admission queues refuse new and waiting requests as not run. One change of the key table moves the keys of all its owners, and no step gives them any. A router is ready, and takes requests of callers, once it knows a state.

Changed fixtures: the simulated mesh has domains and evacuations, the fake links of the configuration tests take the position of a sync request. No check is weaker.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -164,6 +164,21 @@
     number: int
 
 
+class Evacuated(msgspec.Struct, frozen=True, array_like=True):
+    """The failure domains that operators have evacuated.
+
+    Parameters
+    ----------
+    position : int
+        Position in the operators' topic before which every change is included.
+    domains : list of str
+        Names of the domains.
+    """
+
+    position: int
+    domains: list[str]
+
+
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Answers a ping and reports the sender's state of the store and its target's load.
 
@@ -181,6 +196,8 @@
         Slots that the requests by key of its target need, in thousandths of its slots.
     cost : int
         Utilization that one more such request per second adds, in millionths.
+    evacuations : int
+        Position of the state of evacuations that the sender knows; -1 without one.
     """
 
     number: int
@@ -189,6 +206,7 @@
     configuration: int
     utilization: int
     cost: int
+    evacuations: int = -1
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -200,10 +218,13 @@
         First offset of the directory that the sender lacks.
     configuration : int
         Version of the operators' configuration in force at the sender; -1 without one.
+    evacuations : int
+        Position up to which the sender knows evacuations; -1 without any.
     """
 
     offset: int
     configuration: int
+    evacuations: int = -1
 
 
 class SyncEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -244,12 +265,15 @@
     configuration : SyncConfiguration, optional
         The operators' configuration, if a newer one is in force at the sender than at
         the receiver.
+    evacuated : Evacuated, optional
+        Evacuations, if the sender knows of later ones than the receiver.
     """
 
     entries: list[SyncEntry]
     end: int
     age_ms: int
     configuration: SyncConfiguration | None = None
+    evacuated: Evacuated | None = None
 
 
 class Push(msgspec.Struct, frozen=True, array_like=True, tag=10):
@@ -284,12 +308,17 @@
         Its value, compressed by zlib.
     limit : str
         As in `Push`.
+    evacuated : Evacuated, optional
+        If given, these evacuations are passed on and no configuration; the version is
+        then -1. Daemons of earlier builds, which close a connection that brings a frame
+        of an unknown type, ignore such a push.
     """
 
     version: int
     key: str
     deflated: bytes
     limit: str
+    evacuated: Evacuated | None = None
 
 
 class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -514,7 +514,9 @@
         if link.is_open:
             self._send(link, Cancel(number))
 
-    def request_sync(self, address: Address, offset: int, configuration: int) -> None:
+    def request_sync(
+        self, address: Address, offset: int, configuration: int, evacuations: int
+    ) -> None:
         """Request records of the store from a daemon, at most once per check interval.
 
         Parameters
@@ -525,6 +527,8 @@
             First offset of the directory that is missing here.
         configuration : int
             Version of the operators' configuration in force here; -1 without one.
+        evacuations : int
+            Position up to which evacuations are known here; -1 without any.
         """
         link = self._link_by_address.get(address)
         now = self._clock()
@@ -534,7 +538,7 @@
             and now - link.sync_requested_at > CHECK_INTERVAL_S
         ):
             link.sync_requested_at = now
-            self._send(link, SyncRequest(offset, configuration))
+            self._send(link, SyncRequest(offset, configuration, evacuations))
 
     def receive(self, sock: socket.socket, data: bytes) -> None:
         """Handle received bytes; close the connection if they are not valid frames."""
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -16,7 +16,10 @@
 _MS_PER_S = 1000
 #: Error kinds that earlier builds do not know, each with the one that is sent instead:
 #: those builds close a connection that brings an unknown kind.
-_SENT_KINDS = {ErrorKind.REGION_NOT_ALLOWED: ErrorKind.NO_TARGET}
+_SENT_KINDS = {
+    ErrorKind.REGION_NOT_ALLOWED: ErrorKind.NO_TARGET,
+    ErrorKind.DOMAIN_EVACUATED: ErrorKind.SHUTTING_DOWN,
+}
 _NO_KEY = -1
 
 
--- a/rhubarbhall/core/errors.py
+++ b/rhubarbhall/core/errors.py
@@ -52,6 +52,7 @@
     OUTCOME_NOT_VOUCHED = "outcome_not_vouched"
     CRASHES_TARGETS = "crashes_targets"
     REGION_NOT_ALLOWED = "region_not_allowed"
+    DOMAIN_EVACUATED = "domain_evacuated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +186,9 @@
     ErrorKind.REGION_NOT_ALLOWED: AnswerSpec(
         503, _NO, 1, "The target is in a region that the route does not allow."
     ),
+    ErrorKind.DOMAIN_EVACUATED: AnswerSpec(
+        503, _NO, 1, "The target is in a failure domain that is evacuated."
+    ),
 }
 
 
--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -187,6 +187,16 @@
         "Changed settings are invalid; the previous ones stay in force.",
         ("reason",),
     ),
+    421: LogEventSpec(
+        "evacuation_known",
+        "Operators evacuate a failure domain; its targets get no more requests.",
+        ("domain", "position"),
+    ),
+    422: LogEventSpec(
+        "evacuation_ended",
+        "Operators have taken a failure domain back.",
+        ("domain", "position"),
+    ),
     511: LogEventSpec(
         "request_sent_again",
         "A request was sent again, to another daemon.",
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -59,6 +59,9 @@
     needs_read : callable
         Takes the time and returns whether a read after a pause could bring records
         that are not known from elsewhere.
+    on_snapshot : callable
+        Called before the newest records are read, at the start and again once records
+        that were not read have been deleted or the store was restored.
     """
 
     def __init__(
@@ -73,7 +76,9 @@
         on_contact: Callable[[bool, str], None],
         rng: random.Random,
         needs_read: Callable[[Seconds], bool] = lambda now: True,
+        on_snapshot: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_snapshot = on_snapshot
         self._store = store
         self._topic = topic
         self._timers = timers
@@ -96,6 +101,7 @@
         """
         self._generation += 1
         if self._position is None:
+            self._on_snapshot()
             self._read_newest(now, None, None)
         else:
             self._read_tail(now, self._short_read(now))
--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
-    from rhubarbhall.core.ownership.key_table import Range
+    from rhubarbhall.core.ownership.key_table import Claim, Range
     from rhubarbhall.core.ownership.liveness import Liveness
     from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
     from rhubarbhall.core.ownership.range_witness import (
@@ -103,6 +103,11 @@
         Lease of the local target, renewed by its witnesses.
     started_at : float
         Start of this daemon on the local clock, in seconds.
+
+    Attributes
+    ----------
+    evacuated_domains : frozenset of str
+        Failure domains whose targets give their keys away and get none.
     """
 
     def __init__(
@@ -129,6 +134,7 @@
         self._votes = votes
         self._witnessed_lease = witnessed_lease
         self._started_at = started_at
+        self.evacuated_domains: frozenset[str] = frozenset()
         self._claims = ServiceClaims(
             local_address,
             service,
@@ -159,6 +165,7 @@
             ("renew_fence", self._renew_refused_fences),
             ("renew_runs", self._renew_other_runs),
             ("leave", self._reassign_local_keys),
+            ("evacuate", self._reassign_evacuated),
             ("take_over", self._free_lost_spans),
             ("replace_reused", self._replace_reused),
             ("choose_guardians", self._choose_witnesses),
@@ -253,7 +260,7 @@
     # First table
 
     def _create_table(self, now: Seconds) -> TableChange | None:
-        claims = list(self._claims.all(now))
+        claims = self._assignable(self._claims.all(now))
         peers_discovered = (
             now - self._started_at > DISCOVERY_PERIOD_S and self._directory.is_loaded
         )
@@ -373,7 +380,8 @@
 
     def _reassigned(self, now: Seconds, table: KeyTable, owner: Address) -> KeyTable:
         spans = table.owned_by(owner)
-        receivers = self._claims.receivers(now) or list(self._claims.all(now))
+        receivers = self._assignable(self._claims.receivers(now))
+        receivers = receivers or self._assignable(self._claims.all(now))
         claims = [claim for claim in receivers if claim.owner != owner]
         if not spans or not claims:
             return table
@@ -381,6 +389,29 @@
             range_distribution.distribute(spans, claims, table.size_by_owner())
         )
 
+    def _assignable(self, claims: Iterable[Claim]) -> list[Claim]:
+        """Return the claims of targets that may get keys: not in evacuated domains."""
+        return [each for each in claims if not self._is_evacuated(each.owner)]
+
+    def _is_evacuated(self, address: Address) -> bool:
+        member = self._directory.member_by_address.get(address)
+        return member is not None and member.domain in self.evacuated_domains
+
+    def _reassign_evacuated(self, now: Seconds, table: KeyTable) -> KeyTable:
+        """Reassign the keys of all targets in evacuated domains, by handover.
+
+        One change moves the keys of all of them, so that no owner waits for the writes
+        of the others. The daemons beside them write it at once, and the rest if they do
+        not. Without a target elsewhere the keys stay.
+        """
+        evacuated = [each for each in table.size_by_owner() if self._is_evacuated(each)]
+        is_due = self._rank_delay_passed(now, "evacuate", bool(evacuated))
+        if not is_due and self._local_address not in evacuated:
+            return table
+        for owner in evacuated:
+            table = self._reassigned(now, table, owner)
+        return table
+
     def _update_lost_since(self, now: Seconds, table: KeyTable) -> None:
         lost = {
             (span.previous, span.fence) for span in table.spans if span.previous_lost
@@ -468,9 +499,11 @@
     def _assign_to_new_targets(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Assign an even share of the keys to targets that own none yet."""
         owners = table.size_by_owner()
-        claims = list(self._claims.all(now))
+        claims = self._assignable(self._claims.all(now))
         new_targets = [
-            claim for claim in self._claims.receivers(now) if claim.owner not in owners
+            claim
+            for claim in self._assignable(self._claims.receivers(now))
+            if claim.owner not in owners
         ]
         is_due = self._rank_delay_passed(
             now - NEW_TARGET_DELAY_S, "welcome", bool(new_targets)
@@ -486,7 +519,8 @@
         """Move busy ranges of the local target to targets that are less busy."""
         if self._target_keys.state(now) is not TargetState.READY:
             return table
-        moves = self._balancer.moves(now, table, self._claims.receivers(now))
+        receivers = self._assignable(self._claims.receivers(now))
+        moves = self._balancer.moves(now, table, receivers)
         if not moves:
             return table
         self._balancer.record_moves(now, moves)
--- a/rhubarbhall/core/traffic/eligibility.py
+++ b/rhubarbhall/core/traffic/eligibility.py
@@ -29,6 +29,10 @@
     def region(self) -> str:
         """Region of the VM."""
 
+    @property
+    def domain(self) -> str:
+        """Failure domain of the VM."""
+
 
 @dataclass(frozen=True, slots=True)
 class LocalPlace:
@@ -36,11 +40,12 @@
 
     Parameters
     ----------
-    region : str
-        Region of the VM.
+    region, domain : str
+        Region and failure domain of the VM.
     """
 
     region: str
+    domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,21 +56,36 @@
     ----------
     allowed_regions : frozenset of str
         Regions that the route allows; all if empty.
+    evacuated_domains : frozenset of str
+        Failure domains that operators have evacuated.
     """
 
     allowed_regions: frozenset[str] = frozenset()
+    evacuated_domains: frozenset[str] = frozenset()
 
     @property
     def is_unrestricted(self) -> bool:
         """Whether the request may run everywhere."""
-        return not self.allowed_regions
+        return not (self.allowed_regions or self.evacuated_domains)
 
     def allows(self, place: Place | None) -> bool:
         """Return whether the request may run at a place; `None` if it is unknown."""
         if self.is_unrestricted:
             return True
+        return self.allows_region(place) and not self.is_evacuated(place)
+
+    def allows_region(self, place: Place | None) -> bool:
+        """Return whether the route allows the region of a place."""
+        if not self.allowed_regions:
+            return True
         return place is not None and place.region in self.allowed_regions
 
+    def is_evacuated(self, place: Place | None) -> bool:
+        """Return whether only an evacuation keeps the request from a place."""
+        if place is None or not self.allows_region(place):
+            return False
+        return place.domain in self.evacuated_domains
+
 
 ANYWHERE = Eligibility()
 
@@ -82,16 +102,21 @@
     ----------
     routing : RoutingTable or None
         The operators' configuration; None until it is known.
+    evacuated_domains : frozenset of str or None
+        Failure domains that operators have evacuated; None until it is known which.
     """
 
     def __init__(self, local_place: LocalPlace) -> None:
         self.local_place = local_place
         self.routing: RoutingTable | None = None
+        self.evacuated_domains: frozenset[str] | None = frozenset()
 
     def eligibility(self, request: RoutedRequest) -> Eligibility:
         """Return where a request may run by the rules that are in force now."""
         allowed_regions = self._allowed_regions(request)
-        return Eligibility(allowed_regions) if allowed_regions else ANYWHERE
+        if not (allowed_regions or self.evacuated_domains):
+            return ANYWHERE
+        return Eligibility(allowed_regions, self.evacuated_domains or frozenset())
 
     def _allowed_regions(self, request: RoutedRequest) -> frozenset[str]:
         routing = self.routing
@@ -105,6 +130,12 @@
 
     def local_refusal(self, request: RoutedRequest) -> NotRun | None:
         """Return the refusal of a request that may not run at the local target."""
-        if self.eligibility(request).allows(self.local_place):
+        eligibility = self.eligibility(request)
+        if eligibility.allows(self.local_place):
             return None
-        return NotRun(ErrorKind.REGION_NOT_ALLOWED, NOT_ELIGIBLE_RETRY_AFTER_S)
+        if not eligibility.is_evacuated(self.local_place):
+            return NotRun(ErrorKind.REGION_NOT_ALLOWED, NOT_ELIGIBLE_RETRY_AFTER_S)
+        if request.key is not None:
+            # The key is about to move. The sender waits for that as for any other move.
+            return NotRun(ErrorKind.NOT_OWNER)
+        return NotRun(ErrorKind.DOMAIN_EVACUATED, NOT_ELIGIBLE_RETRY_AFTER_S)
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -45,7 +45,11 @@
     from rhubarbhall.core.ownership.key_table import Span
     from rhubarbhall.core.timers import TimerService
     from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
-    from rhubarbhall.core.traffic.eligibility import Eligibility, PlacementRules
+    from rhubarbhall.core.traffic.eligibility import (
+        Eligibility,
+        Place,
+        PlacementRules,
+    )
     from rhubarbhall.core.traffic.requests import Load
     from rhubarbhall.core.traffic.routes import HostRoute, RoutingTable
     from rhubarbhall.core.traffic.target_chooser import TargetChooser
@@ -176,7 +180,7 @@
         int or None
             Ticket for `caller_gone`; None if the request was refused before routing.
         """
-        if self.routing is None:
+        if self.routing is None or self._rules.evacuated_domains is None:
             reply(NotRun(ErrorKind.NO_CONFIGURATION, NO_OWNER_RETRY_AFTER_S))
             return None
         route = self.routing.match(caller_request.host, caller_request.path)
@@ -295,9 +299,10 @@
             )
             return
         span = pending.span = table.find(pending.request.key)
-        owners = self._owners(span, self._rules.eligibility(pending.request))
-        if not owners:
-            self._finish(now, pending, _refusal_without_owner(span))
+        eligibility = self._rules.eligibility(pending.request)
+        owners = self._owners(span, eligibility)
+        if not owners and not self._moves_soon(now, pending, eligibility):
+            self._finish(now, pending, self._refusal_without_owner(span, eligibility))
             return
         address = next(
             (each for each in owners if (each, span.fence) not in pending.non_owners),
@@ -320,9 +325,32 @@
         return [each for each in owners if self._is_eligible(each, eligibility)]
 
     def _is_eligible(self, address: Address, eligibility: Eligibility) -> bool:
+        return eligibility.allows(self._place(address))
+
+    def _place(self, address: Address) -> Place | None:
         if address == self._local_address:
-            return eligibility.allows(self._rules.local_place)
-        return eligibility.allows(self._directory.member_by_address.get(address))
+            return self._rules.local_place
+        return self._directory.member_by_address.get(address)
+
+    def _moves_soon(
+        self, now: Seconds, pending: PendingRequest, eligibility: Eligibility
+    ) -> bool:
+        """Return whether the key leaves an evacuated domain for an eligible target."""
+        span = pending.span
+        if span.previous_lost or not eligibility.is_evacuated(self._place(span.owner)):
+            return False
+        return self._chooser.has_target(now, pending.request.service, eligibility)
+
+    def _refusal_without_owner(self, span: Span, eligibility: Eligibility) -> NotRun:
+        """Return the refusal of a request whose key has no owner that may serve it."""
+        if span.previous_lost:
+            # The key cannot be granted to anybody within the time that callers wait.
+            return NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
+        is_evacuated = eligibility.is_evacuated(self._place(span.owner))
+        kind = (
+            ErrorKind.DOMAIN_EVACUATED if is_evacuated else ErrorKind.REGION_NOT_ALLOWED
+        )
+        return NotRun(kind, NOT_ELIGIBLE_RETRY_AFTER_S)
 
     def _wait_and_retry(self, now: Seconds, pending: PendingRequest) -> None:
         """Try the request again soon, or refuse it if it has waited too long.
@@ -618,14 +646,6 @@
         pending.reply(outcome)
 
 
-def _refusal_without_owner(span: Span) -> NotRun:
-    """Return the refusal of a request whose key has no owner that may serve it."""
-    if span.previous_lost:
-        # The key cannot be granted to anybody within the time that callers wait.
-        return NotRun(ErrorKind.NO_OWNER, LOST_OWNER_RETRY_AFTER_S)
-    return NotRun(ErrorKind.REGION_NOT_ALLOWED, NOT_ELIGIBLE_RETRY_AFTER_S)
-
-
 #: Refusals that are no sign of a failure of the target or its daemon.
 _NOT_TARGET_FAULTS = frozenset(
     {
@@ -634,5 +654,6 @@
         ErrorKind.DEADLINE_UNREACHABLE,
         ErrorKind.TARGET_REFUSED,
         ErrorKind.REGION_NOT_ALLOWED,
+        ErrorKind.DOMAIN_EVACUATED,
     }
 )
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -246,6 +246,11 @@
         far = self._ranked(now, candidates.other_regions, route, tried)
         return min((*near, *far))[2] if near or far else None
 
+    def has_target(self, now: Seconds, service: str, eligibility: Eligibility) -> bool:
+        """Return whether any eligible target of a service accepts work."""
+        candidates = self._candidates(now, service, eligibility)
+        return bool(candidates.local_region or candidates.other_regions)
+
     def choose_by_hash(
         self,
         now: Seconds,
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -36,6 +36,8 @@
 # The operators' configuration in the store.
 OPERATOR_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+#: Keys of the records of evacuated failure domains, before the name of the domain.
+EVACUATION_PREFIX = "evacuate/"
 #: The one partition in use of each keyed topic that this system reads or writes.
 PARTITION = 0
 
--- a/rhubarbhall/programs/router_dump.py
+++ b/rhubarbhall/programs/router_dump.py
@@ -49,6 +49,8 @@
     retry_budget_left: dict[str, float]
     #: Requests under which targets have ended, those that are rejected first.
     crash_suspects: list[dict[str, Any]]
+    #: Failure domains that operators have evacuated; null until it is known.
+    evacuated: list[str] | None
 
 
 def _span_fields(span: Span) -> dict[str, Any]:
@@ -112,4 +114,9 @@
             _suspect_fields(daemon.suspects, record, now)
             for record in daemon.suspects.records(now)
         ],
+        evacuated=(
+            sorted(daemon.evacuations.state.domains)
+            if daemon.evacuations.is_known
+            else None
+        ),
     )
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -180,6 +180,10 @@
             "Of these, those that are not sent to targets any more.",
             float(daemon.suspects.rejected(now)),
         ),
+        "evacuated_domains": (
+            "Failure domains that operators have evacuated.",
+            float(len(daemon.evacuations.state.domains)),
+        ),
         "retry_budget_left": (
             "Repeats left over all services.",
             float(sum(budget.left for budget in budgets)),
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -10,6 +10,7 @@
 
 from rhubarbhall.adapters.peer_frames import (
     ConfigurationPush,
+    Evacuated,
     Pong,
     Push,
     SyncConfiguration,
@@ -147,7 +148,8 @@
         version = self._configuration_version()
         self._compare_configurations(pong.configuration)
         if self._may_be_outdated() or self._lacks_records(now, pong, version):
-            self.links.request_sync(address, self.directory.end, version)
+            known_end = self.evacuations.known_end
+            self.links.request_sync(address, self.directory.end, version, known_end)
         elif pong.end <= self.directory.end:
             self.read_lease.confirm(asked_at - pong.age_ms / 1000)
 
@@ -161,13 +163,16 @@
         """Return whether records of a peer are missing here and have to be requested.
 
         A record takes a moment from its writer to all daemons, so a peer that is ahead
-        counts only once this daemon has learned nothing for `PUSH_GRACE_S`. The two
+        counts only once this daemon has learned nothing for `PUSH_GRACE_S`. The three
         kinds of records are looked at apart: one may be missing while others arrive.
         """
         return any(
             [
                 self._directory_gap.lasts(now, self.directory.end, pong.end),
                 self._configuration_gap.lasts(now, version, pong.configuration),
+                self._evacuation_gap.lasts(
+                    now, self.evacuations.known_end, pong.evacuations
+                ),
             ]
         )
 
@@ -195,12 +200,25 @@
         cannot be read must not stop a later one with a lower number.
         """
         self._advance_timers()
+        if push.evacuated is not None:
+            self._on_evacuations_push(push, push.evacuated)
+            return
         if self._is_newer_configuration(push.version):
             self._apply_configuration(inflate_value(push.deflated))
         is_in_force = push.version == self._configuration_version()
         if is_in_force and self.relayed.extend(push.key, push.version, push.limit):
             self.links.relay_configuration(push)
 
+    def _on_evacuations_push(
+        self, push: ConfigurationPush, evacuated: Evacuated
+    ) -> None:
+        """Apply evacuations and pass them on, unless newer ones are known."""
+        if evacuated.position < self.evacuations.state.position:
+            return
+        if self.relayed.extend(push.key, evacuated.position, push.limit):
+            self.links.relay_configuration(push)
+        self._take_evacuations(evacuated)
+
     def on_sync_request(self, ask: SyncRequest) -> SyncResponse:
         """Return the records that the requesting peer has not read yet."""
         now = self._advance_timers()
@@ -215,7 +233,16 @@
             newer_configuration = SyncConfiguration(
                 version, CONFIGURATION_KEY, self._configuration_value
             )
-        return SyncResponse(entries, self.directory.end, age_ms, newer_configuration)
+        newer_evacuations = None
+        if self.evacuations.state.position > ask.evacuations:
+            newer_evacuations = self._encoded_evacuations()
+        return SyncResponse(
+            entries,
+            self.directory.end,
+            age_ms,
+            newer_configuration,
+            newer_evacuations,
+        )
 
     def on_sync_response(
         self, address: Address, asked_at: Seconds, tell: SyncResponse
@@ -226,6 +253,10 @@
         if tell.configuration is not None:
             self._apply_configuration(tell.configuration.value)
             self._compare_configurations(tell.configuration.version)
+        if tell.evacuated is not None and self._take_evacuations(tell.evacuated):
+            # The readers of this region may have lost the store, so this daemon may be
+            # the first one that knows.
+            self._push_evacuations()
         entries = tuple(
             Entry(each.offset, each.key, each.value) for each in tell.entries
         )
@@ -247,6 +278,7 @@
             self._configuration_version(),
             int(load.utilization * 1000),
             int(load.cost * 1_000_000),
+            self.evacuations.state.position,
         )
 
     def on_renewal_request(self, owner: Address) -> bool:
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -8,10 +8,11 @@
 
 from typing import TYPE_CHECKING
 
-from rhubarbhall.adapters.peer_frames import ConfigurationPush, SyncEntry
+from rhubarbhall.adapters.peer_frames import ConfigurationPush, Evacuated, SyncEntry
 from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
+from rhubarbhall.core.ownership.evacuations import EvacuationState
 from rhubarbhall.core.ownership.peer_selection import readers_before
 from rhubarbhall.core.ownership.publisher import directory_topic
 from rhubarbhall.core.ownership.store_port import (
@@ -19,7 +20,11 @@
     LongPoll,
     offset_of,
 )
-from rhubarbhall.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC
+from rhubarbhall.platform.names import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_TOPIC,
+)
 from rhubarbhall.platform.operator import parse_configuration, read_version
 
 if TYPE_CHECKING:
@@ -184,6 +189,68 @@
         for entry in entries:
             if entry.key == CONFIGURATION_KEY and entry.value:
                 self._on_stored_configuration(entry)
+            elif entry.key.startswith(EVACUATION_PREFIX):
+                domain = entry.key.removeprefix(EVACUATION_PREFIX)
+                self.evacuations.record(entry.offset, domain, bool(entry.value))
+
+    def _on_operator_topic_read(
+        self, now: Seconds, sent_at: Seconds, end: Offset
+    ) -> None:
+        """Put the evacuations that were read in force, and pass on a change of them.
+
+        The first state is not passed on, as all daemons read it when they start.
+        """
+        is_first = not self.evacuations.is_known
+        before = self.evacuations.state.domains
+        has_changed = self.evacuations.complete(end)
+        self._on_evacuations_known(now, before)
+        if has_changed and not is_first:
+            self._push_evacuations()
+
+    def _encoded_evacuations(self) -> Evacuated:
+        state = self.evacuations.state
+        return Evacuated(state.position, sorted(state.domains))
+
+    def _push_evacuations(self) -> None:
+        """Pass the known evacuations on to the region."""
+        evacuated, limit = self._encoded_evacuations(), self.local_address
+        push = ConfigurationPush(NO_VERSION, EVACUATION_PREFIX, b"", limit, evacuated)
+        if self.relayed.extend(push.key, evacuated.position, limit):
+            self.links.relay_configuration(push)
+
+    def _take_evacuations(self, evacuated: Evacuated) -> bool:
+        """Put the evacuations that a peer has sent in force, if they are newer.
+
+        Returns
+        -------
+        bool
+            Whether other domains are evacuated now.
+        """
+        before = self.evacuations.state.domains
+        domains = frozenset(evacuated.domains)
+        state = EvacuationState(evacuated.position, domains)
+        has_changed = self.evacuations.take(state)
+        self._on_evacuations_known(self._advance_timers(), before)
+        return has_changed
+
+    def _on_evacuations_known(self, now: Seconds, before: frozenset[str]) -> None:
+        """Put the known evacuations in force; `before` are those known until now."""
+        state = self.evacuations.state
+        if not self.evacuations.is_known:
+            return
+        self.placement_rules.evacuated_domains = state.domains
+        if state.domains == before:
+            return
+        for domain in sorted(state.domains - before):
+            fields = {"domain": domain, "position": state.position}
+            self.log_event(LogEvent(421, fields))
+        for domain in sorted(before - state.domains):
+            fields = {"domain": domain, "position": state.position}
+            self.log_event(LogEvent(422, fields))
+        self.admission_queue.on_placement_changed(now)
+        self.reconciler.evacuated_domains = state.domains
+        # Keys have to leave the domain within the users' bound.
+        self.publisher.write_due(now, self.local_member(now))
 
     def _on_stored_configuration(self, entry: Entry) -> None:
         """Apply a configuration from the store and pass it on if it is newer.
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -26,6 +26,7 @@
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.evacuations import Evacuations
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.liveness import Liveness
@@ -186,6 +187,8 @@
         self._suspects_pushed_at: Seconds = float("-inf")
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
+        self.evacuations = Evacuations()
+        self._evacuation_gap = RecordGap()
         self._member_version = 0
         self._watched_version = 0
         self._region_by_address: dict[Address, str] = {}
@@ -234,7 +237,10 @@
             self.target_keys.record_connection_lost,
         )
         self.request_log = RouterRequestLog(settings.vm, self)
-        self.placement_rules = PlacementRules(LocalPlace(settings.region))
+        self.placement_rules = PlacementRules(
+            LocalPlace(settings.region, settings.domain)
+        )
+        self.placement_rules.evacuated_domains = None
         self.admission_queue = AdmissionQueue(
             settings.service,
             self.target,
@@ -327,10 +333,11 @@
             self._configuration_poll,
             CONFIGURATION_READ_DELAY_S,
             self._on_operator_entries,
-            lambda now, sent_at, end: None,
+            self._on_operator_topic_read,
             lambda reachable, reason: None,
             self._rng,
             self._needs_configuration_read,
+            self.evacuations.begin_snapshot,
         )
 
     def _build_ports(self) -> None:
@@ -525,7 +532,11 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this daemon."""
-        known = self.directory.is_loaded and self.request_router.routing is not None
+        known = (
+            self.directory.is_loaded
+            and self.request_router.routing is not None
+            and self.evacuations.is_known
+        )
         return known and self.shutdown is None and not self._may_be_outdated()
 
     def _metrics_page(self) -> tuple[str, bytes]:
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -376,6 +376,7 @@
         self.mesh = mesh
         self.local_address = f"10.0.0.{number}:1"
         self.region = region
+        self.domain = "d"
         self.life = 0
         self.is_running = False
         self.is_frozen = False
@@ -413,6 +414,7 @@
             self.witnessed_lease,
             now,
         )
+        self.reconciler.evacuated_domains = self.mesh.evacuated
         store = LogPort(self.mesh.log, self)
         rng = random.Random(f"{self.local_address} {self.life} {self.mesh.seed}")
         self.follower = TopicFollower(
@@ -454,6 +456,14 @@
         self.range_witness.begin_epoch()
         self.follower.restart(now, directory_topic(epoch))
 
+    def learn_evacuations(self) -> None:
+        if self.is_frozen:
+            self.mesh.simulation.after(0.05, self.learn_evacuations)
+        elif self.is_running:
+            now = self.mesh.simulation.now
+            self.reconciler.evacuated_domains = self.mesh.evacuated
+            self.publisher.write_due(now, self._member(now))
+
     def kill(self) -> None:
         self.is_running = False
         self.life += 1
@@ -649,7 +659,7 @@
             self.lease.confirm(now - peer.lease.age_s(now))
 
     def _member(self, now: float) -> Member | None:
-        return self.target_keys.member(now, SERVICE, "d", self.region)
+        return self.target_keys.member(now, SERVICE, self.domain, self.region)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> Grant | None:
         now = self.mesh.simulation.now
@@ -703,6 +713,7 @@
         self.lost_grants = 0.0
         self.overlaps: list[Overlap] = []
         self._fence_rows: list[tuple[int, int, int, str]] = []
+        self.evacuated: frozenset[str] = frozenset()
         self.daemons = [
             FakeDaemon(self, number, f"r{number % 2}") for number in range(1, count + 1)
         ]
@@ -710,6 +721,12 @@
             self.simulation.after(self.simulation.rng.uniform(0, 0.3), daemon.start)
             self.new_target(daemon)
 
+    def evacuate(self, *domains: str) -> None:
+        """Let these failure domains be the evacuated ones, known a little later."""
+        self.evacuated = frozenset(domains)
+        for index, daemon in enumerate(self.daemons):
+            self.simulation.after(0.1 * index, daemon.learn_evacuations)
+
     def add_daemon(self) -> FakeDaemon:
         """Start another daemon with a target, and return it."""
         number = len(self.daemons) + 1
--- a/tests/core/traffic/test_eligibility.py
+++ b/tests/core/traffic/test_eligibility.py
@@ -10,11 +10,19 @@
 
 from rhubarbhall.adapters.peer_outcomes import decode_outcome, encode_outcome
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
+from rhubarbhall.core.ownership.records import (
+    Member,
+    TargetState,
+    encode_member,
+    member_key,
+)
+from rhubarbhall.core.traffic.eligibility import LocalPlace
 from rhubarbhall.core.traffic.requests import Load, NotRun, RoutedRequest, Unknown
 from rhubarbhall.core.traffic.routes import RoutingTable
 from rhubarbhall.platform.operator import parse_configuration
-from tests.core.traffic.test_admission_queue import REQUEST
+from tests.core.traffic.test_admission_queue import ANSWER, REQUEST
 from tests.core.traffic.test_request_router import (
     FAR,
     LOCAL,
@@ -55,7 +63,8 @@
         return [address for address, _ in self.peers.sent]
 
     def assert_refused(self, kind: ErrorKind) -> None:
-        (reply,) = self.replies
+        self.assertEqual(len(self.replies), 1)
+        reply = self.replies[0]
         self.assertIsInstance(reply, NotRun)
         self.assertIs(reply.kind, kind)
         self.assertGreater(reply.retry_after_s, 0.0)
@@ -216,9 +225,12 @@
     # Guards against: daemons of earlier builds close a connection that brings an error
     # kind that they do not know, and the requests on it lose their outcomes.
     def test_earlier_builds_get_a_kind_that_they_know(self):
-        refusal = NotRun(ErrorKind.REGION_NOT_ALLOWED, 1.0)
-        frame = encode_outcome(7, refusal, Load())
-        self.assertEqual(decode_outcome(frame), NotRun(ErrorKind.NO_TARGET, 1.0))
+        for kind, expected in (
+            (ErrorKind.REGION_NOT_ALLOWED, ErrorKind.NO_TARGET),
+            (ErrorKind.DOMAIN_EVACUATED, ErrorKind.SHUTTING_DOWN),
+        ):
+            frame = encode_outcome(7, NotRun(kind, 1.0), Load())
+            self.assertEqual(decode_outcome(frame), NotRun(expected, 1.0))
 
     def test_the_configuration_names_allowed_regions(self):
         spec = (
@@ -232,3 +244,112 @@
         ):
             (route,) = parse_configuration(spec % text).routes
             self.assertEqual(route.allowed_regions, expected)
+
+
+class EvacuationTests(EligibilityCase):
+    """Load pattern: requests go on while operators evacuate whole failure domains."""
+
+    def setUp(self):
+        super().setUp()
+        self.rules.local_place = LocalPlace("r1", "d1")
+        self.add_member(NEAR, "pay", "r1", "d1")
+        self.add_member(FAR, "pay", "r2", "d2")
+
+    def add_member(self, address, service, region, domain="d1"):
+        member = Member(service, domain, region, "r", 9, TargetState.READY)
+        offset = 100 + self.directory.state_version
+        self.directory.apply(Entry(offset, member_key(address), encode_member(member)))
+
+    def evacuate(self, *domains: str) -> None:
+        self.rules.evacuated_domains = frozenset(domains)
+        self.queue.on_placement_changed(0.0)
+
+    def test_targets_of_the_domain_are_left_out(self):
+        self.evacuate("d1")
+        self.submit("/look/1")
+        self.assertEqual(self.sent_to(), [FAR])
+
+    def test_the_local_target_is_left_out_and_its_callers_are_served_elsewhere(self):
+        self.local_target.service = "pay"
+        self.local_target.member = self.directory.member_by_address[NEAR]
+        self.evacuate("d1")
+        self.submit("/look/1")
+        self.assertEqual((self.sent_to(), self.target.sent), ([FAR], {}))
+
+    def test_requests_are_refused_at_once_if_all_domains_are_evacuated(self):
+        self.evacuate("d1", "d2")
+        self.submit("/look/1")
+        self.assertEqual(self.sent_to(), [])
+        self.assert_refused(ErrorKind.NO_TARGET)
+
+    def test_an_evacuation_leaves_the_allowed_regions_as_they_are(self):
+        self.put_in_force(allowing("r1"))
+        self.evacuate("d1")
+        self.submit("/look/1")
+        self.assertEqual(self.sent_to(), [])
+        self.assert_refused(ErrorKind.NO_TARGET)
+
+    def test_targets_are_used_again_after_the_evacuation(self):
+        self.evacuate("d1")
+        self.evacuate()
+        self.submit("/look/1")
+        self.assertEqual(self.sent_to(), [NEAR])
+
+    def test_a_daemon_that_knows_no_state_refuses_its_callers(self):
+        self.rules.evacuated_domains = None
+        self.submit("/look/1")
+        self.assert_refused(ErrorKind.NO_CONFIGURATION)
+
+    def test_the_queue_refuses_new_and_waiting_requests_and_running_ones_end(self):
+        self.queue.open(1)
+        self.queue.rate_limit.record_answer(0.0, 0.0, None)
+        outcomes: dict[str, object] = {}
+
+        def submit(id: str) -> None:
+            request = replace(REQUEST, id=id, service="own")
+            self.queue.submit(0.0, request, lambda told: outcomes.update({id: told}))
+
+        submit("running")
+        submit("waiting")
+        self.evacuate("d1")
+        submit("new")
+        self.assertEqual([each.id for each in self.target.sent.values()], ["running"])
+        self.assertEqual(
+            {id: (told.kind, told.retry_after_s > 0) for id, told in outcomes.items()},
+            {
+                "waiting": (ErrorKind.DOMAIN_EVACUATED, True),
+                "new": (ErrorKind.DOMAIN_EVACUATED, True),
+            },
+        )
+        self.queue.finish(0.1, next(iter(self.target.sent)), ANSWER)
+        self.assertEqual(outcomes["running"], ANSWER)
+
+    def test_the_queue_refuses_requests_by_key_as_those_of_another_owner(self):
+        self.queue.open(1)
+        self.keys.held = {5}
+        self.evacuate("d1")
+        outcomes: list = []
+        request = replace(REQUEST, service="own", key=5)
+        self.queue.submit(0.0, request, outcomes.append)
+        self.assertEqual(outcomes, [NotRun(ErrorKind.NOT_OWNER)])
+
+    def test_a_request_waits_for_a_key_that_moves_out_of_the_domain(self):
+        self.add_member(NEAR, "keyed", "r1", "d1")
+        self.add_member(FAR, "keyed", "r2", "d2")
+        table = self.own(NEAR)
+        self.evacuate("d1")
+        self.submit("/status/1", key=5)
+        self.assertEqual((self.sent_to(), self.replies), ([], []))
+        last = table.spans[-1].last
+        self.set_table(table.moved([((0, last), CLAIMS[FAR])]), 11)
+        self.fire_timers(0.06)
+        self.assertEqual(self.sent_to(), [FAR])
+
+    def test_a_request_for_a_key_that_nobody_may_take_is_refused_at_once(self):
+        self.add_member(NEAR, "keyed", "r1", "d1")
+        self.add_member(FAR, "keyed", "r2", "d2")
+        self.own(NEAR)
+        self.evacuate("d1", "d2")
+        self.submit("/status/1", key=5)
+        self.assertEqual(self.sent_to(), [])
+        self.assert_refused(ErrorKind.DOMAIN_EVACUATED)
--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -16,6 +16,7 @@
 from rhubarbhall.adapters.peer_stream import deflate_value, inflate_value
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.evacuations import Evacuations
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.peer_selection import RelayedLimits
 from rhubarbhall.core.ownership.read_lease import ReadLease
@@ -46,7 +47,9 @@
     def relay_configuration(self, push: ConfigurationPush) -> None:
         self.relayed.append(push)
 
-    def request_sync(self, address: str, offset: int, configuration: int) -> None:
+    def request_sync(
+        self, address: str, offset: int, configuration: int, evacuations: int
+    ) -> None:
         self.asked.append((address, configuration))
 
 
@@ -74,6 +77,9 @@
         self.links = FakeLinks()
         self._directory_gap = RecordGap()
         self._configuration_gap = RecordGap()
+        self.evacuations = Evacuations()
+        self._evacuation_gap = RecordGap()
+        self.placement_rules = SimpleNamespace(evacuated_domains=None)
         self._configuration_value = b""
         self._started_at = self.now
         self._is_configuration_compared = False
