--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -545,7 +545,9 @@
         link = self._link_by_address.get(address)
         return REMOTE_REGION_ROUND_TRIP_S if link is None else link.round_trip_s
 
-    def request_sync(self, address: Address, offset: int, configuration: int) -> None:
+    def request_sync(
+        self, address: Address, offset: int, configuration: int, evacuations: int
+    ) -> None:
         """Request records of the store from a daemon, at most once per check interval.
 
         Parameters
@@ -556,6 +558,8 @@
             First offset of the directory that is missing here.
         configuration : int
             Version of the operators' configuration in force here; -1 without one.
+        evacuations : int
+            Position up to which evacuations are known here; -1 without any.
         """
         link = self._link_by_address.get(address)
         now = self._clock()
@@ -565,7 +569,7 @@
             and now - link.sync_requested_at > CHECK_INTERVAL_S
         ):
             link.sync_requested_at = now
-            self._send(link, SyncRequest(offset, configuration))
+            self._send(link, SyncRequest(offset, configuration, evacuations))
 
     def receive(self, sock: socket.socket, data: bytes) -> None:
         """Handle received bytes; close the connection if they are not valid frames."""
