Read the ownership topic from the end that the directory knows

A read now begins at KeyDirectory.end, before which every record is known, and proves what it proved: once it reaches the end of the log, no record before that end is unknown. A gap stops the end, so the read fetches it. A pushed record that arrives after a newer one of its key closes its gap as well; before, it was dropped and the gap stayed until a read.

The simulated mesh reads in the same way. test_follower, test_restored_store and test_sole_owner pass (71 tests).

--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -59,6 +59,11 @@
     needs_read : callable
         Takes the time and returns whether a read after a pause could bring records
         that are not known from elsewhere.
+    known_end : callable
+        Returns the offset before which every record is known, also from elsewhere. A
+        read begins there if that lies after the records that were read, so that the
+        store does not send them again. It still proves the same: once it reaches the
+        end of the log, no record before that end is unknown.
     """
 
     def __init__(
@@ -73,6 +78,7 @@
         on_contact: Callable[[bool, str], None],
         rng: random.Random,
         needs_read: Callable[[Seconds], bool] = lambda now: True,
+        known_end: Callable[[], Offset] = lambda: 0,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -84,6 +90,7 @@
         self._on_contact = on_contact
         self._rng = rng
         self._needs_read = needs_read
+        self._known_end = known_end
         self._position: Offset | None = None
         self._generation = 0
         self._failures = 0
@@ -159,7 +166,8 @@
         return LongPoll(0.0, timeout_s)
 
     def _read_tail(self, now: Seconds, poll: LongPoll) -> None:
-        generation, offset = self._generation, self._position
+        generation = self._generation
+        offset = self._position = max(self._position, self._known_end())
 
         def on_done(result: ReadResult) -> None:
             if generation == self._generation:
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -183,10 +183,11 @@
         limit = self.local_address if push.relay else push.limit
         if limit and self.relayed.extend(entry.key, entry.offset, limit):
             self.links.relay(push.entry, limit)
-        if self.directory.knows(entry.key, entry.offset):
-            return
+        is_known = self.directory.knows(entry.key, entry.offset)
+        # A record that arrives after a newer one of its key closes a gap all the same.
         self._log_rejected(self.directory.apply_next(entry))
-        self._on_directory_changed(now)
+        if not is_known:
+            self._on_directory_changed(now)
 
     def on_configuration_push(self, push: ConfigurationPush) -> None:
         """Apply an operators' configuration and pass it on within the region.
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -324,6 +324,7 @@
             self._on_store_contact,
             self._rng,
             self._needs_directory_read,
+            lambda: self.directory.end,
         )
         self._configuration_follower = TopicFollower(
             store,
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -425,6 +425,7 @@
             self._on_complete,
             lambda reachable, reason: None,
             rng,
+            known_end=lambda: self.directory.end,
         )
         self.publisher = RecordPublisher(
             self.local_address,
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -101,6 +101,25 @@
         self.store.answer(Tail((Entry(6, "b", b""),), 7, 7))
         self.assertEqual([end for _, end in self.complete], [7])
 
+    # 336 reads of 40 KB in a day with faults: nearly all records were known by pushes.
+    def test_a_read_begins_after_the_records_that_peers_have_pushed(self):
+        self.load_directory()
+        known_end = 9
+        self.follower._known_end = lambda: known_end
+        self.fire_timers(2.0)
+        self.assertEqual(self.store.calls[-1][:2], ("tail", 9))
+        self.store.answer(Tail((Entry(9, "a", b""),), 10, 10))
+        self.assertEqual(self.complete[-1], (2.0, 10))
+
+    def test_a_read_begins_at_a_gap_before_records_that_peers_have_pushed(self):
+        self.load_directory()
+        directory = KeyDirectory()
+        directory.advance_end(5)
+        self.follower._known_end = lambda: directory.end
+        directory.apply_next(Entry(6, "other", b""))
+        self.fire_timers(2.0)
+        self.assertEqual(self.store.calls[-1][:2], ("tail", 5))
+
     def test_a_lease_counts_from_when_the_read_was_sent(self):
         self.load_directory()
         self.fire_timers(2.0)
