Store key tables compressed

LogStore compresses values of 512 bytes and more behind a byte that MessagePack and UTF-8 do not use, and reads both forms. Values stay plain within a process and in pushes, whose stream compression refers to the version of the table before.

--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -31,6 +31,7 @@
     offset_of,
     position,
 )
+from rhubarbhall.core.ownership.stored_values import pack_value, unpack_value
 from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import PARTITION, STORE_ERA
 
@@ -107,7 +108,7 @@
         key = content[1:end].decode()
     except UnicodeDecodeError:
         return None
-    return Entry(at, key, content[end:])
+    return Entry(at, key, unpack_value(content[end:]))
 
 
 def _parse_tail(first: Offset, epoch: StoreEpoch, data: bytes) -> Tail:
@@ -128,7 +129,7 @@
         Entry(
             position(epoch, item.offset),
             item.key,
-            base64.b64decode(item.value, validate=True),
+            unpack_value(base64.b64decode(item.value, validate=True)),
         )
         for item in reply.items
     )
@@ -273,7 +274,7 @@
             path += f"&at={offset_of(at)}"
         epoch = self.epoch
 
-        body = _record(key, value)
+        body = _record(key, pack_value(value))
 
         def on_reply(result: Response | Failed) -> None:
             answer = self._outdated(epoch, result) or _append_result(epoch, result)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -52,6 +52,15 @@
         self.store.read_tail("t", 7, LongPoll(1.5, 1.0), self.results.append)
         return self.results[-1]
 
+    def test_a_large_value_is_stored_compressed_and_read_as_it_was(self):
+        value = b"table " * 1000
+        self.http.replies.append(Response(200, (), b'{"offset":7}'))
+        self.store.append("t", "k", value, None, self.results.append)
+        stored = self.http.calls[0][2]
+        self.assertLess(len(stored), 200)
+        result = self.read_tail(Response(200, (), struct.pack(">QQ", 8, 0) + stored))
+        self.assertEqual(result.entries, (Entry(7, "k", value),))
+
     def test_bytes_of_a_call_are_counted_with_its_result(self):
         counted = []
         self.store = LogStore(
