--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -62,6 +62,11 @@
     on_snapshot : callable
         Called before the newest records are read, at the start and again once records
         that were not read have been deleted or the store was restored.
+    known_end : callable
+        Returns the offset before which every record is known, also from elsewhere. A
+        read begins there if that lies after the records that were read, so that the
+        store does not send them again. It still proves the same: once it reaches the
+        end of the log, no record before that end is unknown.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         rng: random.Random,
         needs_read: Callable[[Seconds], bool] = lambda now: True,
         on_snapshot: Callable[[], None] = lambda: None,
+        known_end: Callable[[], Offset] = lambda: 0,
     ) -> None:
         self._on_snapshot = on_snapshot
         self._store = store
@@ -89,6 +95,7 @@
         self._on_contact = on_contact
         self._rng = rng
         self._needs_read = needs_read
+        self._known_end = known_end
         self._position: Offset | None = None
         self._generation = 0
         self._failures = 0
@@ -165,7 +172,8 @@
         return LongPoll(0.0, timeout_s)
 
     def _read_tail(self, now: Seconds, poll: LongPoll) -> None:
-        generation, offset = self._generation, self._position
+        generation = self._generation
+        offset = self._position = max(self._position, self._known_end())
 
         def on_done(result: ReadResult) -> None:
             if generation == self._generation:
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -336,6 +336,7 @@
             self._on_store_contact,
             self._rng,
             self._needs_directory_read,
+            known_end=lambda: self.directory.end,
         )
         self._configuration_follower = TopicFollower(
             store,
@@ -348,7 +349,7 @@
             lambda reachable, reason: None,
             self._rng,
             self._needs_configuration_read,
-            self.evacuations.begin_snapshot,
+            on_snapshot=self.evacuations.begin_snapshot,
         )
 
     def _build_ports(self) -> None:
