Order requests by value per slot-second while there is too little room

Strict priority starved the lowest priority, and long work of high priority held up short calls of running work. While requests were refused for lack of room within 2 s, waiting requests are ordered by a value by priority and by whether the target latency can be met, divided by the expected work. A route that is served much less often than all goes first. A full queue refuses the request that is worth least instead of the newcomer, and requests that the work before them leaves no time for are refused at each check.

Long work may occupy the rounded share of the slots: with three slots, the truncated share left one slot to it, and two stayed idle in a burst.

No existing test is changed.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -4,9 +4,10 @@
 target has slots and holds the others. It therefore knows of every request whether it
 was sent, so a refusal can say truthfully that the request has not run. Among requests
 of equal priority, those that can still meet the target latency of their route go first,
-then retries of refused requests, then the rest. Under peak load many requests are thus
-served in time, instead of all of them late. A target in need states a rate, which the
-queue does not exceed either.
+then retries of refused requests, then the rest; while there is too little room,
+`load_shedding` orders them by value per slot-second. Under peak load many requests are
+thus served in time, instead of all of them late. A target in need states a rate, which
+the queue does not exceed either.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from rhubarbhall.core.admission import ConcurrencyLimit
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects, Standing
-from rhubarbhall.core.traffic.load_shedding import RefusalStage
+from rhubarbhall.core.traffic.load_shedding import RefusalStage, SheddingPolicy
 from rhubarbhall.core.traffic.lost_runs import LostRuns
 from rhubarbhall.core.traffic.queue_entries import QueueEntry, Urgency
 from rhubarbhall.core.traffic.queue_estimates import (
@@ -130,7 +131,9 @@
         self.lost_runs = LostRuns()
         self.refusals: Counter[RefusalStage] = Counter()
         self._tickets = itertools.count(1)
-        self._waiting = WaitingRequests()
+        self.durations = RouteDurations()
+        self._policy = SheddingPolicy(self.durations)
+        self._waiting = WaitingRequests(self._policy.rank)
         self._entry_by_ticket: dict[int, QueueEntry] = {}
         self._waiting_for_key: dict[int, QueueEntry] = {}
         self._late_service = LateService()
@@ -138,7 +141,6 @@
         self._long_running = 0
         self.limit = ConcurrencyLimit(1)
         self.rate_limit = RateLimit()
-        self.durations = RouteDurations()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
         self._probed_until: Seconds = float("-inf")
@@ -211,6 +213,8 @@
             return entry.ticket
         if request.key is not None and self._key_ownership.is_assigned(request.key):
             self._key_ownership.record_request(now, request.key)
+        self._policy.record_arrival(request)
+        self._update_order(now)
         refusal = self._refusal(now, request)
         if refusal is not None:
             on_outcome(refusal)
@@ -218,11 +222,30 @@
         self._entry_by_ticket[entry.ticket] = entry
         if request.key is None or self._key_ownership.may_work_on(now, request.key):
             self._enqueue(now, entry)
+            self._displace_excess(now)
             self.dispatch(now)
         else:
             self._waiting_for_key[entry.ticket] = entry
         return entry.ticket
 
+    def _update_order(self, now: Seconds) -> None:
+        """Order the waiting requests anew when a shortage begins or has ended."""
+        if self._policy.update(now):
+            self._waiting.reorder()
+
+    def _record_shortage(self, now: Seconds, stage: RefusalStage) -> None:
+        """Record a refusal for lack of room at a stage."""
+        self.refusals[stage] += 1
+        self._policy.record_shortage(now)
+        self._update_order(now)
+
+    def _displace_excess(self, now: Seconds) -> None:
+        """Refuse the request that is worth least if too many wait."""
+        last = self._waiting.last()
+        if last is not None and len(self._waiting) > self._max_waiting():
+            self._record_shortage(now, RefusalStage.DISPLACED)
+            self._refuse_overloaded(now, last[1])
+
     def _refusal(self, now: Seconds, request: RoutedRequest) -> NotRun | None:
         if self.closed_reason is not None:
             return NotRun(self.closed_reason)
@@ -238,7 +261,7 @@
             return None
         urgency = self._urgency(now, request)
         wait_s = self.expected_wait_s(now, request, urgency)
-        if urgency is not Urgency.IN_TIME:
+        if urgency is not Urgency.IN_TIME and not self._policy.is_starved(request):
             # Requests that meet the target latency will arrive and be sent first.
             wait_s *= LATE_WAIT_FACTOR
             wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
@@ -246,7 +269,14 @@
             return self._shutdown_refusal(now)
         needed_s = wait_s + self.durations.mean_s(request.route)
         is_full = len(self._waiting) >= self._max_waiting()
+        if is_full:
+            self._policy.record_shortage(now)
+            self._update_order(now)
+            least, _ = self._waiting.last()
+            is_full = not self._policy.displaces(request, urgency, least)
         if is_full or now + needed_s > request.deadline:
+            stage = RefusalStage.QUEUE_FULL if is_full else RefusalStage.NOT_IN_TIME
+            self._record_shortage(now, stage)
             retry_after_s = min(wait_s, room_after_s(now, request))
             retry_after_s = max(retry_after_s, MIN_RETRY_AFTER_S)
             # In a full queue, a request with as little time would be refused too.
@@ -357,7 +387,7 @@
     def _is_held_back(self, entry: QueueEntry) -> bool:
         """Return whether long work would take the slots reserved for short work."""
         entry.is_long = self.durations.is_long(entry.request.route)
-        allowed = max(1, int(MAX_LONG_WORK_SHARE * self.limit.value))
+        allowed = max(1, round(MAX_LONG_WORK_SHARE * self.limit.value))
         return entry.is_long and self._long_running >= allowed
 
     def _may_begin(self, now: Seconds, entry: QueueEntry) -> bool:
@@ -386,6 +416,7 @@
             self._refuse_dequeued(entry, NotRun(ErrorKind.NOT_OWNER))
             return
         entry.sent_at = now
+        self._policy.record_served(request)
         if entry.urgency is not Urgency.IN_TIME:
             self._late_service.record_sent(now)
         self._running += 1
@@ -593,11 +624,19 @@
             if waits_for_key and now - entry.arrived_at > KEY_WAIT_TIMEOUT_S:
                 self._refuse_waiting(entry, NotRun(ErrorKind.NOT_OWNER))
             elif self._would_miss_deadline(now, entry.request):
+                if not waits_for_key:
+                    self._record_shortage(now, RefusalStage.NOT_IN_TIME)
                 self._refuse_waiting(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             elif self._may_outlast_drain(now, entry.request):
                 self._refuse_waiting(entry, self._shutdown_refusal(now))
             elif not waits_for_key and self._has_exceeded_late_wait(now, entry):
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
                 self._refuse_overloaded(now, entry)
+        self._update_order(now)
+        if self._policy.is_short:
+            # Shares and durations have changed since the requests were ranked.
+            self._waiting.reorder()
+            self._refuse_beyond_capacity(now)
         self._refuse_unservable(now)
         self.dispatch(now)
 
@@ -605,6 +644,20 @@
         retry_after_s = room_after_s(now, entry.request)
         self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
 
+    def _refuse_beyond_capacity(self, now: Seconds) -> None:
+        """Refuse requests that the work before them leaves no time for."""
+        work_s = 0.0
+        for entry in self._waiting.in_order():
+            # The outcome of another request may have ended this one as well.
+            if entry not in self._waiting:
+                continue
+            needed_s = work_s / self.limit.value + self._min_work_s(entry.request)
+            if now + needed_s > entry.request.deadline:
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
+                self._refuse_overloaded(now, entry)
+            else:
+                work_s += self.durations.mean_s(entry.request.route)
+
     def _refuse_unservable(self, now: Seconds) -> None:
         """Refuse late requests that are estimated to get no slot in time.
 
@@ -615,9 +668,12 @@
             # The outcome of another request may have ended this one as well.
             if entry.urgency is Urgency.IN_TIME or entry not in self._waiting:
                 continue
+            if self._policy.is_starved(entry.request):
+                continue
             wait_s = self._late_service.wait_s(now, kept)
             needed_s = wait_s + self._min_work_s(entry.request)
             if now + needed_s > entry.request.deadline:
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
                 self._refuse_overloaded(now, entry)
             else:
                 kept += 1
--- a/rhubarbhall/core/traffic/queue_entries.py
+++ b/rhubarbhall/core/traffic/queue_entries.py
@@ -27,9 +27,10 @@
     LATE = 2
 
 
-#: Position of a waiting request in the heap: priority, urgency, the time by which it
-#: should be answered (target latency or deadline) and its ticket.
-QueuePosition: TypeAlias = "tuple[int, Urgency, Seconds, int]"
+#: Order of waiting requests: two numbers that depend on the policy, and the time by
+#: which the request should be answered (target latency or deadline). The lowest goes
+#: first.
+Rank: TypeAlias = "tuple[int, float, Seconds]"
 
 
 @dataclass(slots=True)
@@ -66,10 +67,8 @@
     standing: Standing = Standing.CLEAR
 
 
-def queue_position(
-    request: RoutedRequest, urgency: Urgency, ticket: int
-) -> QueuePosition:
-    """Return the position of a request of an urgency in the heap."""
+def rank_by_priority(request: RoutedRequest, urgency: Urgency) -> Rank:
+    """Return the rank of a request by priority, urgency and time."""
     in_time = urgency is Urgency.IN_TIME
     due = request.target_latency_deadline if in_time else request.deadline
-    return request.priority, urgency, due, ticket
+    return request.priority, urgency, due
