Tell refused callers when a place is expected to be free

Retry-After was the shorter of the present wait and 0.3 of the remaining time, so that callers refused together returned together. Each is now promised the next place by half of the rate at which the target gets requests, not before the time that its request lacked; without a place in time callers are spread over the last fifth of the longest wait. The counter rhubarb_returns_total compares this with what came true.

--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -26,7 +26,6 @@
 from rhubarbhall.core.traffic.queue_estimates import (
     LateService,
     RouteDurations,
-    room_after_s,
 )
 from rhubarbhall.core.traffic.rate_limit import RateLimit
 from rhubarbhall.core.traffic.requests import (
@@ -36,6 +35,11 @@
     RoutedRequest,
     Unknown,
 )
+from rhubarbhall.core.traffic.retry_times import (
+    MIN_RETRY_AFTER_S,
+    RetryTimes,
+    ReturnResult,
+)
 from rhubarbhall.core.traffic.suspect_runs import SuspectRuns
 from rhubarbhall.core.traffic.waiting_requests import WaitingRequests
 
@@ -71,8 +75,6 @@
 #: Share of its total time that a request which misses the target latency waits before
 #: it is refused with a time to retry after.
 MAX_LATE_WAIT_SHARE = 0.2
-#: Minimum time to retry after in a refusal for overload.
-MIN_RETRY_AFTER_S = 0.05
 #: Minimum remaining time for which any request is sent to the target.
 MIN_WORK_S = 0.005
 #: Maximum time without new attempts after an answer was lost, until it is known whether
@@ -110,6 +112,8 @@
         Mean durations by route.
     refusals : Counter
         Number of refusals by stage.
+    returns : Counter
+        Number of requests whose caller was refused before, by result.
     closed_reason : ErrorKind or None
         Reason with which all new requests are refused; None while they are admitted.
     """
@@ -130,9 +134,11 @@
         self._suspect_runs = SuspectRuns(suspects)
         self.lost_runs = LostRuns()
         self.refusals: Counter[RefusalStage] = Counter()
+        self.returns: Counter[ReturnResult] = Counter()
         self._tickets = itertools.count(1)
         self.durations = RouteDurations()
         self._policy = SheddingPolicy(self.durations)
+        self._retry_times = RetryTimes()
         self._waiting = WaitingRequests(self._policy.rank)
         self._entry_by_ticket: dict[int, QueueEntry] = {}
         self._waiting_for_key: dict[int, QueueEntry] = {}
@@ -233,9 +239,16 @@
         if self._policy.update(now):
             self._waiting.reorder()
 
-    def _record_shortage(self, now: Seconds, stage: RefusalStage) -> None:
-        """Record a refusal for lack of room at a stage."""
+    def _record_return(self, request: RoutedRequest, result: ReturnResult) -> None:
+        if request.is_retry:
+            self.returns[result] += 1
+
+    def _record_shortage(
+        self, now: Seconds, stage: RefusalStage, request: RoutedRequest
+    ) -> None:
+        """Record that a request is refused for lack of room at a stage."""
         self.refusals[stage] += 1
+        self._record_return(request, ReturnResult.REFUSED)
         self._policy.record_shortage(now)
         self._update_order(now)
 
@@ -243,7 +256,7 @@
         """Refuse the request that is worth least if too many wait."""
         last = self._waiting.last()
         if last is not None and len(self._waiting) > self._max_waiting():
-            self._record_shortage(now, RefusalStage.DISPLACED)
+            self._record_shortage(now, RefusalStage.DISPLACED, last[1].request)
             self._refuse_overloaded(now, last[1])
 
     def _refusal(self, now: Seconds, request: RoutedRequest) -> NotRun | None:
@@ -276,9 +289,9 @@
             is_full = not self._policy.displaces(request, urgency, least)
         if is_full or now + needed_s > request.deadline:
             stage = RefusalStage.QUEUE_FULL if is_full else RefusalStage.NOT_IN_TIME
-            self._record_shortage(now, stage)
-            retry_after_s = min(wait_s, room_after_s(now, request))
-            retry_after_s = max(retry_after_s, MIN_RETRY_AFTER_S)
+            self._record_shortage(now, stage, request)
+            excess_s = now + needed_s - request.deadline
+            retry_after_s = self._retry_times.retry_after_s(now, request, excess_s)
             # In a full queue, a request with as little time would be refused too.
             needed_s = max(needed_s, request.deadline - now) if is_full else needed_s
             return NotRun(ErrorKind.OVERLOADED, retry_after_s, needed_s)
@@ -417,6 +430,8 @@
             return
         entry.sent_at = now
         self._policy.record_served(request)
+        self._retry_times.record_sent(now)
+        self._record_return(request, ReturnResult.SERVED)
         if entry.urgency is not Urgency.IN_TIME:
             self._late_service.record_sent(now)
         self._running += 1
@@ -489,7 +504,7 @@
         entry = self._entry_by_ticket.get(ticket)
         if entry is not None and entry.sent_at is None:
             self.refusals[RefusalStage.WITHDRAWN] += 1
-            retry_after_s = room_after_s(now, entry.request)
+            retry_after_s = self._retry_times.retry_after_s(now, entry.request)
             refusal = NotRun(ErrorKind.DEADLINE_UNREACHABLE, retry_after_s)
             self._refuse_waiting(entry, refusal)
 
@@ -625,12 +640,12 @@
                 self._refuse_waiting(entry, NotRun(ErrorKind.NOT_OWNER))
             elif self._would_miss_deadline(now, entry.request):
                 if not waits_for_key:
-                    self._record_shortage(now, RefusalStage.NOT_IN_TIME)
+                    self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_waiting(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             elif self._may_outlast_drain(now, entry.request):
                 self._refuse_waiting(entry, self._shutdown_refusal(now))
             elif not waits_for_key and self._has_exceeded_late_wait(now, entry):
-                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_overloaded(now, entry)
         self._update_order(now)
         if self._policy.is_short:
@@ -641,7 +656,7 @@
         self.dispatch(now)
 
     def _refuse_overloaded(self, now: Seconds, entry: QueueEntry) -> None:
-        retry_after_s = room_after_s(now, entry.request)
+        retry_after_s = self._retry_times.retry_after_s(now, entry.request)
         self._refuse_waiting(entry, NotRun(ErrorKind.OVERLOADED, retry_after_s))
 
     def _refuse_beyond_capacity(self, now: Seconds) -> None:
@@ -653,7 +668,7 @@
                 continue
             needed_s = work_s / self.limit.value + self._min_work_s(entry.request)
             if now + needed_s > entry.request.deadline:
-                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_overloaded(now, entry)
             else:
                 work_s += self.durations.mean_s(entry.request.route)
@@ -673,7 +688,7 @@
             wait_s = self._late_service.wait_s(now, kept)
             needed_s = wait_s + self._min_work_s(entry.request)
             if now + needed_s > entry.request.deadline:
-                self._record_shortage(now, RefusalStage.NOT_IN_TIME)
+                self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_overloaded(now, entry)
             else:
                 kept += 1
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -26,7 +26,7 @@
     PendingRequest,
     RequestLog,
 )
-from rhubarbhall.core.traffic.queue_estimates import RouteDurations, room_after_s
+from rhubarbhall.core.traffic.queue_estimates import RouteDurations
 from rhubarbhall.core.traffic.refusal_reports import RefusalReports
 from rhubarbhall.core.traffic.request_limits import (
     RETRY_DETECTION_S,
@@ -41,6 +41,7 @@
     Unknown,
 )
 from rhubarbhall.core.traffic.retry_budget import ServiceRetryBudget
+from rhubarbhall.core.traffic.retry_times import RetryTimes
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
@@ -140,6 +141,7 @@
         self._pending_by_ticket: dict[int, PendingRequest] = {}
         self._tickets = itertools.count(1)
         self._refusal_reports = RefusalReports()
+        self._retry_times = RetryTimes()
         self.refusals: Counter[RefusalStage] = Counter()
         self._earlier_attempts = EarlierAttempts()
         self._answer_times = RouteDurations()
@@ -266,7 +268,8 @@
 
     def _entrance_refusal(self, now: Seconds, pending: PendingRequest) -> NotRun:
         self.refusals[RefusalStage.ENTRANCE] += 1
-        return NotRun(ErrorKind.OVERLOADED, room_after_s(now, pending.request))
+        retry_after_s = self._retry_times.retry_after_s(now, pending.request)
+        return NotRun(ErrorKind.OVERLOADED, retry_after_s)
 
     def _choose_target_with_room(
         self, now: Seconds, pending: PendingRequest, standing: Standing
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -53,6 +53,8 @@
         self.local_outcomes: Counter[tuple[str, str]] = Counter()
         #: Requests refused for lack of room, by stage.
         self.refusals: Counter[str] = Counter()
+        #: Requests at the own target whose caller was refused before, by result.
+        self.returns: Counter[str] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
         #: Latencies by service and stage: ``whole`` (until the caller has its outcome),
@@ -71,6 +73,7 @@
     ("requests_total", "Outcomes that callers got.", ("service", "outcome", "kind")),
     ("orders_total", "Outcomes at the own gate.", ("outcome", "kind")),
     ("refusals_total", "Refused for lack of room.", ("stage",)),
+    ("returns_total", "Requests of callers refused before.", ("result",)),
     ("store_calls_total", "Calls to the store.", ("call", "result")),
 )
 
@@ -91,8 +94,13 @@
     from aioprometheus.renderer import render
 
     registry = Registry()
-    refusals = {(stage,): count for stage, count in metrics.refusals.items()}
-    counts = (metrics.outcomes, metrics.local_outcomes, refusals, metrics.store_calls)
+    counts = (
+        metrics.outcomes,
+        metrics.local_outcomes,
+        {(stage,): count for stage, count in metrics.refusals.items()},
+        {(result,): count for result, count in metrics.returns.items()},
+        metrics.store_calls,
+    )
     for (name, text, labels), by_labels in zip(_COUNTERS, counts, strict=True):
         metric = Metric(f"rhubarb_{name}", text, registry=registry)
         for values, count in by_labels.items():
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -241,6 +241,7 @@
             self.request_log.record_local_durations,
         )
         self.admission_queue.refusals = self.request_log.metrics.refusals
+        self.admission_queue.returns = self.request_log.metrics.returns
         self.chooser = TargetChooser(
             self.local_address,
             settings.region,
