--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -271,6 +271,8 @@
                 or len(self._waiting_for_key) >= self._max_waiting()
             ):
                 return NotRun(ErrorKind.NOT_OWNER)
+            if self._would_miss_deadline(now, request):
+                return NotRun(ErrorKind.DEADLINE_UNREACHABLE)
             return None
         urgency = self._urgency(now, request)
         wait_s = self.expected_wait_s(now, request, urgency)
--- a/tests/core/traffic/test_admission_queue.py
+++ b/tests/core/traffic/test_admission_queue.py
@@ -326,6 +326,12 @@
         self.queue.on_keys_changed(0.3)
         self.assertEqual(self.sent_ids(), ["a"])
 
+    def test_request_with_too_little_time_does_not_wait_for_a_key(self):
+        # Guards against: a refusal that comes after the deadline of the request.
+        self.keys.awaited.add(5)
+        self.submit(0.0, "a", key=5, deadline=0.09)
+        self.assertEqual(self.outcomes["a"].kind, ErrorKind.DEADLINE_UNREACHABLE)
+
     def test_key_of_another_target_is_refused_at_once(self):
         self.submit(0.0, "a", key=6)
         self.assertEqual(self.outcomes["a"], NotRun(ErrorKind.NOT_OWNER))
