--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -54,6 +54,8 @@
         self.local_outcomes: Counter[tuple[str, str]] = Counter()
         #: Requests refused for lack of room, by stage.
         self.refusals: Counter[str] = Counter()
+        #: Requests at the own target whose caller was refused before, by result.
+        self.returns: Counter[str] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
         #: Bytes of the store's calls, by method and direction.
@@ -74,6 +76,7 @@
     ("requests_total", "Outcomes that callers got.", ("service", "outcome", "kind")),
     ("orders_total", "Outcomes at the own gate.", ("outcome", "kind")),
     ("refusals_total", "Refused for lack of room.", ("stage",)),
+    ("returns_total", "Requests of callers refused before.", ("result",)),
     ("store_calls_total", "Calls to the store.", ("call", "result")),
     (
         "store_bytes_total",
@@ -114,6 +117,7 @@
 
     registry = Registry()
     refusals = {(stage,): count for stage, count in metrics.refusals.items()}
+    returns = {(result,): count for result, count in metrics.returns.items()}
     messages, sizes = Counter(), Counter()
     for frame, scope, number, size in peer_traffic.rows():
         messages[frame, scope], sizes[frame, scope] = number, size
@@ -121,6 +125,7 @@
         metrics.outcomes,
         metrics.local_outcomes,
         refusals,
+        returns,
         metrics.store_calls,
         metrics.store_bytes,
         messages,
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -259,6 +259,7 @@
             self.placement_rules.local_refusal,
         )
         self.admission_queue.refusals = self.request_log.metrics.refusals
+        self.admission_queue.returns = self.request_log.metrics.returns
         self.chooser = TargetChooser(
             self.local_address,
             settings.region,
