--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -142,6 +142,9 @@
         As in `Reply`.
     needed_ms : int
         Time that the request would have needed until its answer; 0 if not known.
+    is_cold : bool
+        Whether the reason is that the target is cold; `kind` then is one that daemons
+        of earlier builds know.
     """
 
     number: int
@@ -153,6 +156,7 @@
     slots: int
     rate: float | None = None
     needed_ms: int = 0
+    is_cold: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -21,6 +21,7 @@
 _SENT_KINDS = {
     ErrorKind.REGION_NOT_ALLOWED: ErrorKind.NO_TARGET,
     ErrorKind.DOMAIN_EVACUATED: ErrorKind.SHUTTING_DOWN,
+    ErrorKind.TARGET_COLD: ErrorKind.OVERLOADED,
 }
 _NO_KEY = -1
 
@@ -78,6 +79,7 @@
     is_not_run = isinstance(outcome, NotRun)
     retry_after_s = outcome.retry_after_s if is_not_run else 0.0
     needed_s = outcome.needed_s if is_not_run else 0.0
+    is_cold = outcome.kind is ErrorKind.TARGET_COLD
     return RequestFailed(
         number,
         _SENT_KINDS.get(outcome.kind, outcome.kind),
@@ -88,6 +90,7 @@
         load.slots,
         load.rate,
         ceil(needed_s * _MS_PER_S),
+        is_cold,
     )
 
 
@@ -101,7 +104,7 @@
     """
     if isinstance(frame, Reply):
         return Answered(frame.status, pair_headers(frame.headers), frame.body)
-    kind = ErrorKind(frame.kind)
+    kind = ErrorKind.TARGET_COLD if frame.is_cold else ErrorKind(frame.kind)
     if frame.not_run:
         retry_after_s = frame.retry_after_ms / _MS_PER_S
         return NotRun(kind, retry_after_s, frame.needed_ms / _MS_PER_S)
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -43,6 +43,7 @@
 from rhubarbhall.core.traffic.slot_reservation import SlotReservation
 from rhubarbhall.core.traffic.suspect_runs import SuspectRuns
 from rhubarbhall.core.traffic.waiting_requests import WaitingRequests
+from rhubarbhall.core.traffic.warmup import Warmup
 
 if TYPE_CHECKING:
     from rhubarbhall.core.traffic.queue_ports import KeyOwnership, TargetClient
@@ -108,6 +109,8 @@
         Number of requests that may run at a time.
     rate_limit : RateLimit
         Rate that the target states, if it states one.
+    warmup : Warmup
+        Pace of requests while the target is cold.
     lost_runs : LostRuns
         Requests whose answer was lost since the target has answered last.
     durations : RouteDurations
@@ -152,6 +155,7 @@
         self._long_running = 0
         self.limit = ConcurrencyLimit(1)
         self.rate_limit = RateLimit()
+        self.warmup = Warmup()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
         self._probed_until: Seconds = float("-inf")
@@ -161,9 +165,13 @@
     @property
     def load(self) -> Load:
         """Running and waiting requests, and the present limit of running ones."""
-        return Load(
-            self._running, len(self._waiting), self.limit.value, self.rate_limit.rate
-        )
+        return Load(self._running, len(self._waiting), self.limit.value, self.rate)
+
+    @property
+    def rate(self) -> float | None:
+        """Requests per second that the target takes; None without a limit."""
+        rates = (self.rate_limit.rate, self.warmup.rate)
+        return min((rate for rate in rates if rate is not None), default=None)
 
     @property
     def is_idle(self) -> bool:
@@ -283,6 +291,11 @@
                 return NotRun(ErrorKind.DEADLINE_UNREACHABLE)
             return None
         urgency = self._urgency(now, request)
+        refusal = self._cold_refusal(
+            now, sum(1 for _ in self._waiting.ahead_of(request, urgency))
+        )
+        if refusal is not None:
+            return refusal
         wait_s = self.expected_wait_s(now, request, urgency)
         if urgency is not Urgency.IN_TIME and not self._policy.is_starved(request):
             # Requests that meet the target latency will arrive and be sent first.
@@ -307,6 +320,28 @@
             return NotRun(ErrorKind.OVERLOADED, retry_after_s, needed_s)
         return None
 
+    def _cold_refusal(self, now: Seconds, ahead: int) -> NotRun | None:
+        """Return the refusal of a request that a cold target takes too late."""
+        wait_s = self.warmup.wait_s(now, ahead)
+        if not self.warmup.is_too_long(wait_s):
+            return None
+        return NotRun(ErrorKind.TARGET_COLD, wait_s)
+
+    def _refuse_beyond_pace(self, now: Seconds) -> None:
+        """Refuse the waiting requests that a cold target takes too late."""
+        if not self.warmup.is_cold(now):
+            return
+        kept = 0
+        for entry in self._waiting.in_order():
+            # The outcome of another request may have ended this one as well.
+            if entry not in self._waiting:
+                continue
+            refusal = self._cold_refusal(now, kept)
+            if refusal is None:
+                kept += 1
+            else:
+                self._refuse_waiting(entry, refusal)
+
     def _late_wait_s(
         self, now: Seconds, request: RoutedRequest, urgency: Urgency
     ) -> Seconds:
@@ -340,7 +375,11 @@
         """Return whether the target may get one more request now."""
         if self._suspect_runs.runs_alone or now < self._probed_until:
             return False
-        return self._has_free_slot() and self.rate_limit.wait_s(now) <= 0
+        return self._has_free_slot() and self._rate_wait_s(now) <= 0
+
+    def _rate_wait_s(self, now: Seconds, ahead: int = 0) -> Seconds:
+        """Return the time until the rates allow a request behind `ahead` others."""
+        return max(self.rate_limit.wait_s(now, ahead), self.warmup.wait_s(now, ahead))
 
     def expected_wait_s(
         self,
@@ -354,7 +393,7 @@
         ahead = [
             entry.request.route for entry in self._waiting.ahead_of(request, urgency)
         ]
-        rate_wait_s = self.rate_limit.wait_s(now, len(ahead))
+        rate_wait_s = self._rate_wait_s(now, len(ahead))
         if self._has_free_slot():
             return rate_wait_s
         work_s = sum(self.durations.mean_s(route) for route in ahead)
@@ -450,6 +489,7 @@
         self._running += 1
         self._long_running += entry.is_long
         self.rate_limit.record_sent(now)
+        self.warmup.record_sent(now)
         self._suspect_runs.begin(entry)
         self._target.send(entry.ticket, request, now)
 
@@ -646,6 +686,7 @@
             elif not self._key_ownership.is_assigned(key):
                 self._refuse_waiting(entry, NotRun(ErrorKind.NOT_OWNER))
         self.dispatch(now)
+        self._refuse_beyond_pace(now)
 
     def expire(self, now: Seconds) -> None:
         """Refuse requests that have waited too long and abandon unanswered ones.
@@ -679,6 +720,7 @@
             self._refuse_beyond_capacity(now)
         self._refuse_unservable(now)
         self.dispatch(now)
+        self._refuse_beyond_pace(now)
 
     def _refuse_overloaded(self, now: Seconds, entry: QueueEntry) -> None:
         retry_after_s = self._retry_times.retry_after_s(now, entry.request)
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -57,6 +57,7 @@
 from rhubarbhall.core.traffic.request_router import RequestRouter
 from rhubarbhall.core.traffic.retry_budget import ServiceRetryBudget
 from rhubarbhall.core.traffic.target_chooser import TargetChooser
+from rhubarbhall.core.traffic.warmup import ColdBounds, Warmup
 from rhubarbhall.platform.heartbeats import HeartbeatSink
 from rhubarbhall.platform.ingress import CallerSink, ReadinessSink
 from rhubarbhall.platform.key_requests import KeyRequestClient
@@ -238,6 +239,7 @@
             self._on_target_reachable,
             self._on_target_notice,
             self.body_budget,
+            self._on_target_disconnected,
         )
         self.key_requests = KeyRequestClient(
             f"key-requests-{self.local_address}",
@@ -260,6 +262,9 @@
         )
         self.admission_queue.refusals = self.request_log.metrics.refusals
         self.admission_queue.returns = self.request_log.metrics.returns
+        self.admission_queue.warmup = Warmup(
+            ColdBounds(settings.cold_factor, settings.cold_slack)
+        )
         self.chooser = TargetChooser(
             self.local_address,
             settings.region,
@@ -446,6 +451,7 @@
         self.liveness.watch(now, self.links.awaited_peers())
         self.sessions.cancel_orphans()
         self._check_target(now)
+        self._update_rate_limit(now)
         self._request_keys(now)
         self.admission_queue.expire(now)
         self._push_suspect_updates(now)
