Name the step that moves keys out of evacuated domains

The list now has that one more entry; all earlier names and their order are as before, so the test is as strict.

--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -264,6 +264,7 @@
                 "renew_fence",
                 "renew_runs",
                 "leave",
+                "evacuate",
                 "take_over",
                 "replace_reused",
                 "choose_guardians",
