--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -8,8 +8,8 @@
 
 import itertools
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -82,6 +82,8 @@
         Whether its answers say that it leaves.
     crash_path : str
         Start of the paths of requests under which it crashes; empty for none.
+    padding_by_path : mapping of str to int
+        Number of bytes that are added to the answers, by the start of the path.
     """
 
     work_s: Seconds = 0.01
@@ -94,6 +96,7 @@
     stated_rate: str = ""
     announces_leaving: bool = False
     crash_path: str = ""
+    padding_by_path: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -305,7 +308,8 @@
                 self.crash()
                 self._on_crash(self)
             else:
-                self._answer(request_id, platform_request_id, raw.body)
+                body = raw.body + self._padding(raw.path)
+                self._answer(request_id, platform_request_id, body)
 
         end_timer = TimerCallback(end_run)
         self._timers.at(time.monotonic() + self.behaviour.work_s, end_timer)
@@ -363,6 +367,10 @@
             return Response(HTTPStatus.SERVICE_UNAVAILABLE, not_run)
         return None
 
+    def _padding(self, path: str) -> bytes:
+        sizes = self.behaviour.padding_by_path.items()
+        return bytes(sum(size for start, size in sizes if path.startswith(start)))
+
     def _notice_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers in which the target says what state it is in."""
         headers = []
--- /dev/null
+++ b/tests/untrusted/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that are not controlled, against routers as processes."""
