Bound what a router holds for clients that do not read or do not finish

Cause: answers that callers do not read were buffered without a bound, a caller could pipeline requests without reading, a body was held up to three times while it was encoded for a peer, and descriptors were not bounded by the settings.

Change: - BodyBudget counts a body once however many hold it (hold, drop), also bodies that wait to be sent; outcomes kept for a broken peer session count too. - Over the limit the connection that holds most for longest yields (relieve): an unread answer ends its connection, a body in part is refused with 408. - No request of a connection is read or handled while over 64 KiB of its answers are unsent or 16 of its requests wait. A connection that accepts nothing for idle_timeout is closed; a head that takes over header_timeout gets 408. - At the limit of connections the oldest one without a whole request gives way. Callers have at most max_fds - 200 connections. - Large bodies are written beside their heads and frames instead of joined with them, and frames are inflated 256 KiB at a time. - An answer for which the budget has no room on the way to a peer becomes "outcome unknown"; its request has run.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -16,12 +16,13 @@
     RequestReader,
     WireError,
     encode_response,
+    encode_response_head,
 )
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import RawRequest, refusal
-from rhubarbhall.core.traffic.body_budget import BodyBudget
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
 
 if TYPE_CHECKING:
     import socket
@@ -31,6 +32,10 @@
 
 #: Limit of the requests of one connection that wait for the one being handled.
 MAX_PIPELINED = 32
+#: Unsent bytes above which no further request of a connection is read or handled.
+MAX_UNSENT_BYTES = 64 * 1024
+#: Requests that wait on a connection above which no more are read.
+MAX_READ_AHEAD = 16
 #: Time without bytes after which a draining server closes a connection, in seconds:
 #: longer than a caller on the same VM takes to send its first request.
 MIN_IDLE_S = 0.1
@@ -59,6 +64,8 @@
         Parser of the received bytes.
     peer : str
         IP address of the caller.
+    opened_at : float
+        When the connection was opened.
     last_active_at : float
         When bytes were last received or an answer was last written.
     waiting : deque of ParsedRequest
@@ -67,6 +74,12 @@
         The request being handled.
     request_id : int, optional
         Id of the request being handled.
+    message_since : float, optional
+        When the first bytes of the request were received that is received in part.
+    has_been_used : bool
+        Whether a whole request was received.
+    is_paused : bool
+        Whether nothing is read for the present.
     closing : bool
         Whether received bytes are ignored because the connection is about to be closed.
     lingers_until : float, optional
@@ -75,10 +88,14 @@
 
     reader: RequestReader
     peer: str
+    opened_at: Seconds
     last_active_at: Seconds
     waiting: deque[ParsedRequest] = field(default_factory=deque)
     current: ParsedRequest | None = None
     request_id: RequestId | None = None
+    message_since: Seconds | None = None
+    has_been_used: bool = False
+    is_paused: bool = False
     closing: bool = False
     lingers_until: Seconds | None = None
 
@@ -121,10 +138,12 @@
         super().__init__(bind, channel)
         self._sink = sink
         self._limits = limits
-        self._budget = budget or BodyBudget()
+        self._budget = self.budget = budget or BodyBudget()
         self._connection_by_sock: dict[socket.socket, _Connection] = {}
         self._sock_by_request: dict[RequestId, socket.socket] = {}
         self._request_ids = itertools.count(1)
+        #: The connection whose bytes are being parsed, which must not be closed.
+        self._receiving: socket.socket | None = None
         self.draining = False
 
     def limit(self, limits: CallerLimits) -> None:
@@ -144,31 +163,61 @@
         return len(self._connection_by_sock)
 
     def on_accepted(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        """Start reading a new connection, or refuse it beyond the limit."""
-        if len(self._connection_by_sock) >= self._limits.connections:
+        """Start reading a new connection, or refuse it beyond the limit.
+
+        At the limit the oldest connection gives way that has not brought a whole
+        request, if it had time for one.
+        """
+        is_full = len(self._connection_by_sock) >= self._limits.connections
+        if is_full and not self._drop_unused():
             too_many = refusal(ErrorKind.TOO_MANY_CONNECTIONS)
             self.send(sock, encode_response(too_many, keep_alive=False))
             self.finish(sock)
             return
         limits = self._limits
         reader = RequestReader(limits.max_head, limits.max_body, self._budget)
-        self._connection_by_sock[sock] = _Connection(reader, peer[0], time.monotonic())
+        now = time.monotonic()
+        self._connection_by_sock[sock] = _Connection(reader, peer[0], now, now)
+
+    def _drop_unused(self) -> bool:
+        """Close the oldest connection without a whole request; return if there is one.
+
+        Connections are kept in the order in which they were opened.
+        """
+        opened_before = time.monotonic() - min(self._limits.idle_s, self._limits.head_s)
+        for sock, connection in self._connection_by_sock.items():
+            if connection.opened_at > opened_before:
+                return False
+            if not connection.has_been_used and not connection.reader.body_size:
+                self.drop(sock)
+                return True
+        return False
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """Handle received bytes of requests."""
         connection = self._connection_by_sock.get(sock)
         if connection is None or connection.closing:
             return
-        connection.last_active_at = time.monotonic()
+        now = connection.last_active_at = time.monotonic()
         reader = connection.reader
+        if connection.message_since is None:
+            connection.message_since = now
+        self._receiving = sock
         try:
             reader.feed(data)
         except WireError as error:
             self._reject(sock, connection, error.kind)
             return
+        finally:
+            self._receiving = None
         if reader.wants_continue:
             reader.wants_continue = False
             self.send(sock, _CONTINUE)
+        if reader.finished:
+            connection.has_been_used = True
+            connection.message_since = now
+        if not reader.in_message:
+            connection.message_since = None
         connection.waiting.extend(reader.finished)
         reader.finished.clear()
         if len(connection.waiting) > MAX_PIPELINED:
@@ -194,7 +243,11 @@
             self.finish_sending(sock)
 
     def _start_next(self, sock: socket.socket, connection: _Connection) -> None:
-        while connection.current is None and connection.waiting:
+        while (
+            connection.current is None
+            and connection.waiting
+            and self._unsent_size(sock) <= MAX_UNSENT_BYTES
+        ):
             parsed = connection.waiting.popleft()
             connection.current = parsed
             request_id = next(self._request_ids)
@@ -208,6 +261,35 @@
                 connection.peer,
             )
             self._sink.take(request_id, raw)
+        self._pause_or_resume(sock, connection)
+
+    def _unsent_size(self, sock: socket.socket) -> int:
+        unsent = self.unsent(sock)
+        return 0 if unsent is None else unsent.size
+
+    def _pause_or_resume(self, sock: socket.socket, connection: _Connection) -> None:
+        """Read no more from a caller that does not read its answers, for the present.
+
+        The same holds while many of its requests wait. Each of them and each answer
+        takes memory.
+        """
+        is_paused = not connection.closing and (
+            self._unsent_size(sock) > MAX_UNSENT_BYTES
+            or len(connection.waiting) >= MAX_READ_AHEAD
+        )
+        if is_paused == connection.is_paused or sock not in self._clients:
+            return
+        connection.is_paused = is_paused
+        if is_paused:
+            self._poller.removeReader(sock)
+        else:
+            self._poller.addReader(self, sock)
+
+    def on_sent(self, sock: socket.socket) -> None:
+        """Handle the next request of a caller that reads its answers again."""
+        connection = self._connection_by_sock.get(sock)
+        if connection is not None and not connection.closing:
+            self._start_next(sock, connection)
 
     def sock_of(self, request_id: RequestId) -> socket.socket | None:
         """Return the connection of a request; None once it is answered or closed."""
@@ -220,6 +302,8 @@
         if connection is not None:
             self._write_answer(sock, connection, response)
             self._start_next(sock, connection)
+            if self._unsent_size(sock) > SMALL_BODY_BYTES:
+                self._budget.relieve()
 
     def _write_answer(
         self, sock: socket.socket, connection: _Connection, response: Response
@@ -231,7 +315,11 @@
         connection.last_active_at = time.monotonic()
         keep = parsed.keep_alive and not self.draining and not connection.closing
         head_only = parsed.method == "HEAD"
-        self.send(sock, encode_response(response, keep, head_only))
+        if len(response.body) > SMALL_BODY_BYTES and not head_only:
+            head = encode_response_head(response, keep)
+            self.send_parts(sock, (head, response.body), response.body)
+        else:
+            self.send(sock, encode_response(response, keep, head_only))
         if keep:
             return
         connection.closing = True
@@ -258,15 +346,27 @@
         """Close connections without progress for too long.
 
         In the middle of a request at most `CallerLimits.idle_s` may pass without
-        received bytes; a connection without a request is kept for
-        `CallerLimits.keep_s`.
+        received bytes, and `CallerLimits.head_s` until the end of its head; a
+        connection without a request, or with answers of which it accepts nothing, is
+        kept for `CallerLimits.keep_s`.
         """
         now = time.monotonic()
         for sock, connection in list(self._connection_by_sock.items()):
             idle_s = now - connection.last_active_at
+            unsent = self.unsent(sock)
+            if unsent is not None:
+                idle_s = now - max(connection.last_active_at, unsent.progress_at)
+                if now - unsent.progress_at > self._limits.keep_s:
+                    self.drop(sock)
+                    continue
             if connection.current is not None:
                 continue
-            if connection.lingers_until is not None:
+            if self._is_head_late(now, connection):
+                # The rest may have arrived while this process did something else.
+                self._read(sock)
+                if self._is_head_late(now, connection) and sock in self._clients:
+                    self._reject(sock, connection, ErrorKind.REQUEST_TIMEOUT)
+            elif connection.lingers_until is not None:
                 if now >= connection.lingers_until:
                     self.drop(sock)
             elif connection.reader.in_message and idle_s > self._limits.idle_s:
@@ -274,6 +374,62 @@
             elif idle_s > self._limits.keep_s:
                 self.drop(sock)
 
+        self._budget.relieve()
+
+    def _is_head_late(self, now: Seconds, connection: _Connection) -> bool:
+        return (
+            connection.message_since is not None
+            and connection.current is None
+            and not connection.closing
+            and connection.reader.in_head
+            and now - connection.message_since > self._limits.head_s
+        )
+
+    def relieve(self, age_s: Seconds) -> bool:
+        """Close the connection that holds the most bytes for the longest time.
+
+        Counted are answers that are not accepted and bodies received in part, above
+        `SMALL_BODY_BYTES`. The request of such an answer has run; that of such a body
+        is refused as not run.
+
+        Parameters
+        ----------
+        age_s : float
+            Minimum time for which they have been held, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a connection was closed or its request refused.
+        """
+        now = time.monotonic()
+        worst, most = None, 0.0
+        for sock, connection in self._connection_by_sock.items():
+            size, since = self._held(sock, connection)
+            held_s = now - since
+            if sock is self._receiving or size <= SMALL_BODY_BYTES:
+                continue
+            if held_s >= age_s:
+                if worst is None or size * held_s > most:
+                    worst, most = sock, size * held_s
+        if worst is None:
+            return False
+        connection = self._connection_by_sock[worst]
+        if self.unsent(worst) is not None:
+            self.drop(worst)
+        else:
+            self._reject(worst, connection, ErrorKind.REQUEST_TIMEOUT)
+        return True
+
+    def _held(
+        self, sock: socket.socket, connection: _Connection
+    ) -> tuple[int, Seconds]:
+        """Return how many bytes a connection holds, and since when."""
+        unsent = self.unsent(sock)
+        if unsent is not None:
+            return unsent.size, unsent.since
+        return connection.reader.body_size, connection.last_active_at
+
     def close_idle(self) -> None:
         """Close the connections without a pending request.
 
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -198,6 +198,8 @@
         Whole requests that the user has not removed yet.
     in_message : bool
         Whether a request has been received in part.
+    in_head : bool
+        Whether the head of a request has been received in part.
     wants_continue : bool
         Whether a caller waits for ``100 Continue``; reset by the user.
     """
@@ -210,6 +212,7 @@
         super().__init__(max_head, max_body)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
+        self.in_head = False
         self.finished: list[ParsedRequest] = []
         self.wants_continue = False
 
@@ -221,6 +224,7 @@
         """Discard the state of the previous message."""
         super().on_message_begin()
         self._url = b""
+        self.in_head = True
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the path."""
@@ -229,6 +233,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the headers before the body is received."""
+        self.in_head = False
         for name, value in self._headers:
             if name.lower() == "content-length":
                 self._check_length(int(value))
@@ -238,7 +243,7 @@
     def _check_length(self, length: int) -> None:
         if length > self._max_body:
             raise WireError(ErrorKind.BODY_TOO_LARGE)
-        if length > SMALL_BODY_BYTES and not self._budget.has_room(length):
+        if length > SMALL_BODY_BYTES and not self._budget.make_room(length):
             raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
 
     def on_body(self, data: bytes) -> None:
@@ -270,12 +275,15 @@
         except UnicodeDecodeError:
             raise WireError(ErrorKind.MALFORMED_REQUEST) from None
         reservation, self._reservation = self._reservation, None
+        body = self._take_body()
+        if reservation is not None:
+            reservation.settle(body)
         self.finished.append(
             ParsedRequest(
                 self._parser.get_method().decode("ascii"),
                 path,
                 tuple(self._headers),
-                self._take_body(),
+                body,
                 self._parser.should_keep_alive(),
                 reservation,
             )
@@ -354,7 +362,18 @@
     headers: tuple[tuple[str, str], ...],
     body: bytes,
 ) -> bytes:
-    """Return the bytes of a request.
+    """Return the bytes of a request; see `encode_request_head`."""
+    return encode_request_head(method, path, host, headers, body) + body
+
+
+def encode_request_head(
+    method: str,
+    path: str,
+    host: str,
+    headers: tuple[tuple[str, str], ...],
+    body: bytes,
+) -> bytes:
+    """Return the bytes of a request before its body.
 
     Parameters
     ----------
@@ -371,7 +390,7 @@
     lines += [f"{name}: {value}" for name, value in headers]
     if body or method not in ("GET", "HEAD"):
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
 
 
 def _has_length(response: Response, without_body: bool) -> bool:
@@ -384,7 +403,15 @@
 def encode_response(
     response: Response, keep_alive: bool, without_body: bool = False
 ) -> bytes:
-    """Return the bytes of a response.
+    """Return the bytes of a response; see `encode_response_head`."""
+    head = encode_response_head(response, keep_alive, without_body)
+    return head if without_body else head + response.body
+
+
+def encode_response_head(
+    response: Response, keep_alive: bool, without_body: bool = False
+) -> bytes:
+    """Return the bytes of a response before its body.
 
     Parameters
     ----------
@@ -402,8 +429,7 @@
         lines.append(f"Content-Length: {len(response.body)}")
     if not keep_alive:
         lines.append("Connection: close")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
-    return head if without_body else head + response.body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
 
 
 class ResponseStreamReader(_MessageReader):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -44,7 +44,7 @@
     encode_key,
     flatten_headers,
 )
-from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.peer_selection import relay_plan
@@ -432,7 +432,12 @@
         self._handler.on_link_changed(link.address, True)
 
     def _send(self, link: PeerLink, frame: Frame) -> None:
-        self.dialer.send(link.sock, link.writer.encode(frame))
+        body = stored_body(frame)
+        if body is None:
+            self.dialer.send(link.sock, link.writer.encode(frame))
+        else:
+            parts = link.writer.encode_parts(frame)
+            self.dialer.send_parts(link.sock, parts, body)
 
     # Requests to peers
 
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -25,13 +25,14 @@
     RenewLease,
     ReplacementRequest,
     ReplacementVote,
+    Reply,
     Resume,
     ShutdownNotice,
     SuspectsPush,
     SyncRequest,
 )
 from rhubarbhall.adapters.peer_outcomes import decode_key, encode_outcome, pair_headers
-from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -180,7 +181,13 @@
         """Bytes that wait to be sent, and those of frames received in part."""
         readers = (each.reader for each in self._session_by_sock.values())
         received = sum(reader.buffered_bytes for reader in readers)
-        return self.acceptor.unsent_bytes + received
+        kept = sum(
+            len(frame.body)
+            for session in self._broken_by_peer.values()
+            for frame in session.undelivered.values()
+            if isinstance(frame, Reply)
+        )
+        return self.acceptor.unsent_bytes + received + kept
 
     @property
     def has_undelivered(self) -> bool:
@@ -232,7 +239,12 @@
 
     def _send(self, session: Session, frame: Frame) -> None:
         if session.sock is not None:
-            self.acceptor.send(session.sock, session.writer.encode(frame))
+            body = stored_body(frame)
+            if body is None:
+                self.acceptor.send(session.sock, session.writer.encode(frame))
+            else:
+                parts = session.writer.encode_parts(frame)
+                self.acceptor.send_parts(session.sock, parts, body)
 
     def _on_frame(self, session: Session, frame: Frame) -> None:
         if isinstance(frame, Forward):
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -17,8 +17,7 @@
 from rhubarbhall.adapters.peer_frames import Forward, Frame, Reply
 from rhubarbhall.decoding import decode
 
-#: Limit of an encoded frame and of the bytes inflated at a time; a request's largest
-#: body fits together with its headers.
+#: Limit of an encoded frame; a request's largest body fits together with its headers.
 MAX_FRAME_BYTES = 72 << 20
 #: Limit of a record's value that is compressed on its own.
 MAX_VALUE_BYTES = 16 << 20
@@ -36,6 +35,9 @@
 STORED_BODY_BYTES = 128 * 1024
 #: Largest content of a stored block of a deflate stream.
 STORED_BLOCK_BYTES = 0xFFFF
+#: Bytes that are inflated before the frames in them are decoded: a few bytes received
+#: may inflate to a thousand times as many.
+INFLATE_STEP_BYTES = 256 * 1024
 
 _LENGTH = struct.Struct(">I")
 #: Head of a stored block that is not the last one: its type, length and the complement.
@@ -44,6 +46,32 @@
 _DECODER = msgspec.msgpack.Decoder(Frame)
 
 
+#: Heads of MessagePack: an array of up to 15 items, a longer one, and bytes.
+_SHORT_ARRAY, _MAX_SHORT_ARRAY = 0x90, 15
+_ARRAY_HEAD = struct.Struct(">BH")
+_ARRAY = 0xDC
+_BYTES_HEAD = struct.Struct(">BI")
+_BYTES = 0xC6
+
+
+def _around_body(frame: Forward | Reply) -> tuple[bytes, bytes]:
+    """Return the encoded bytes of a frame before and after those of its body.
+
+    The encoder of whole frames would copy the body.
+    """
+    names = frame.__struct_fields__
+    items = [frame.__struct_config__.tag, *(getattr(frame, name) for name in names)]
+    index = 1 + names.index("body")
+    count = len(items)
+    if count <= _MAX_SHORT_ARRAY:
+        head = bytes([_SHORT_ARRAY | count])
+    else:
+        head = _ARRAY_HEAD.pack(_ARRAY, count)
+    before = b"".join(map(_ENCODER.encode, items[:index]))
+    after = b"".join(map(_ENCODER.encode, items[index + 1 :]))
+    return head + before + _BYTES_HEAD.pack(_BYTES, len(frame.body)), after
+
+
 def _stored_blocks(data: bytes) -> Iterator[bytes | memoryview]:
     """Yield the parts of a deflate stream that stand for data as it is."""
     view = memoryview(data)
@@ -54,6 +82,13 @@
         yield block
 
 
+def stored_body(frame: Frame) -> bytes | None:
+    """Return the body of a frame that is large enough to be stored as it is."""
+    if isinstance(frame, Forward | Reply) and len(frame.body) >= STORED_BODY_BYTES:
+        return frame.body
+    return None
+
+
 class FrameWriter:
     """Encodes the frames of one direction of a connection.
 
@@ -71,14 +106,25 @@
 
     def encode(self, frame: Frame) -> bytes:
         """Return the bytes of the next frame, which the receiver can decode at once."""
+        return b"".join(self.encode_parts(frame))
+
+    def encode_parts(self, frame: Frame) -> list[bytes | memoryview]:
+        """Return the bytes of the next frame in parts; a large body is not copied."""
+        if stored_body(frame) is not None:
+            return self._encode_stored(frame)
         data = _ENCODER.encode(frame)
-        head = self._deflate.compress(_LENGTH.pack(len(data)))
-        if isinstance(frame, Forward | Reply) and len(frame.body) >= STORED_BODY_BYTES:
-            # What is compressed later refers to nothing before this point.
-            head += self._deflate.flush(zlib.Z_FULL_FLUSH)
-            return b"".join((head, *_stored_blocks(data)))
-        compressed = head + self._deflate.compress(data)
-        return compressed + self._deflate.flush(zlib.Z_SYNC_FLUSH)
+        compressed = self._deflate.compress(_LENGTH.pack(len(data)))
+        compressed += self._deflate.compress(data)
+        return [compressed + self._deflate.flush(zlib.Z_SYNC_FLUSH)]
+
+    def _encode_stored(self, frame: Forward | Reply) -> list[bytes | memoryview]:
+        before, after = _around_body(frame)
+        size = len(before) + len(frame.body) + len(after)
+        head = self._deflate.compress(_LENGTH.pack(size) + before)
+        # What is compressed later refers to nothing before this point.
+        head += self._deflate.flush(zlib.Z_FULL_FLUSH)
+        end = self._deflate.compress(after) + self._deflate.flush(zlib.Z_SYNC_FLUSH)
+        return [head, *_stored_blocks(frame.body), end]
 
 
 class FrameReader:
@@ -106,7 +152,15 @@
         ValueError
             If the bytes are not valid frames; the connection has to be closed.
         """
-        self._buffer += self._inflate_bytes(data)
+        while True:
+            inflated = self._inflate_bytes(data)
+            data = self._inflate.unconsumed_tail
+            self._buffer += inflated
+            yield from self._take_frames()
+            if len(inflated) < INFLATE_STEP_BYTES and not data:
+                return
+
+    def _take_frames(self) -> Iterator[Frame]:
         while len(self._buffer) >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(self._buffer)
             if size > MAX_FRAME_BYTES:
@@ -121,11 +175,9 @@
 
     def _inflate_bytes(self, data: bytes) -> bytes:
         try:
-            inflated = self._inflate.decompress(data, MAX_FRAME_BYTES)
+            inflated = self._inflate.decompress(data, INFLATE_STEP_BYTES)
         except zlib.error as error:
             raise ValueError(f"received bytes cannot be inflated: {error}") from error
-        if self._inflate.unconsumed_tail:
-            raise ValueError(f"over {MAX_FRAME_BYTES} bytes inflated from {len(data)}")
         if self._inflate.eof:
             raise ValueError("the compressed stream ended before its connection")
         return inflated
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -9,20 +9,29 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
+import time
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from errno import EAGAIN, EINPROGRESS, EINTR, EWOULDBLOCK
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 
+if TYPE_CHECKING:
+    from rhubarbhall.core.traffic.body_budget import BodyBudget
+    from rhubarbhall.types import Seconds
+
 #: Limit of the bytes that one read takes.
 READ_BYTES = 64 * 1024
 #: Limit of the connections that wait to be accepted.
 BACKLOG = 5000
+#: Limit of the buffered parts that one write passes to the socket.
+MAX_GATHERED_PARTS = 32
 _RETRY_ERRORS = (EAGAIN, EWOULDBLOCK, EINTR)
 
 
@@ -30,9 +39,42 @@
 _Data: TypeAlias = bytes | memoryview
 
 
-def _held_bytes(data: _Data) -> int:
-    """Return how many bytes are kept in memory for the rest that is to be sent."""
-    return len(data.obj) if isinstance(data, memoryview) else len(data)
+@dataclass(slots=True)
+class _Part:
+    """Bytes that wait to be sent.
+
+    Parameters
+    ----------
+    data : bytes or memoryview
+        The rest of them.
+    held_bytes : int
+        Bytes that are kept in memory until the rest is sent.
+    body : bytes, optional
+        Body that is held in the budget until the rest is sent.
+    """
+
+    data: _Data
+    held_bytes: int
+    body: bytes | None = None
+
+
+@dataclass(slots=True)
+class Unsent:
+    """What a connection has not accepted yet.
+
+    Parameters
+    ----------
+    since : float
+        When it last had accepted everything, by the monotonic clock.
+    progress_at : float
+        When it last accepted bytes, by the monotonic clock.
+    size : int
+        Number of the bytes that are left.
+    """
+
+    since: Seconds
+    progress_at: Seconds
+    size: int = 0
 
 
 class _DirectIo(BaseComponent):
@@ -52,8 +94,11 @@
         self._closing: set[socket.socket] = set()
         #: Sockets whose sending direction ends once all buffered bytes are written.
         self._half_closing: set[socket.socket] = set()
-        self._buffers: dict[socket.socket, deque[_Data]] = defaultdict(deque)
-        #: Bytes in memory that wait to be sent.
+        self._buffers: dict[socket.socket, deque[_Part]] = defaultdict(deque)
+        self._unsent_by_sock: dict[socket.socket, Unsent] = {}
+        #: Where bodies that wait to be sent are counted, if set.
+        self.budget: BodyBudget | None = None
+        #: Bytes in memory that wait to be sent, besides bodies held in the budget.
         self.unsent_bytes = 0
         self._poller: BasePoller | None = None
 
@@ -81,23 +126,54 @@
     def _on_write(self, sock: socket.socket) -> None:
         buffer = self._buffers.get(sock)
         if buffer:
-            self._send_first(sock, buffer)
-        if self._buffers.get(sock) or sock not in self._clients:
+            self._flush(sock, buffer)
+        if sock not in self._clients:
             return
+        if self._buffers.get(sock):
+            self.on_sent(sock)
+            return
+        self._unsent_by_sock.pop(sock, None)
         if sock in self._closing:
             self.drop(sock)
             return
         self._poller.removeWriter(sock)
         if sock in self._half_closing:
             self._half_close(sock)
+        self.on_sent(sock)
 
-    def _send_first(self, sock: socket.socket, buffer: deque[_Data]) -> None:
-        data = buffer.popleft()
-        unsent = self._send_now(sock, data)
-        if unsent:
-            buffer.appendleft(unsent)
-        else:
-            self.unsent_bytes -= _held_bytes(data)
+    def _flush(self, sock: socket.socket, buffer: deque[_Part]) -> None:
+        """Write as many buffered bytes as the socket accepts; close it on an error."""
+        parts = list(itertools.islice(buffer, MAX_GATHERED_PARTS))
+        try:
+            count = sock.sendmsg([part.data for part in parts])
+        except OSError as error:
+            if error.errno not in _RETRY_ERRORS:
+                self.drop(sock)
+            return
+        unsent = self._unsent_by_sock[sock]
+        unsent.progress_at = time.monotonic()
+        unsent.size -= count
+        for part in parts:
+            size = len(part.data)
+            if count < size:
+                # A view: copies of a large body would take its size each time.
+                part.data = memoryview(part.data)[count:]
+                return
+            count -= size
+            buffer.popleft()
+            self._free(part)
+
+    def _free(self, part: _Part) -> None:
+        self.unsent_bytes -= part.held_bytes
+        if part.body is not None:
+            self.budget.drop(part.body)
+
+    def unsent(self, sock: socket.socket) -> Unsent | None:
+        """Return what a connection has not accepted yet; None if nothing."""
+        return self._unsent_by_sock.get(sock)
+
+    def on_sent(self, sock: socket.socket) -> None:
+        """Handle that a connection has accepted buffered bytes."""
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """Handle bytes received on a connection."""
@@ -142,19 +218,59 @@
 
     def send(self, sock: socket.socket, data: bytes) -> None:
         """Write as much of `data` as the socket accepts now and buffer the rest."""
+        self.send_parts(sock, (data,))
+
+    def send_parts(
+        self, sock: socket.socket, parts: Sequence[_Data], body: bytes | None = None
+    ) -> None:
+        """Write as many bytes as the socket accepts now and buffer the rest.
+
+        Parameters
+        ----------
+        sock : socket
+            The connection.
+        parts : sequence of bytes or memoryview
+            What to write, in order.
+        body : bytes, optional
+            A body that some of the parts are views of. It stays in memory until all
+            of them are sent, and is counted in the budget until then, if there is one.
+        """
         if sock not in self._clients:
             return
         buffer = self._buffers.get(sock)
-        if buffer:
-            buffer.append(data)
-            self.unsent_bytes += len(data)
+        rest = list(parts)
+        total = sum(map(len, rest))
+        while rest and not buffer:
+            unsent = self._send_now(sock, rest[0])
+            if sock not in self._clients:
+                return
+            if unsent:
+                rest[0] = unsent
+                break
+            del rest[0]
+        if not rest:
             return
-        unsent = self._send_now(sock, data)
-        if unsent:
-            self._buffers[sock].append(unsent)
-            self.unsent_bytes += len(data)
-            if not self._poller.isWriting(sock):
-                self._poller.addWriter(self, sock)
+        if body is not None and self.budget is not None:
+            total -= len(body)
+            self.budget.hold(body)
+        else:
+            body = None
+        self._buffer(sock, rest, total, body)
+
+    def _buffer(
+        self, sock: socket.socket, rest: list[_Data], total: int, body: bytes | None
+    ) -> None:
+        """Buffer parts; what they hold is given back together with the last one."""
+        buffer = self._buffers[sock]
+        if not buffer:
+            now = time.monotonic()
+            self._unsent_by_sock[sock] = Unsent(now, now)
+        self._unsent_by_sock[sock].size += sum(map(len, rest))
+        buffer.extend(_Part(data, 0) for data in rest[:-1])
+        buffer.append(_Part(rest[-1], total, body))
+        self.unsent_bytes += total
+        if not self._poller.isWriting(sock):
+            self._poller.addWriter(self, sock)
 
     @property
     def has_unsent(self) -> bool:
@@ -205,8 +321,9 @@
 
     def _close(self, sock: socket.socket) -> None:
         self._poller.discard(sock)
-        for data in self._buffers.pop(sock, ()):
-            self.unsent_bytes -= _held_bytes(data)
+        for part in self._buffers.pop(sock, ()):
+            self._free(part)
+        self._unsent_by_sock.pop(sock, None)
         self._clients.discard(sock)
         self._closing.discard(sock)
         self._half_closing.discard(sock)
--- a/rhubarbhall/caller_limits.py
+++ b/rhubarbhall/caller_limits.py
@@ -18,7 +18,10 @@
     idle_s : float
         Maximum time without data within a request, in seconds.
     keep_s : float
-        Time after which an unused connection is closed, in seconds.
+        Time after which an unused connection is closed, and one that accepts nothing of
+        its answers, in seconds.
+    head_s : float
+        Maximum time from the first byte of a head to its end, in seconds.
     """
 
     connections: int = 2_000
@@ -26,3 +29,4 @@
     max_body: int = 1 << 20
     idle_s: float = 10.0
     keep_s: float = 60.0
+    head_s: float = 30.0
--- a/rhubarbhall/core/traffic/body_budget.py
+++ b/rhubarbhall/core/traffic/body_budget.py
@@ -2,6 +2,7 @@
 
 Counted are the bodies of requests, received in part or whole, until their outcome, and
 what sources report: bytes that wait to be sent and answers that are being received.
+Beyond the limit, reliefs give up the connections that hold most for longest.
 """
 
 from __future__ import annotations
@@ -11,6 +12,14 @@
 #: Size up to which a body is taken whatever else is held, so that large bodies do not
 #: keep out small ones, in bytes.
 SMALL_BODY_BYTES = 16 * 1024
+#: Age from which what a connection holds yields to a new body that has no room, and
+#: to answers that are ready, in seconds. A caller on the same VM reads an answer within
+#: milliseconds.
+YIELD_TO_BODY_S = 2.0
+YIELD_TO_ANSWER_S = 0.1
+#: Part of the limit beyond which connections yield whatever their age: together with
+#: the program itself (a fifth) it fits into the memory that the limit is a third of.
+HARD_LIMIT_SHARE = 1.25
 
 
 class BodyReservation:
@@ -22,25 +31,36 @@
         Where the room is taken.
     """
 
-    __slots__ = ("_budget", "_bytes")
+    __slots__ = ("_body", "_budget", "_bytes")
 
     def __init__(self, budget: BodyBudget) -> None:
         self._budget = budget
         self._bytes = 0
+        self._body: bytes | None = None
 
     def grow(self, count: int) -> bool:
         """Take more room and return whether there is enough; else take none."""
         size = self._bytes + count
-        if size > SMALL_BODY_BYTES and not self._budget.has_room(count):
+        if size > SMALL_BODY_BYTES and not self._budget.make_room(count):
             return False
         self._bytes = size
         self._budget.reserved += count
         return True
 
+    def settle(self, body: bytes) -> None:
+        """Hold the whole body from now on, once with all others who hold it."""
+        self._budget.reserved -= self._bytes
+        self._bytes = 0
+        self._body = body
+        self._budget.hold(body)
+
     def release(self) -> None:
         """Give the room back; a second call has no effect."""
         self._budget.reserved -= self._bytes
         self._bytes = 0
+        body, self._body = self._body, None
+        if body is not None:
+            self._budget.drop(body)
 
     def __del__(self) -> None:
         self.release()
@@ -64,11 +84,41 @@
         self.limit = limit
         self.reserved = 0
         self._sources: list[Callable[[], int]] = []
+        self._reliefs: list[Callable[[float], bool]] = []
+        #: Number of holders of each body, by its identity.
+        self._holders: dict[int, int] = {}
 
     def add_source(self, count: Callable[[], int]) -> None:
         """Add a function that returns a number of bytes which also count."""
         self._sources.append(count)
 
+    def add_relief(self, free: Callable[[float], bool]) -> None:
+        """Add a function that closes the connection which holds most for longest.
+
+        It takes the age from which a connection yields, in seconds, and returns whether
+        it has closed one.
+        """
+        self._reliefs.append(free)
+
+    def hold(self, body: bytes) -> None:
+        """Count a body; one that is held several times takes its room once.
+
+        The holder keeps a reference to the body until it calls `drop`.
+        """
+        holders = self._holders.get(id(body), 0)
+        if not holders:
+            self.reserved += len(body)
+        self._holders[id(body)] = holders + 1
+
+    def drop(self, body: bytes) -> None:
+        """Count a body no longer for one of its holders."""
+        holders = self._holders[id(body)] - 1
+        if holders:
+            self._holders[id(body)] = holders
+        else:
+            del self._holders[id(body)]
+            self.reserved -= len(body)
+
     @property
     def used(self) -> int:
         """Number of bytes that are held."""
@@ -77,3 +127,20 @@
     def has_room(self, count: int) -> bool:
         """Return whether a number of bytes may be added."""
         return self.used + count <= self.limit
+
+    def make_room(self, count: int) -> bool:
+        """Return whether a number of bytes may be added, after others have yielded."""
+        if count > self.limit:
+            return False
+        while not self.has_room(count):
+            if not any(free(YIELD_TO_BODY_S) for free in self._reliefs):
+                return False
+        return True
+
+    def relieve(self) -> None:
+        """Let connections yield until the limit is met, or none is left that may."""
+        while (used := self.used) > self.limit:
+            is_hard = used > HARD_LIMIT_SHARE * self.limit
+            age_s = 0.0 if is_hard else YIELD_TO_ANSWER_S
+            if not any(free(age_s) for free in self._reliefs):
+                return
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -34,6 +34,7 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = DEFAULT_MEMORY_MB
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] | None = None
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -91,6 +92,8 @@
         heartbeats.
     memory_bytes : float
         Memory above which the platform kills the process.
+    max_descriptors : int, optional
+        Limit of the open descriptors of the process; None if it is not stated.
     """
 
     vm: str
@@ -110,6 +113,7 @@
     grace_s: float
     grants_by_request: bool = False
     memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
+    max_descriptors: int | None = None
 
 
 def _bounds(lines: list[str]) -> dict[str, str]:
@@ -152,6 +156,7 @@
             grace_s=parse_time(bounds.get("grace", "6s")),
             grants_by_request=_grants_by_request(file.grants),
             memory_bytes=file.limits.memory_mb * BYTES_PER_MB,
+            max_descriptors=file.limits.max_fds,
         )
     except ValueError as error:
         raise ConfigurationError([f"settings: {error}"]) from error
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -13,7 +13,7 @@
 from rhubarbhall.adapters.http_wire import (
     ResponseStreamReader,
     WireError,
-    encode_request,
+    encode_request_head,
 )
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
@@ -195,7 +195,7 @@
         budget: BodyBudget | None = None,
     ) -> None:
         super().__init__(channel)
-        self._budget = budget or BodyBudget()
+        self._budget = self.budget = budget or BodyBudget()
         self._budget.add_source(lambda: self.received_bytes + self.unsent_bytes)
         self.address = address
         self._on_notice = on_notice
@@ -253,9 +253,14 @@
         connection.exchange = exchange
         exchange.sock = sock
         exchange.is_written = True
-        Connector.send(self, sock, self._encode(exchange.request, now))
+        request = exchange.request
+        head = self._encode_head(request, now)
+        if len(request.body) > SMALL_BODY_BYTES:
+            self.send_parts(sock, (head, request.body), request.body)
+        else:
+            Connector.send(self, sock, head + request.body)
 
-    def _encode(self, request: RoutedRequest, now: Seconds) -> bytes:
+    def _encode_head(self, request: RoutedRequest, now: Seconds) -> bytes:
         remaining_ms = max(1, int((request.deadline - now) * 1000))
         headers = [
             (names.REQUEST_ID, request.id),
@@ -266,7 +271,7 @@
         if request.key is not None:
             headers.append((names.KEY, str(request.key)))
         headers += request.headers
-        return encode_request(
+        return encode_request_head(
             request.method, request.path, request.host, tuple(headers), request.body
         )
 
@@ -333,6 +338,8 @@
         room = ANSWERS_SHARE * self._budget.limit
         if is_large and self.received_bytes > room:
             self._give_up_largest()
+        if is_large:
+            self._budget.relieve()
 
     @property
     def received_bytes(self) -> int:
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -23,8 +23,8 @@
 from rhubarbhall.core.ownership.directory import Entry
 from rhubarbhall.core.ownership.key_load import TargetLoad
 from rhubarbhall.core.ownership.store_port import epoch_of
-from rhubarbhall.core.traffic.body_budget import BodyReservation
-from rhubarbhall.core.traffic.requests import NotRun
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyReservation
+from rhubarbhall.core.traffic.requests import Answered, NotRun, Unknown
 from rhubarbhall.platform.names import CONFIGURATION_KEY
 from rhubarbhall.programs.router_store import NO_VERSION
 
@@ -86,6 +86,7 @@
 
         def on_outcome(outcome: Outcome) -> None:
             self.request_log.record_local_outcome(request, outcome)
+            outcome = self._without_large_body(outcome)
             self.sessions.answer(origin, outcome, self.admission_queue.load)
 
         if self._shutdown_announced:
@@ -96,13 +97,27 @@
             return 0
         return self.admission_queue.submit(now, request, on_outcome)
 
+    def _without_large_body(self, outcome: Outcome) -> Outcome:
+        """Return an outcome without its answer if there is no room for sending that.
+
+        The peer then takes too little of the answers that are sent to it. The request
+        has run, so its outcome is unknown.
+        """
+        if isinstance(outcome, Answered) and len(outcome.body) > SMALL_BODY_BYTES:
+            if not self.body_budget.make_room(len(outcome.body)):
+                return Unknown(ErrorKind.ANSWER_TOO_LARGE)
+        return outcome
+
     def _reserve_room(self, request: RoutedRequest) -> bool:
         """Return whether there is room for the body of a peer's request.
 
         It is taken until the request is dropped.
         """
         request.reservation = BodyReservation(self.body_budget)
-        return request.reservation.grow(len(request.body))
+        has_room = request.reservation.grow(len(request.body))
+        if has_room:
+            request.reservation.settle(request.body)
+        return has_room
 
     def on_cancel(self, ticket: int) -> None:
         """Cancel a peer's request for the local target."""
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -50,13 +50,33 @@
 CONFIGURATION_POLL = LongPoll(8.0, ANSWER_TIMEOUT_S)
 #: Maximum number of inbound connections from callers.
 MAX_CALLER_CONNECTIONS = 2000
+#: Descriptors for everything else: peers, target, store, control and files.
+RESERVED_DESCRIPTORS = 200
+#: Connections of callers that are allowed with however few descriptors.
+MIN_CALLER_CONNECTIONS = 16
 #: Limits while no configuration is known. Callers never repeat a request that was
 #: refused as too large, so these are above what operators set; the body budget applies.
 UNKNOWN_LIMITS = CallerLimits(MAX_CALLER_CONNECTIONS, 256 << 10, 1 << 40)
 
 
+def max_caller_connections(max_descriptors: int | None) -> int:
+    """Return how many connections callers may have; None stands for no limit."""
+    if max_descriptors is None:
+        return MAX_CALLER_CONNECTIONS
+    left = max(MIN_CALLER_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS)
+    return min(MAX_CALLER_CONNECTIONS, left)
+
+
 class StoreHandlers:
-    """Handles store records; a mix-in of `RoutingDaemon` that uses its fields."""
+    """Handles store records; a mix-in of `RoutingDaemon` that uses its fields.
+
+    Attributes
+    ----------
+    max_caller_connections : int
+        Maximum number of connections from callers.
+    """
+
+    max_caller_connections = MAX_CALLER_CONNECTIONS
 
     def _count_store_call(self, call: str, result: str) -> None:
         self.request_log.metrics.store_calls[call, result] += 1
@@ -234,11 +254,12 @@
         callers = routing.callers
         self.callers.limit(
             CallerLimits(
-                MAX_CALLER_CONNECTIONS,
+                self.max_caller_connections,
                 callers.max_head,
                 callers.max_body,
                 callers.head_timeout_s,
                 callers.idle_timeout_s,
+                callers.head_timeout_s,
             )
         )
         fields = {"version": routing.version, "routes": len(routing.routes)}
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -10,6 +10,7 @@
 import time
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -70,7 +71,11 @@
     ShutdownHandlers,
     file_version,
 )
-from rhubarbhall.programs.router_store import UNKNOWN_LIMITS, StoreHandlers
+from rhubarbhall.programs.router_store import (
+    UNKNOWN_LIMITS,
+    StoreHandlers,
+    max_caller_connections,
+)
 from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
     DepartureAnswer,
@@ -194,6 +199,7 @@
         self._unanswered_heartbeat: UnansweredHeartbeat | None = None
         self._unanswered_departures: list[DepartureAnswer] = []
         self._logged_decision: dict[str, object] | None = None
+        self.max_caller_connections = max_caller_connections(settings.max_descriptors)
         self._build_traffic()
         self._build_ownership(started_at)
         self._build_ports()
@@ -340,12 +346,14 @@
             split_address(settings.caller_address),
             f"callers-{self.local_address}",
             callers,
-            UNKNOWN_LIMITS,
+            replace(UNKNOWN_LIMITS, connections=self.max_caller_connections),
             self.body_budget,
         )
         self.body_budget.add_source(lambda: self.callers.unsent_bytes)
         self.body_budget.add_source(lambda: self.links.held_bytes)
         self.body_budget.add_source(lambda: self.sessions.held_bytes)
+        self.body_budget.add_relief(self.callers.relieve)
+        self.links.dialer.budget = self.sessions.acceptor.budget = self.body_budget
         self._heartbeat_port = CallerServer(
             split_address(settings.heartbeat_address),
             f"heartbeats-{self.local_address}",
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 import unittest
 
-from rhubarbhall.adapters.callers import MIN_IDLE_S, CallerServer
+from rhubarbhall.adapters.callers import MAX_READ_AHEAD, MIN_IDLE_S, CallerServer
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.requests import Response
@@ -74,9 +75,7 @@
         pass
 
 
-class BodyRoomTests(unittest.TestCase):
-    """Large bodies took a router over its memory limit; others lost their answers."""
-
+class KeepingServerCase(unittest.TestCase):
     LIMIT = 2_000_000
 
     def setUp(self):
@@ -124,6 +123,10 @@
         except BlockingIOError:
             return b""
 
+
+class BodyRoomTests(KeepingServerCase):
+    """Large bodies took a router over its memory limit; others lost their answers."""
+
     def test_a_body_without_room_is_refused_and_the_caller_can_read_why(self):
         first, second = self.connect(), self.connect()
         self.put(first, 1_500_000)
@@ -204,5 +207,97 @@
         self.assertEqual(self.budget.used, 0)
 
 
+class UnreadAnswersTests(KeepingServerCase):
+    """Answers that callers do not read took routers over their memory limit."""
+
+    ANSWER = bytes(28 << 20)
+    LIMIT = 40 << 20
+
+    def setUp(self):
+        super().setUp()
+        self.budget.add_relief(self.server.relieve)
+
+    def ask(self, count: int = 1) -> socket.socket:
+        caller = self.connect()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.send(caller, REQUEST * count)
+        return caller
+
+    def answer(self, body: bytes = ANSWER) -> None:
+        request_id, _ = self.sink.taken.pop(0)
+        self.server.answer(request_id, Response(200, (), body))
+
+    def test_at_the_limit_the_oldest_unread_answer_gives_way(self):
+        callers = [self.ask(), self.ask()]
+        self.answer()
+        self.answer(bytes(28 << 20))
+        self.assertEqual(self.server.connections, 1)
+        self.assertLessEqual(self.budget.used, self.LIMIT)
+        callers[1].close()
+        self.tick()
+        self.assertEqual(self.budget.used, 0)
+
+    def test_no_further_request_is_handled_before_the_answers_are_read(self):
+        caller = self.connect()
+        self.send(caller, REQUEST * 3)
+        self.answer()
+        self.tick()
+        self.assertEqual(self.sink.taken, [])
+        while not self.sink.taken:
+            self.loop.manager.tick(0.0)
+            with contextlib.suppress(BlockingIOError):
+                caller.recv(1 << 20)
+        self.answer(b"ok")
+        self.assertEqual(len(self.sink.taken), 1)
+
+    def test_a_caller_that_pipelines_is_not_read_on(self):
+        caller = self.ask(count=MAX_READ_AHEAD + 1)
+        self.send(caller, REQUEST * 3)
+        (connection,) = self.server._connection_by_sock.values()
+        self.assertEqual(len(connection.waiting), MAX_READ_AHEAD)
+        self.answer(b"ok")
+        self.tick()
+        self.assertEqual(len(connection.waiting), MAX_READ_AHEAD + 2)
+
+    def test_an_answer_of_which_nothing_is_accepted_ends_its_connection(self):
+        self.server.limit(CallerLimits(keep_s=0.0))
+        self.ask()
+        self.answer()
+        self.server.sweep()
+        self.assertEqual(self.server.connections, 0)
+
+
+class SlowHeadsTests(KeepingServerCase):
+    """Connections without a request, or with a slow one, kept all others out."""
+
+    def answer_to(self, caller: socket.socket) -> bytes:
+        return self.received(caller)[:12]
+
+    def test_a_head_that_takes_too_long_is_refused(self):
+        self.server.limit(CallerLimits(head_s=0.0))
+        slow, kept = self.connect(), self.connect()
+        self.send(slow, REQUEST[:5])
+        self.send(kept, REQUEST)
+        self.server.sweep()
+        self.assertEqual(self.answer_to(slow), b"HTTP/1.1 408")
+        self.assertEqual(len(self.sink.taken), 1)
+
+    def test_at_the_limit_the_oldest_unused_connection_gives_way(self):
+        self.server.limit(CallerLimits(connections=2, head_s=0.0))
+        used, silent = self.connect(), self.connect()
+        self.send(used, REQUEST)
+        late = self.connect()
+        self.send(late, REQUEST)
+        self.assertEqual(silent.recv(1), b"")
+        self.assertEqual(len(self.sink.taken), 2)
+
+    def test_a_new_connection_has_time_for_its_first_request(self):
+        self.server.limit(CallerLimits(connections=1))
+        self.connect()
+        self.tick()
+        late = self.connect()
+        self.assertEqual(self.answer_to(late), b"HTTP/1.1 503")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_peer_stream.py
+++ b/tests/adapters/test_peer_stream.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 import unittest
 import zlib
 
@@ -55,6 +56,27 @@
             self.assertEqual(tuple(decoded), frames)
             self.assertFalse(reader.is_within_frame)
 
+    # A body of 60 MB was held three times while it was encoded, and ended the router.
+    def test_a_large_body_is_not_copied_when_it_is_encoded(self):
+        reply = Reply(1, 200, ["A", "b"], bytes(8 << 20), 1, 2, 3)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        parts = FrameWriter().encode_parts(reply)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, 1 << 20)
+        self.assertEqual(list(FrameReader().feed(b"".join(parts))), [reply])
+
+    # A few bytes that inflate to many frames were inflated all at once.
+    def test_frames_are_decoded_before_the_rest_is_inflated(self):
+        writer, reader = FrameWriter(), FrameReader()
+        frame = Reply(1, 200, [], bytes(STORED_BODY_BYTES - 1), 1, 2, 3)
+        data = b"".join(writer.encode(frame) for _ in range(100))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.assertEqual(sum(1 for _ in reader.feed(data)), 100)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, 2 << 20)
+
     def test_bytes_that_are_no_frame_are_an_error(self):
         too_long = (MAX_FRAME_BYTES + 1).to_bytes(4, "big")
         invalid = (b"\x00\x00\x00\x02\x91\x63", b"\x00\x00\x00\x01\xc1", too_long)
--- a/tests/adapters/test_sockets.py
+++ b/tests/adapters/test_sockets.py
@@ -9,6 +9,7 @@
 
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.adapters.sockets import Listener
+from rhubarbhall.core.traffic.body_budget import BodyBudget
 
 
 class SilentListener(Listener):
@@ -46,6 +47,20 @@
         self.assertFalse(self.listener.has_unsent)
         self.assertEqual(self.listener.unsent_bytes, 0)
 
+    def test_parts_are_sent_in_order_and_a_body_is_held_until_its_last_part(self):
+        budget = self.listener.budget = BodyBudget()
+        body = bytes(range(256)) * (self.SIZE // 256)
+        view = memoryview(body)
+        parts = [b"head", view[: self.SIZE // 2], b"between", view[self.SIZE // 2 :]]
+        self.listener.send_parts(self.listener.accepted, [*parts, b"end"], body)
+        self.assertEqual(budget.used, self.SIZE)
+        received = b""
+        while not received.endswith(b"end"):
+            received += self.peer.recv(1 << 20)
+            self.loop.manager.tick(0.0)
+        self.assertEqual(received, b"".join([*parts, b"end"]))
+        self.assertEqual((budget.used, self.listener.unsent_bytes), (0, 0))
+
     # Each part that a socket took of a large body cost a copy of the rest.
     def test_the_rest_of_large_bytes_is_not_copied(self):
         data = bytes(self.SIZE)
