Refuse statuses outside 100 to 599 and bound interim answers

Cause: the parser takes any three digits. A target's 000 or 099 counted as an interim answer, so its slot was held until the deadline (504); 600 and 999 were passed on to the caller; interim answers had no bound.

Change: the readers of responses check the status when the headers are complete, and at most 16 interim answers may come before an answer; else the outcome is unknown at once, as for other broken answers. Their time is bounded by the deadline of their request, as before. 101 stays refused. A reply of a peer whose status is not from 200 to 599 is an unknown outcome; the connection stays, since other requests on it are not at fault and an earlier version passes such a status on.

--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -17,6 +17,11 @@
     BodyReservation,
 )
 
+#: Statuses that an answer may have.
+MIN_STATUS, MAX_STATUS = 100, 599
+#: Limit of the interim answers (1xx) before an answer. Servers send one or two; without
+#: a limit a connection could be kept busy by them until its request's deadline.
+MAX_INTERIM_ANSWERS = 16
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
 _CONNECTION_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
@@ -290,7 +295,36 @@
         )
 
 
-class ResponseReader(_MessageReader):
+class _StatusReader(_MessageReader):
+    """What the readers of responses share: the check of the status."""
+
+    def __init__(self, max_head: int, max_body: int) -> None:
+        super().__init__(max_head, max_body)
+        self._parser = httptools.HttpResponseParser(self)
+        self._interim_answers = 0
+
+    def _check_status(self) -> int:
+        """Return the status of the response whose headers are complete.
+
+        The parser itself requires three digits.
+
+        Raises
+        ------
+        WireError
+            If it is out of range, or if there were too many interim answers.
+        """
+        status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise WireError(ErrorKind.MALFORMED_REQUEST)
+        self._interim_answers += 1
+        if status >= HTTPStatus.OK:
+            self._interim_answers = 0
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            raise WireError(ErrorKind.MALFORMED_REQUEST)
+        return status
+
+
+class ResponseReader(_StatusReader):
     """Parses the responses of one connection, one at a time.
 
     Parameters
@@ -310,7 +344,6 @@
 
     def __init__(self, max_head: int) -> None:
         super().__init__(max_head, max_body=0)
-        self._parser = httptools.HttpResponseParser(self)
         self._without_body = False
         self.response: Response | None = None
         self.keep_alive = False
@@ -331,7 +364,7 @@
 
     def on_headers_complete(self) -> None:
         """Complete a response without a body, even if its headers announce one."""
-        status = self._parser.get_status_code()
+        status = self._check_status()
         if self._without_body and status != HTTPStatus.CONTINUE:
             # The parser waits for a body, so it cannot parse another response.
             self._finish(status)
@@ -432,7 +465,7 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
 
 
-class ResponseStreamReader(_MessageReader):
+class ResponseStreamReader(_StatusReader):
     """Parses all responses that a connection carries, requested or not.
 
     Parameters
@@ -459,7 +492,6 @@
 
     def __init__(self, max_head: int, max_body: int) -> None:
         super().__init__(max_head, max_body)
-        self._parser = httptools.HttpResponseParser(self)
         self.finished: list[Response] = []
         self.keep_alive = True
         self.ends_with_connection = False
@@ -468,7 +500,7 @@
         """Determine how the end of the body will be recognized."""
         names = {name.lower() for name, _ in self._headers}
         length_headers = names & {"content-length", "transfer-encoding"}
-        status = self._parser.get_status_code()
+        status = self._check_status()
         bodiless = status < HTTPStatus.OK or status in _BODILESS
         self.ends_with_connection = not length_headers and not bodiless
 
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
+from rhubarbhall.adapters.http_wire import MAX_STATUS
 from rhubarbhall.adapters.peer_frames import Reply, RequestFailed
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -83,12 +86,17 @@
 def decode_outcome(frame: Reply | RequestFailed) -> Outcome:
     """Return the outcome that a frame carries.
 
+    A reply whose status is not that of a final answer is none: a daemon of an earlier
+    version passes on whatever its target has sent.
+
     Raises
     ------
     ValueError
         If the frame names an unknown error kind or a header lacks its value.
     """
     if isinstance(frame, Reply):
+        if not HTTPStatus.OK <= frame.status <= MAX_STATUS:
+            return Unknown(ErrorKind.ANSWER_LOST)
         return Answered(frame.status, pair_headers(frame.headers), frame.body)
     kind = ErrorKind(frame.kind)
     if frame.not_run:
