--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -17,6 +17,11 @@
     BodyReservation,
 )
 
+#: Statuses that an answer may have.
+MIN_STATUS, MAX_STATUS = 100, 599
+#: Limit of the interim answers (1xx) before an answer. Servers send one or two; without
+#: a limit a connection could be kept busy by them until its request's deadline.
+MAX_INTERIM_ANSWERS = 16
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
 _CONNECTION_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
@@ -198,6 +203,8 @@
         Whole requests that the user has not removed yet.
     in_message : bool
         Whether a request has been received in part.
+    in_head : bool
+        Whether the head of a request has been received in part.
     wants_continue : bool
         Whether a caller waits for ``100 Continue``; reset by the user.
     """
@@ -210,6 +217,7 @@
         super().__init__(max_head, max_body)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
+        self.in_head = False
         self.finished: list[ParsedRequest] = []
         self.wants_continue = False
 
@@ -221,6 +229,7 @@
         """Discard the state of the previous message."""
         super().on_message_begin()
         self._url = b""
+        self.in_head = True
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the path."""
@@ -229,6 +238,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the headers before the body is received."""
+        self.in_head = False
         for name, value in self._headers:
             if name.lower() == "content-length":
                 self._check_length(int(value))
@@ -238,7 +248,7 @@
     def _check_length(self, length: int) -> None:
         if length > self._max_body:
             raise WireError(ErrorKind.BODY_TOO_LARGE)
-        if length > SMALL_BODY_BYTES and not self._budget.has_room(length):
+        if length > SMALL_BODY_BYTES and not self._budget.make_room(length):
             raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
 
     def on_body(self, data: bytes) -> None:
@@ -270,19 +280,51 @@
         except UnicodeDecodeError:
             raise WireError(ErrorKind.MALFORMED_REQUEST) from None
         reservation, self._reservation = self._reservation, None
+        body = self._take_body()
+        if reservation is not None:
+            reservation.settle(body)
         self.finished.append(
             ParsedRequest(
                 self._parser.get_method().decode("ascii"),
                 path,
                 tuple(self._headers),
-                self._take_body(),
+                body,
                 self._parser.should_keep_alive(),
                 reservation,
             )
         )
 
 
-class ResponseReader(_MessageReader):
+class _StatusReader(_MessageReader):
+    """What the readers of responses share: the check of the status."""
+
+    def __init__(self, max_head: int, max_body: int) -> None:
+        super().__init__(max_head, max_body)
+        self._parser = httptools.HttpResponseParser(self)
+        self._interim_answers = 0
+
+    def _check_status(self) -> int:
+        """Return the status of the response whose headers are complete.
+
+        The parser itself requires three digits.
+
+        Raises
+        ------
+        WireError
+            If it is out of range, or if there were too many interim answers.
+        """
+        status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise WireError(ErrorKind.MALFORMED_REQUEST)
+        self._interim_answers += 1
+        if status >= HTTPStatus.OK:
+            self._interim_answers = 0
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            raise WireError(ErrorKind.MALFORMED_REQUEST)
+        return status
+
+
+class ResponseReader(_StatusReader):
     """Parses the responses of one connection, one at a time.
 
     Parameters
@@ -302,7 +344,6 @@
 
     def __init__(self, max_head: int) -> None:
         super().__init__(max_head, max_body=0)
-        self._parser = httptools.HttpResponseParser(self)
         self._without_body = False
         self.response: Response | None = None
         self.keep_alive = False
@@ -323,7 +364,7 @@
 
     def on_headers_complete(self) -> None:
         """Complete a response without a body, even if its headers announce one."""
-        status = self._parser.get_status_code()
+        status = self._check_status()
         if self._without_body and status != HTTPStatus.CONTINUE:
             # The parser waits for a body, so it cannot parse another response.
             self._finish(status)
@@ -354,7 +395,18 @@
     headers: tuple[tuple[str, str], ...],
     body: bytes,
 ) -> bytes:
-    """Return the bytes of a request.
+    """Return the bytes of a request; see `encode_request_head`."""
+    return encode_request_head(method, path, host, headers, body) + body
+
+
+def encode_request_head(
+    method: str,
+    path: str,
+    host: str,
+    headers: tuple[tuple[str, str], ...],
+    body: bytes,
+) -> bytes:
+    """Return the bytes of a request before its body.
 
     Parameters
     ----------
@@ -371,7 +423,7 @@
     lines += [f"{name}: {value}" for name, value in headers]
     if body or method not in ("GET", "HEAD"):
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
 
 
 def _has_length(response: Response, without_body: bool) -> bool:
@@ -384,7 +436,15 @@
 def encode_response(
     response: Response, keep_alive: bool, without_body: bool = False
 ) -> bytes:
-    """Return the bytes of a response.
+    """Return the bytes of a response; see `encode_response_head`."""
+    head = encode_response_head(response, keep_alive, without_body)
+    return head if without_body else head + response.body
+
+
+def encode_response_head(
+    response: Response, keep_alive: bool, without_body: bool = False
+) -> bytes:
+    """Return the bytes of a response before its body.
 
     Parameters
     ----------
@@ -402,11 +462,10 @@
         lines.append(f"Content-Length: {len(response.body)}")
     if not keep_alive:
         lines.append("Connection: close")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
-    return head if without_body else head + response.body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
 
 
-class ResponseStreamReader(_MessageReader):
+class ResponseStreamReader(_StatusReader):
     """Parses all responses that a connection carries, requested or not.
 
     Parameters
@@ -433,7 +492,6 @@
 
     def __init__(self, max_head: int, max_body: int) -> None:
         super().__init__(max_head, max_body)
-        self._parser = httptools.HttpResponseParser(self)
         self.finished: list[Response] = []
         self.keep_alive = True
         self.ends_with_connection = False
@@ -442,7 +500,7 @@
         """Determine how the end of the body will be recognized."""
         names = {name.lower() for name, _ in self._headers}
         length_headers = names & {"content-length", "transfer-encoding"}
-        status = self._parser.get_status_code()
+        status = self._check_status()
         bodiless = status < HTTPStatus.OK or status in _BODILESS
         self.ends_with_connection = not length_headers and not bodiless
 
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -44,7 +44,7 @@
     encode_key,
     flatten_headers,
 )
-from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
 from rhubarbhall.adapters.peer_traffic import OTHER_REGION, SAME_REGION, PeerTraffic
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
@@ -440,11 +440,16 @@
         self._handler.on_link_changed(link.address, True)
 
     def _send(self, link: PeerLink, frame: Frame) -> None:
-        data = link.writer.encode(frame)
-        link.queued_bytes += len(data)
+        body = stored_body(frame)
+        parts = link.writer.encode_parts(frame)
+        size = sum(map(len, parts))
+        link.queued_bytes += size
         scope = SAME_REGION if link.same_region else OTHER_REGION
-        self._traffic.record(frame, scope, len(data))
-        self.dialer.send(link.sock, data)
+        self._traffic.record(frame, scope, size)
+        if body is None:
+            self.dialer.send(link.sock, b"".join(parts))
+        else:
+            self.dialer.send_parts(link.sock, parts, body)
 
     # Requests to peers
 
--- a/rhubarbhall/platform/settings.py
+++ b/rhubarbhall/platform/settings.py
@@ -34,6 +34,7 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = DEFAULT_MEMORY_MB
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] | None = None
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -95,6 +96,8 @@
         In any second, all daemons together may send a cold target as many requests as
         it accepts per second, multiplied by the first figure, and the second figure
         more.
+    max_descriptors : int, optional
+        Limit of the open descriptors of the process; None if it is not stated.
     """
 
     vm: str
@@ -116,6 +119,7 @@
     memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
     cold_factor: float = 1.5
     cold_slack: float = 8.0
+    max_descriptors: int | None = None
 
 
 def _bounds(lines: list[str]) -> dict[str, str]:
@@ -167,6 +171,7 @@
             memory_bytes=file.limits.memory_mb * BYTES_PER_MB,
             cold_factor=_amount(bounds, "cold_over", "1.5"),
             cold_slack=_amount(bounds, "cold_slack", "8"),
+            max_descriptors=file.limits.max_fds,
         )
     except ValueError as error:
         raise ConfigurationError([f"settings: {error}"]) from error
