Bound what crosses regions by windows that answers widen

FarTargets keeps a window for each other region (additive increase, multiplicative decrease, a pause below one request), leaves out targets whose recent report shows no room, gives unknown ones at most half of the window, and weighs bodies. A region without any responsive target for the service is not bounded.

--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -266,6 +266,7 @@
             request.route,
             pending.tried,
             request.target_latency_deadline - now,
+            len(request.body),
         )
 
     def _send_by_key(self, now: Seconds, pending: PendingRequest) -> None:
@@ -368,7 +369,7 @@
         pending.current_address = address
         pending.sent_at = now
         pending.tried.add(address)
-        self._chooser.view(address).outstanding += 1
+        self._chooser.record_sent(now, address, pending.ticket, len(request.body))
         self._request_log.sent(now, pending)
         ticket, sends = pending.ticket, pending.sends
         if address != self._local_address:
@@ -426,11 +427,11 @@
             Load of the daemon's target, if it was reported.
         """
         pending = self._pending_by_ticket.get(ticket)
-        view = self._chooser.view(address)
         if load is not None:
-            view.load = load
+            self._chooser.record_load(now, address, load)
         if pending is None or pending.current_address != address:
             return
+        self._chooser.far_targets.record_done(now, ticket, outcome)
         self._clear_destination(pending)
         if isinstance(outcome, Answered):
             self._on_answer(now, pending, address, outcome)
@@ -442,6 +443,7 @@
     def _clear_destination(self, pending: PendingRequest) -> None:
         if pending.current_address is not None:
             self._chooser.view(pending.current_address).outstanding -= 1
+            self._chooser.far_targets.record_done(self._timers.now(), pending.ticket)
         pending.current_address = None
         pending.queue_ticket = None
 
@@ -533,9 +535,11 @@
             return
         if pending.current_address is not None:
             self._chooser.view(pending.current_address).record_failure(now)
+        late = NotRun(ErrorKind.DEADLINE_UNREACHABLE)
+        self._chooser.far_targets.record_done(now, pending.ticket, late)
         if not self._cancel_send(now, pending):
             pending.may_have_run = True
-        self._finish(now, pending, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
+        self._finish(now, pending, late)
 
     def _cancel_send(self, now: Seconds, pending: PendingRequest) -> bool:
         """Cancel a request at the daemon that it was sent to.
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -15,6 +15,7 @@
 from rhubarbhall.core.digest import digest
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.retry import backoff_s
+from rhubarbhall.core.traffic.far_targets import FarTargets, weight_of
 from rhubarbhall.core.traffic.requests import Load
 
 if TYPE_CHECKING:
@@ -154,6 +155,7 @@
         self._liveness = liveness
         self._local_target = local_target
         self.view_by_address: dict[Address, TargetView] = {}
+        self.far_targets = FarTargets()
         self._mean_by_route: dict[str, Seconds] = {}
         self._candidates_by_service: dict[str, _Candidates] = {}
         self._rng = random.Random(local_address)
@@ -210,13 +212,15 @@
         route: str,
         tried: Collection[Address],
         latency_budget_s: Seconds,
+        body_bytes: int = 0,
     ) -> Address | None:
         """Return the address of the daemon whose target gets the request.
 
         Links between regions are slow and metered. Therefore a target in the local
         region is chosen if it is estimated to meet the target latency, and otherwise
-        the target that is estimated to answer first. A target that is avoided after a
-        failure is still chosen if there is no other.
+        the target that is estimated to answer first. While targets of the local region
+        respond, far ones are used within the bounds of `FarTargets`. A target that is
+        avoided after a failure is still chosen if there is no other.
 
         Parameters
         ----------
@@ -228,6 +232,8 @@
             Addresses of daemons that must not be chosen.
         latency_budget_s : float
             Time left in which the answer meets the target latency, in seconds.
+        body_bytes : int
+            Size of the request's body.
 
         Returns
         -------
@@ -239,9 +245,42 @@
         for avoided, cost_s, address in near:
             if cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s and not avoided:
                 return address
-        far = self._ranked(now, candidates.other_regions, route, tried)
+        far_candidates = candidates.other_regions
+        if self._is_served_locally(now, candidates):
+            weight = weight_of(body_bytes)
+            far_candidates = [
+                (address, member)
+                for address, member in far_candidates
+                if self.far_targets.may_send(now, member.region, address, weight)
+            ]
+        far = self._ranked(now, far_candidates, route, tried)
         return min((*near, *far))[2] if near or far else None
 
+    def _is_served_locally(self, now: Seconds, candidates: _Candidates) -> bool:
+        """Return whether any target of the local region responds, tried or not."""
+        return any(
+            self._is_responsive(now, address, member)
+            for address, member in candidates.local_region
+        )
+
+    def record_sent(
+        self, now: Seconds, address: Address, ticket: int, body_bytes: int
+    ) -> None:
+        """Record that a request has been sent to a target."""
+        self.view(address).outstanding += 1
+        member = self._directory.member_by_address.get(address)
+        if address != self._local_address and member is not None:
+            if member.region != self._region:
+                weight = weight_of(body_bytes)
+                self.far_targets.record_sent(
+                    now, member.region, address, ticket, weight
+                )
+
+    def record_load(self, now: Seconds, address: Address, load: Load) -> None:
+        """Record the load that a target has reported."""
+        self.view(address).load = load
+        self.far_targets.record_report(now, address, load)
+
     def choose_by_hash(
         self,
         now: Seconds,
@@ -333,11 +372,16 @@
             self._mean_by_route.get(route, DEFAULT_DURATION_S) * view.relative_duration
         )
         slots = max(1, member.slots)
-        occupied = max(view.outstanding, view.load.running + view.load.waiting) + 1
+        load = view.load
+        is_far = member.region != self._region and address != self._local_address
+        if is_far and self.far_targets.is_outdated(now, address):
+            # Only replies to requests bring a new one.
+            load = Load()
+        occupied = max(view.outstanding, load.running + load.waiting) + 1
         queue_s = work_s * max(0.0, occupied / slots - SLOWDOWN_UTILIZATION)
-        if view.load.rate is not None:
-            ahead = max(view.outstanding, view.load.waiting)
-            queue_s = max(queue_s, (ahead + 1) / view.load.rate)
+        if load.rate is not None:
+            ahead = max(view.outstanding, load.waiting)
+            queue_s = max(queue_s, (ahead + 1) / load.rate)
         # Prefers the less occupied target while none has a queue.
         spread_s = 0.2 * work_s * occupied / slots
         refusal_s = REFUSAL_COST_S * view.unserved_share
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.records import (
@@ -12,7 +13,7 @@
     encode_member,
     member_key,
 )
-from rhubarbhall.core.traffic.requests import Load
+from rhubarbhall.core.traffic.requests import Load, NotRun
 from rhubarbhall.core.traffic.target_chooser import (
     CROSS_REGION_HOP_S,
     MAX_BACKOFF_S,
@@ -71,6 +72,21 @@
     region as long as the local one meets the target latency.
     """
 
+    # Over half of the requests that crossed regions were refused there.
+    def test_a_region_that_refuses_gets_no_more_while_the_local_one_responds(self):
+        for address in (NEAR, OTHER_NEAR):
+            self.set_occupancy(address, 3.0)
+        for ticket in range(8):
+            self.chooser.record_sent(0.1 * ticket, FAR, ticket, 0)
+            late = NotRun(ErrorKind.OVERLOADED)
+            self.chooser.far_targets.record_done(0.1 * ticket + 0.05, ticket, late)
+            self.chooser.view(FAR).outstanding -= 1
+        self.assertIn(self.choose(0.5), (NEAR, OTHER_NEAR))
+        self.assertIsNone(self.choose(0.5, tried=(NEAR, OTHER_NEAR)))
+        for _ in range(2):
+            self.chooser._candidates(0.0, "ledger").local_region.pop()
+        self.assertEqual(self.choose(0.5), FAR)
+
     # Guards against: requests that fail as the number of failures of a target in a row
     # is too large for its pause.
     def test_a_target_may_fail_any_number_of_times(self):
