Keep a window for each service in another region

Windows were kept for regions, so a full service narrowed what others could send, and refusals by owners of keys, where requests have to go, counted as well. A window is now for the targets of one service in a region, and only requests that may go elsewhere count. The gauge rhubarb_far_window has the smallest one.

--- a/rhubarbhall/core/traffic/far_targets.py
+++ b/rhubarbhall/core/traffic/far_targets.py
@@ -5,13 +5,13 @@
 them sent what it cannot serve to the target that looked free, most requests would cross
 two regions to be refused.
 
-So each daemon keeps a window for each other region: the weight of the requests that it
-may have under way there. An answer widens the window. A refusal for want of capacity,
-or a request without an answer in time, halves it, at most once for the requests that
-were under way together (additive increase, multiplicative decrease). Below one request
-the window turns into a pause between single requests, which find out when there is room
-again. Within a region, targets whose recent report shows no room are left out, and
-those without a recent report get at most half of the window.
+So each daemon keeps a window for the targets of a service in another region, a group:
+the weight of the requests that it may have under way there. An answer widens it. A
+refusal for want of capacity, or a request without an answer in time, halves it, at most
+once for the requests that were under way together (additive increase, multiplicative
+decrease). Below one request the window turns into a pause between single requests,
+which find out when there is room again. Within a group, targets whose recent report
+shows no room are left out, and those without one get at most half of the window.
 """
 
 from __future__ import annotations
@@ -55,7 +55,7 @@
 
 
 @dataclass(slots=True)
-class _Region:
+class _Group:
     window: float = INITIAL_WINDOW
     #: Window up to which answers widen it by a whole request each.
     threshold: float = MAX_WINDOW
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Flight:
-    region: str
+    group: str
     address: Address
     weight: float
     sent_at: Seconds
@@ -100,19 +100,25 @@
 class FarTargets:
     """Bounds the requests under way to targets of other regions.
 
-    It is told of requests and reports of all targets, and of regions only for far ones.
+    It is told of the reports of all targets, and of requests to far ones.
     """
 
     def __init__(self) -> None:
-        self._region_by_name: dict[str, _Region] = {}
+        self._group_by_name: dict[str, _Group] = {}
         self._flight_by_ticket: dict[int, _Flight] = {}
         self._report_by_address: dict[Address, _Report] = {}
 
-    def window(self, region: str) -> float:
-        """Return the weight of requests that may be under way to a region."""
-        known = self._region_by_name.get(region)
+    def window(self, group: str) -> float:
+        """Return the weight of requests that may be under way to a group."""
+        known = self._group_by_name.get(group)
         return known.window if known else INITIAL_WINDOW
 
+    @property
+    def smallest_window(self) -> float:
+        """The window for the group that takes least, for operators."""
+        known = (group.window for group in self._group_by_name.values())
+        return min(known, default=INITIAL_WINDOW)
+
     def known_load(self, now: Seconds, address: Address) -> Load | None:
         """Return the load that a target has reported recently; none without one."""
         report = self._report_by_address.get(address)
@@ -126,14 +132,14 @@
         return report is not None and now - report.at > REPORT_TIMEOUT_S
 
     def may_send(
-        self, now: Seconds, region: str, address: Address, weight: float
+        self, now: Seconds, group: str, address: Address, weight: float
     ) -> bool:
         """Return whether a request may go to a target of another region now.
 
         Parameters
         ----------
-        region : str
-            Region of the target.
+        group : str
+            The targets of the same service and region, by a name.
         weight : float
             Weight of the request; see `weight_of`.
         """
@@ -142,7 +148,7 @@
             sent_since = self._report_by_address[address].sent_since
             if load.running + load.waiting + sent_since >= load.slots:
                 return False
-        state = self._region_by_name.get(region)
+        state = self._group_by_name.get(group)
         if state is None:
             return True
         if state.window < 1.0:
@@ -155,10 +161,10 @@
         return state.outstanding + weight <= state.window
 
     def record_sent(
-        self, now: Seconds, region: str, address: Address, ticket: int, weight: float
+        self, now: Seconds, group: str, address: Address, ticket: int, weight: float
     ) -> None:
         """Record that a request has been sent to a target of another region."""
-        state = self._region_by_name.setdefault(region, _Region())
+        state = self._group_by_name.setdefault(group, _Group())
         if not state.outstanding and now - state.last_sent_at > IDLE_TIMEOUT_S:
             state.window = min(state.window, INITIAL_WINDOW)
         is_unknown = self.known_load(now, address) is None
@@ -168,7 +174,7 @@
         report = self._report_by_address.get(address)
         if report is not None:
             report.sent_since += 1
-        flight = _Flight(region, address, weight, now, is_unknown)
+        flight = _Flight(group, address, weight, now, is_unknown)
         self._flight_by_ticket[ticket] = flight
 
     def record_report(self, now: Seconds, address: Address, load: Load) -> None:
@@ -189,7 +195,7 @@
         flight = self._flight_by_ticket.pop(ticket, None)
         if flight is None:
             return
-        state = self._region_by_name[flight.region]
+        state = self._group_by_name[flight.group]
         if isinstance(outcome, Answered):
             state.widen()
         elif isinstance(outcome, NotRun) and outcome.kind in _NO_CAPACITY:
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -369,7 +369,13 @@
         pending.current_address = address
         pending.sent_at = now
         pending.tried.add(address)
-        self._chooser.record_sent(now, address, pending.ticket, len(request.body))
+        self._chooser.record_sent(
+            now,
+            address,
+            pending.ticket,
+            len(request.body),
+            request.key is not None,
+        )
         self._request_log.sent(now, pending)
         ticket, sends = pending.ticket, pending.sends
         if address != self._local_address:
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -124,6 +124,11 @@
         """Return the member record of the target; `None` if it does not accept work."""
 
 
+def _group(member: Member) -> str:
+    """Return the name of the targets of a member's service in its region."""
+    return f"{member.service}/{member.region}"
+
+
 class TargetChooser:
     """Ranks the targets of a service by the estimated time until their answer.
 
@@ -251,7 +256,7 @@
             far_candidates = [
                 (address, member)
                 for address, member in far_candidates
-                if self.far_targets.may_send(now, member.region, address, weight)
+                if self.far_targets.may_send(now, _group(member), address, weight)
             ]
         far = self._ranked(now, far_candidates, route, tried)
         return min((*near, *far))[2] if near or far else None
@@ -264,17 +269,28 @@
         )
 
     def record_sent(
-        self, now: Seconds, address: Address, ticket: int, body_bytes: int
+        self,
+        now: Seconds,
+        address: Address,
+        ticket: int,
+        body_bytes: int,
+        by_key: bool = False,
     ) -> None:
-        """Record that a request has been sent to a target."""
+        """Record that a request has been sent to a target.
+
+        Parameters
+        ----------
+        by_key : bool
+            Whether it had to go to the owner of its key. What such owners refuse says
+            nothing about where other requests go.
+        """
         self.view(address).outstanding += 1
         member = self._directory.member_by_address.get(address)
-        if address != self._local_address and member is not None:
-            if member.region != self._region:
-                weight = weight_of(body_bytes)
-                self.far_targets.record_sent(
-                    now, member.region, address, ticket, weight
-                )
+        if by_key or address == self._local_address or member is None:
+            return
+        if member.region != self._region:
+            weight = weight_of(body_bytes)
+            self.far_targets.record_sent(now, _group(member), address, ticket, weight)
 
     def record_load(self, now: Seconds, address: Address, load: Load) -> None:
         """Record the load that a target has reported."""
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -212,6 +212,10 @@
             "Of these, those that are not sent to targets any more.",
             float(daemon.suspects.rejected(now)),
         ),
+        "far_window": (
+            "Requests that may be under way to the far service that takes least.",
+            daemon.chooser.far_targets.smallest_window,
+        ),
         "retry_budget_left": (
             "Repeats left over all services.",
             float(sum(budget.left for budget in budgets)),
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -13,6 +13,7 @@
     encode_member,
     member_key,
 )
+from rhubarbhall.core.traffic.far_targets import INITIAL_WINDOW
 from rhubarbhall.core.traffic.requests import Load, NotRun
 from rhubarbhall.core.traffic.target_chooser import (
     CROSS_REGION_HOP_S,
@@ -87,6 +88,14 @@
             self.chooser._candidates(0.0, "ledger").local_region.pop()
         self.assertEqual(self.choose(0.5), FAR)
 
+    # Owners of keys of a busy service must not cost the others their way out.
+    def test_refusals_by_owners_of_keys_do_not_count(self):
+        for ticket in range(8):
+            self.chooser.record_sent(0.1 * ticket, FAR, ticket, 0, by_key=True)
+            late = NotRun(ErrorKind.OVERLOADED)
+            self.chooser.far_targets.record_done(0.1 * ticket + 0.05, ticket, late)
+        self.assertEqual(self.chooser.far_targets.smallest_window, INITIAL_WINDOW)
+
     # Guards against: requests that fail as the number of failures of a target in a row
     # is too large for its pause.
     def test_a_target_may_fail_any_number_of_times(self):
