Let bursts cross regions before the first refusal

With a first window of 2, and targets left out that report no free slot, a burst beyond the rate of the only local target was refused at once although a far target was free (tests.platform.test_path, test_requests_beyond_the_rate_go_to_another_target: 503). The first window is 8, and a report shows no room from two requests for each slot.

--- a/rhubarbhall/core/traffic/far_targets.py
+++ b/rhubarbhall/core/traffic/far_targets.py
@@ -25,8 +25,10 @@
 if TYPE_CHECKING:
     from rhubarbhall.types import Address, Seconds
 
-#: Window for a region of which nothing is known, and its bounds, in requests.
-INITIAL_WINDOW = 2.0
+#: Window for a group of which nothing is known, and its bounds, in requests. With 2 at
+#: first, a burst beyond the rate of the only local target was refused although a far
+#: target was free.
+INITIAL_WINDOW = 8.0
 MIN_WINDOW = 1 / 8
 MAX_WINDOW = 64.0
 #: Window up to which each answer widens it by a whole request, once a region that had
@@ -42,6 +44,8 @@
 #: Age up to which a reported load is relied on. Loads change many times a second; older
 #: reports say little, and the targets count as unknown.
 REPORT_TIMEOUT_S = 1.0
+#: Requests for each slot, running and waiting, from which a report shows no room.
+FULL_LOAD = 2
 #: Body size that weighs as much as one request without a body, in bytes: bytes between
 #: regions are priced.
 BODY_UNIT_BYTES = 64 * 1024
@@ -146,7 +150,7 @@
         load = self.known_load(now, address)
         if load is not None:
             sent_since = self._report_by_address[address].sent_since
-            if load.running + load.waiting + sent_since >= load.slots:
+            if load.running + load.waiting + sent_since >= FULL_LOAD * load.slots:
                 return False
         state = self._group_by_name.get(group)
         if state is None:
