--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -15,6 +15,7 @@
 from rhubarbhall.core.digest import digest
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.retry import backoff_s
+from rhubarbhall.core.traffic.far_targets import FarTargets, weight_of
 from rhubarbhall.core.traffic.requests import Load
 
 if TYPE_CHECKING:
@@ -173,6 +174,11 @@
         """Return the member record of the target; `None` if it does not accept work."""
 
 
+def _group(member: Member) -> str:
+    """Return the name of the targets of a member's service in its region."""
+    return f"{member.service}/{member.region}"
+
+
 class TargetChooser:
     """Ranks the targets of a service by the estimated time until their answer.
 
@@ -206,6 +212,7 @@
         self.view_by_address: dict[Address, TargetView] = {}
         #: Services whose targets accept fewer requests while they are cold.
         self.warmup_by_service: dict[str, ServiceRules] = {}
+        self.far_targets = FarTargets()
         self._mean_by_route: dict[str, Seconds] = {}
         self._known_candidates: dict[tuple[str, Eligibility], _Candidates] = {}
         self._rng = random.Random(local_address)
@@ -218,6 +225,7 @@
         """Record the load that a target's admission queue has reported."""
         view = self.view(address)
         view.load, view.reported_at = load, now
+        self.far_targets.record_report(now, address, load)
         member = self._directory.member_by_address.get(address)
         if member is not None:
             view.run = member.run
@@ -254,13 +262,25 @@
         age = (now - known_at) / max(MIN_WARMUP_S, rules.warmup_s)
         return wait_s * max(0.0, 1 - age)
 
-    def _occupied(self, now: Seconds, view: TargetView, member: Member) -> float:
+    def _is_far_report_outdated(
+        self, now: Seconds, address: Address, member: Member
+    ) -> bool:
+        """Return whether the last report of a target in another region is too old.
+
+        Only replies to requests bring a new one.
+        """
+        is_far = member.region != self._region and address != self._local_address
+        return is_far and self.far_targets.is_outdated(now, address)
+
+    def _occupied(
+        self, now: Seconds, view: TargetView, member: Member, is_outdated: bool
+    ) -> float:
         """Return the estimated number of requests at a target with one more.
 
         Where targets may be cold, reports lose weight with age. A target that was
         busy when it was last used is then tried again without a request to spare.
         """
-        reported = view.load.running + view.load.waiting
+        reported = 0 if is_outdated else view.load.running + view.load.waiting
         if member.service in self.warmup_by_service:
             reported *= 0.5 ** ((now - view.reported_at) / LOAD_HALF_LIFE_S)
         return max(view.outstanding, reported) + 1
@@ -314,13 +334,15 @@
         tried: Collection[Address],
         latency_budget_s: Seconds,
         eligibility: Eligibility,
+        body_bytes: int = 0,
     ) -> Address | None:
         """Return the address of the daemon whose target gets the request.
 
         Links between regions are slow and metered. Therefore a target in the local
         region is chosen if it is estimated to meet the target latency, and otherwise
-        the target that is estimated to answer first. A target that is avoided after a
-        failure is still chosen if there is no other.
+        the target that is estimated to answer first. While targets of the local region
+        respond, far ones are used within the bounds of `FarTargets`. A target that is
+        avoided after a failure is still chosen if there is no other.
 
         Parameters
         ----------
@@ -334,6 +356,8 @@
             Time left in which the answer meets the target latency, in seconds.
         eligibility : Eligibility
             Where the request may run. No other target is chosen, whatever the load.
+        body_bytes : int
+            Size of the request's body.
 
         Returns
         -------
@@ -345,7 +369,15 @@
         for avoided, cost_s, address in near:
             if cost_s <= LATENCY_BUDGET_SHARE * latency_budget_s and not avoided:
                 return address
-        far = self._ranked(now, candidates.other_regions, route, tried)
+        far_candidates = candidates.other_regions
+        if self._is_served_locally(now, candidates):
+            weight = weight_of(body_bytes)
+            far_candidates = [
+                (address, member)
+                for address, member in far_candidates
+                if self.far_targets.may_send(now, _group(member), address, weight)
+            ]
+        far = self._ranked(now, far_candidates, route, tried)
         return min((*near, *far))[2] if near or far else None
 
     def has_target(self, now: Seconds, service: str, eligibility: Eligibility) -> bool:
@@ -353,6 +385,37 @@
         candidates = self._candidates(now, service, eligibility)
         return bool(candidates.local_region or candidates.other_regions)
 
+    def _is_served_locally(self, now: Seconds, candidates: _Candidates) -> bool:
+        """Return whether any target of the local region responds, tried or not."""
+        return any(
+            self._is_responsive(now, address, member)
+            for address, member in candidates.local_region
+        )
+
+    def record_sent(
+        self,
+        now: Seconds,
+        address: Address,
+        ticket: int,
+        body_bytes: int,
+        by_key: bool = False,
+    ) -> None:
+        """Record that a request has been sent to a target.
+
+        Parameters
+        ----------
+        by_key : bool
+            Whether it had to go to the owner of its key. What such owners refuse says
+            nothing about where other requests go.
+        """
+        self.view(address).outstanding += 1
+        member = self._directory.member_by_address.get(address)
+        if by_key or address == self._local_address or member is None:
+            return
+        if member.region != self._region:
+            weight = weight_of(body_bytes)
+            self.far_targets.record_sent(now, _group(member), address, ticket, weight)
+
     def choose_by_hash(
         self,
         now: Seconds,
@@ -452,9 +515,11 @@
             self._mean_by_route.get(route, DEFAULT_DURATION_S) * view.relative_duration
         )
         slots = max(1, member.slots)
-        occupied = self._occupied(now, view, member)
+        is_outdated = self._is_far_report_outdated(now, address, member)
+        occupied = self._occupied(now, view, member, is_outdated)
         queue_s = work_s * max(0.0, occupied / slots - SLOWDOWN_UTILIZATION)
-        queue_s = max(queue_s, self._rate_wait_s(now, address, member))
+        if not is_outdated:
+            queue_s = max(queue_s, self._rate_wait_s(now, address, member))
         # Prefers the less occupied target while none has a queue.
         spread_s = 0.2 * work_s * occupied / slots
         refusal_s = REFUSAL_COST_S * view.unserved_share
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -230,6 +230,10 @@
             "Failure domains that operators have evacuated.",
             float(len(daemon.evacuations.state.domains)),
         ),
+        "far_window": (
+            "Requests that may be under way to the far service that takes least.",
+            daemon.chooser.far_targets.smallest_window,
+        ),
         "retry_budget_left": (
             "Repeats left over all services.",
             float(sum(budget.left for budget in budgets)),
