Weigh expected work by the slowdown that targets report

Cause: targets report several times a second how long work takes on their machine (the fourth figure of `Server-Load`); nothing read it. Durations of slow moments went into the means, and what a daemon knew of a target's queue never grew old.

Change: the figure goes through `TargetNotice` to the admission queue, which keeps it with its time (`core/traffic/slowdown.py`, half-life 0.3 s, bounded to 0.1 to 20) and uses it in its estimates of waits and of work. `Load.slowdown` travels in `Reply` and `RequestFailed` as a last field in whole percent, 0 without a report. Choosers multiply the expected work by it, weighed by age, and let reported requests lose weight in the same way for such targets. Mean durations are those at the usual speed. Without the fourth figure nothing changes.

Tests: FakeDaemon gets the slowdown; no existing check was changed.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -113,6 +113,9 @@
         that it can work on at a time.
     rate : float, optional
         Requests per second that the target takes; None if it states no limit.
+    slowdown : int
+        How long work takes on its machine, in percent of the usual time; 0 if it
+        reports none.
     """
 
     number: int
@@ -123,6 +126,7 @@
     waiting: int
     slots: int
     rate: float | None = None
+    slowdown: int = 0
 
 
 class RequestFailed(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -143,6 +147,8 @@
     is_cold : bool
         Whether the reason is that the target is cold; `kind` then is one that daemons
         of earlier builds know.
+    slowdown
+        As in `Reply`.
     """
 
     number: int
@@ -154,6 +160,7 @@
     slots: int
     rate: float | None = None
     is_cold: bool = False
+    slowdown: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -40,6 +40,7 @@
 )
 from rhubarbhall.adapters.peer_link import PeerLink
 from rhubarbhall.adapters.peer_outcomes import (
+    decode_load,
     decode_outcome,
     encode_key,
     flatten_headers,
@@ -48,7 +49,7 @@
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.peer_selection import relay_plan
-from rhubarbhall.core.traffic.requests import Load, RoutedRequest, Unknown
+from rhubarbhall.core.traffic.requests import RoutedRequest, Unknown
 from rhubarbhall.settings import split_address
 
 if TYPE_CHECKING:
@@ -581,7 +582,7 @@
         outcome = decode_outcome(frame)
         ticket = link.pop_ticket(frame.number)
         if ticket is not None:
-            load = Load(frame.running, frame.waiting, frame.slots, frame.rate)
+            load = decode_load(frame)
             self._handler.on_outcome(link.address, ticket, outcome, load)
 
     def connection_closed(self, sock: socket.socket, refused: bool) -> None:
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -12,9 +12,11 @@
     Outcome,
     Unknown,
 )
+from rhubarbhall.core.traffic.slowdown import bounded
 
 _MS_PER_S = 1000
 _NO_KEY = -1
+_PERCENT = 100
 
 
 def encode_key(key: int | None) -> int:
@@ -66,6 +68,7 @@
             load.waiting,
             load.slots,
             load.rate,
+            _encode_slowdown(load),
         )
     retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else 0.0
     is_cold = outcome.kind is ErrorKind.TARGET_COLD
@@ -80,9 +83,20 @@
         load.slots,
         load.rate,
         is_cold,
+        _encode_slowdown(load),
     )
 
 
+def _encode_slowdown(load: Load) -> int:
+    return 0 if load.slowdown is None else round(load.slowdown * _PERCENT)
+
+
+def decode_load(frame: Reply | RequestFailed) -> Load:
+    """Return the target's load that a frame carries."""
+    slowdown = bounded(frame.slowdown / _PERCENT) if frame.slowdown else None
+    return Load(frame.running, frame.waiting, frame.slots, frame.rate, slowdown)
+
+
 def decode_outcome(frame: Reply | RequestFailed) -> Outcome:
     """Return the outcome that a frame carries.
 
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -33,6 +33,7 @@
     RoutedRequest,
     Unknown,
 )
+from rhubarbhall.core.traffic.slowdown import ReportedSlowdown
 from rhubarbhall.core.traffic.suspect_runs import SuspectRuns
 from rhubarbhall.core.traffic.waiting_requests import WaitingRequests
 from rhubarbhall.core.traffic.warmup import Warmup
@@ -104,6 +105,8 @@
         Rate that the target states, if it states one.
     warmup : Warmup
         Pace of requests while the target is cold.
+    slowdown : ReportedSlowdown
+        How long work takes on the machine of the target.
     lost_runs : LostRuns
         Requests whose answer was lost since the target has answered last.
     durations : RouteDurations
@@ -137,6 +140,7 @@
         self.limit = ConcurrencyLimit(1)
         self.rate_limit = RateLimit()
         self.warmup = Warmup()
+        self.slowdown = ReportedSlowdown()
         self.durations = RouteDurations()
         self.closed_reason: ErrorKind | None = ErrorKind.TARGET_UNREACHABLE
         self._unreachable_until: Seconds = float("-inf")
@@ -147,7 +151,13 @@
     @property
     def load(self) -> Load:
         """Running and waiting requests, and the present limit of running ones."""
-        return Load(self._running, len(self._waiting), self.limit.value, self.rate)
+        return Load(
+            self._running,
+            len(self._waiting),
+            self.limit.value,
+            self.rate,
+            self.slowdown.present,
+        )
 
     @property
     def rate(self) -> float | None:
@@ -252,7 +262,7 @@
             wait_s = max(wait_s, self._late_wait_s(now, request, urgency))
         if self._may_outlast_drain(now, request, wait_s):
             return self._shutdown_refusal(now)
-        needed_s = wait_s + self.durations.mean_s(request.route)
+        needed_s = wait_s + self._work_s(now + wait_s, request)
         is_full = len(self._waiting) >= self._max_waiting()
         if is_full or now + needed_s > request.deadline:
             retry_after_s = min(wait_s, room_after_s(now, request))
@@ -296,11 +306,15 @@
     def _urgency(self, now: Seconds, request: RoutedRequest) -> Urgency:
         """Return the urgency of a request among those of equal priority."""
         wait_s = self.expected_wait_s(now, request, Urgency.IN_TIME)
-        done_at = now + wait_s + self.durations.mean_s(request.route)
+        done_at = now + wait_s + self._work_s(now + wait_s, request)
         if done_at <= request.target_latency_deadline:
             return Urgency.IN_TIME
         return Urgency.RETRIED if request.is_retry else Urgency.LATE
 
+    def _work_s(self, begin: Seconds, request: RoutedRequest) -> Seconds:
+        """Return the estimated duration of a request that is sent at a time."""
+        return self.durations.mean_s(request.route) * self.slowdown.at(begin)
+
     def _max_waiting(self) -> int:
         return MAX_WAITING_PER_SLOT * self.limit.value
 
@@ -337,7 +351,8 @@
             return rate_wait_s
         work_s = sum(self.durations.mean_s(route) for route in ahead)
         this_s = self.durations.mean_s(request.route)
-        return max(rate_wait_s, (work_s + 0.5 * this_s) / self.limit.value)
+        slot_wait_s = (work_s + 0.5 * this_s) / self.limit.value
+        return max(rate_wait_s, slot_wait_s * self.slowdown.at(now))
 
     def _enqueue(self, now: Seconds, entry: QueueEntry) -> None:
         entry.urgency = self._urgency(now, entry.request)
@@ -376,7 +391,7 @@
             Whether the urgency was lowered, so that the request is queued again.
         """
         request = entry.request
-        done_at = now + self.durations.mean_s(request.route)
+        done_at = now + self._work_s(now, request)
         if (
             entry.urgency is not Urgency.IN_TIME
             or done_at <= request.target_latency_deadline
@@ -523,6 +538,15 @@
         if entry is not None and entry.sent_at is not None:
             self.rate_limit.record_answer(now, entry.sent_at, stated_rate)
 
+    def record_slowdown(
+        self, now: Seconds, ticket: int, slowdown: float | None
+    ) -> None:
+        """Take the slowdown that an answer reports, if any; `finish` follows."""
+        entry = self._entry_by_ticket.get(ticket)
+        if entry is not None and entry.sent_at is not None and slowdown is not None:
+            entry.slowdown = slowdown
+            self.slowdown.record(now, slowdown)
+
     @staticmethod
     def _reported(entry: QueueEntry, outcome: Outcome) -> Outcome:
         """Return the outcome as the daemon that sent the request gets it.
@@ -554,7 +578,7 @@
             self.lost_runs.record_answer(entry.sent_at)
             self._suspects.record_answered(now, entry.request)
             took_s = now - entry.sent_at
-            self.durations.record(entry.request.route, took_s)
+            self.durations.record(entry.request.route, took_s, entry.slowdown)
             waited_s = entry.sent_at - entry.arrived_at
             self._on_answered(entry.request.service, waited_s, took_s)
             if entry.request.key is not None:
@@ -605,6 +629,7 @@
 
         Has to be called at least every `EXPIRE_INTERVAL_S`.
         """
+        self.slowdown.see(now)
         for entry in list(self._entry_by_ticket.values()):
             if entry.ticket not in self._entry_by_ticket:
                 # The outcome of another request has ended this one as well.
--- a/rhubarbhall/core/traffic/queue_entries.py
+++ b/rhubarbhall/core/traffic/queue_entries.py
@@ -54,6 +54,8 @@
         Whether it counts as long work.
     standing : Standing
         Whether targets have ended under it.
+    slowdown : float
+        Slowdown that its answer reports; 1 if it reports none.
     """
 
     ticket: int
@@ -64,6 +66,7 @@
     sent_at: Seconds | None = None
     is_long: bool = False
     standing: Standing = Standing.CLEAR
+    slowdown: float = 1.0
 
 
 def queue_position(
--- a/rhubarbhall/core/traffic/queue_estimates.py
+++ b/rhubarbhall/core/traffic/queue_estimates.py
@@ -45,10 +45,14 @@
         self._longest_by_route: dict[str, Seconds] = {}
         self._count_by_route: dict[str, int] = {}
 
-    def record(self, route: str, took_s: Seconds) -> None:
-        """Record how long a request of a route took, in seconds."""
+    def record(self, route: str, took_s: Seconds, slowdown: float = 1.0) -> None:
+        """Record how long a request of a route took, in seconds.
+
+        The mean is that at the usual speed, so `slowdown` is divided out of it.
+        """
         self._count(route)
         self.record_unfinished(route, took_s)
+        took_s /= slowdown
         mean = self._mean_by_route.get(route)
         if mean is None:
             self._mean_by_route[route] = took_s
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -88,12 +88,16 @@
         Number of requests that the target can work on at a time.
     rate : float, optional
         Requests per second that the target takes; None if it states no limit.
+    slowdown : float, optional
+        How long work takes on its machine, 1 for the usual time; None if it reports
+        none.
     """
 
     running: int = 0
     waiting: int = 0
     slots: int = 1
     rate: float | None = None
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,10 +111,14 @@
         no limit.
     leaves : bool
         Whether it leaves, so that it must soon get no more requests.
+    slowdown : float, optional
+        How long work takes on its machine at present, 1 for the usual time; None if it
+        does not say.
     """
 
     rate: float | None = None
     leaves: bool = False
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -16,6 +16,7 @@
 from rhubarbhall.core.ownership.records import TargetState
 from rhubarbhall.core.retry import backoff_s
 from rhubarbhall.core.traffic.requests import Load
+from rhubarbhall.core.traffic.slowdown import aged, weight
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
@@ -53,9 +54,6 @@
 #: Minimum time for which it counts that a target was known to be cold, in seconds, if
 #: its service states a shorter warm-up.
 MIN_WARMUP_S = 0.5
-#: Time in which a reported number of requests loses half of its weight, in seconds:
-#: several times what most of these requests last.
-LOAD_HALF_LIFE_S = 0.3
 #: Maximum number of targets of the local region, and of all others, that are compared
 #: for one request.
 MAX_RANKED = 12
@@ -256,12 +254,13 @@
     def _occupied(self, now: Seconds, view: TargetView, member: Member) -> float:
         """Return the estimated number of requests at a target with one more.
 
-        Where targets may be cold, reports lose weight with age. A target that was
-        busy when it was last used is then tried again without a request to spare.
+        Where targets may be cold or report how fast they are, reports lose weight with
+        age. A target that was busy when it was last used is then tried again.
         """
         reported = view.load.running + view.load.waiting
-        if member.service in self.warmup_by_service:
-            reported *= 0.5 ** ((now - view.reported_at) / LOAD_HALF_LIFE_S)
+        loses_weight = view.load.slowdown is not None
+        if loses_weight or member.service in self.warmup_by_service:
+            reported *= weight(now - view.reported_at)
         return max(view.outstanding, reported) + 1
 
     def record_duration(self, address: Address, route: str, took_s: Seconds) -> None:
@@ -278,9 +277,11 @@
         """
         member = self._directory.member_by_address.get(address)
         work_s = took_s - self._hop_s(address, member) if member else took_s
+        view = self.view(address)
+        # The report came with the answer; means are those at the usual speed.
+        work_s /= view.load.slowdown or 1.0
         mean = self._mean_by_route.get(route, work_s)
         self._mean_by_route[route] = mean + DURATION_SMOOTHING * (work_s - mean)
-        view = self.view(address)
         relative_duration = min(10.0, max(0.1, work_s / max(mean, 1e-3)))
         view.relative_duration += DURATION_SMOOTHING * (
             relative_duration - view.relative_duration
@@ -434,6 +435,8 @@
         work_s = (
             self._mean_by_route.get(route, DEFAULT_DURATION_S) * view.relative_duration
         )
+        if view.load.slowdown is not None:
+            work_s *= aged(view.load.slowdown, now - view.reported_at)
         slots = max(1, member.slots)
         occupied = self._occupied(now, view, member)
         queue_s = work_s * max(0.0, occupied / slots - SLOWDOWN_UTILIZATION)
--- a/rhubarbhall/platform/names.py
+++ b/rhubarbhall/platform/names.py
@@ -18,6 +18,9 @@
 RATE_LIMIT = "Server-Limit"
 #: ``1`` in the answers of a target that leaves.
 LEAVING = "Server-Leaving"
+#: Running requests, waiting ones and slots of a target; often a fourth figure: how long
+#: work takes on its machine at present, in percent of the usual time.
+LOAD = "Server-Load"
 HANDOVER = "Handover"
 #: In each answer of the store: one more than the number of times that it was restored
 #: from an older copy.
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -26,6 +26,7 @@
     TargetNotice,
     Unknown,
 )
+from rhubarbhall.core.traffic.slowdown import bounded
 from rhubarbhall.platform import names
 from rhubarbhall.settings import split_address
 
@@ -109,12 +110,23 @@
 _RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")
 
 
+#: A load with the fourth figure; without it there is nothing to learn here.
+_LOAD = re.compile(r"(?:[0-9]{1,9},){3}([0-9]{1,9}(?:\.[0-9]{1,20})?)")
+_PERCENT = 100
+
+
+def _slowdown(response: Response) -> float | None:
+    match = _LOAD.fullmatch(_header(response, names.LOAD) or "")
+    return bounded(float(match[1]) / _PERCENT) if match else None
+
+
 def _notice(response: Response) -> TargetNotice:
-    """Return what the target says of itself; a rate that is malformed is none."""
+    """Return what the target says of itself; figures that are malformed are none."""
     text = _header(response, names.RATE_LIMIT) or ""
     return TargetNotice(
         rate=float(text) if _RATE.fullmatch(text) else None,
         leaves=_header(response, names.LEAVING) == "1",
+        slowdown=_slowdown(response),
     )
 
 
@@ -147,7 +159,7 @@
 #: Headers of the target that are not returned to callers, in lower case: they are meant
 #: for this daemon, or it sets them itself.
 _NOT_RETURNED = frozenset(
-    {_KEEP_ALIVE, names.REQUEST_ID.lower(), "server-load", "date", "server"}
+    {_KEEP_ALIVE, names.REQUEST_ID.lower(), names.LOAD.lower(), "date", "server"}
 )
 
 
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -168,6 +168,10 @@
             "Whether the target gets requests at the pace of its warm-up.",
             float(daemon.admission_queue.warmup.is_cold(now)),
         ),
+        "target_slowdown": (
+            "Duration of work on the target's machine over the usual one.",
+            daemon.admission_queue.slowdown.at(now),
+        ),
         "utilization": (
             "Slots needed by requests by key, over those there are.",
             daemon.balancer.local_load(now).utilization,
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -178,6 +178,7 @@
             self._on_target_ended(now)
         if self.target_keys.record_heartbeat(now, heartbeat):
             self.admission_queue.rate_limit.reset()
+            self.admission_queue.slowdown.reset()
         self._update_rate_limit(now)
         self.target.instance = self.key_requests.instance = heartbeat.instance
         if previous is None or (previous.run, previous.state) != (
@@ -368,6 +369,7 @@
         """Handle what the target says of itself in an answer."""
         now = self._advance_timers()
         self.admission_queue.record_stated_rate(now, ticket, notice.rate)
+        self.admission_queue.record_slowdown(now, ticket, notice.slowdown)
         self._update_rate_limit(now)
         if notice.leaves and self.target_keys.record_leaving():
             self._on_target_leaving(now, TargetState.LEAVING.value)
--- a/tests/core/traffic/test_warmup.py
+++ b/tests/core/traffic/test_warmup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import random
 import unittest
 from dataclasses import replace
@@ -290,8 +291,11 @@
     def __init__(self, work_s: float = 0.04) -> None:
         self.now = 0.0
         self._due: list = []
+        self._order = itertools.count()
         self._offset = 0
         self.served = self.refused = self.lost = 0
+        self.took: list[float] = []
+        self.waiting: list[int] = []
         self.directory, liveness = KeyDirectory(), Liveness(0.0)
         self.targets: dict[str, SimulatedTarget] = {}
         for number in range(self.TARGETS):
@@ -315,7 +319,7 @@
         self.directory.apply(entry)
 
     def at(self, due: float, action) -> None:
-        heapq.heappush(self._due, (due, len(self._due) + random.random(), action))
+        heapq.heappush(self._due, (due, next(self._order), action))
 
     def run(self, until: float, per_s: float, seed: int) -> None:
         rng = random.Random(seed)
@@ -358,11 +362,13 @@
 
     def leave(self, now, chooser, address, tried, outcome, load, sent_at) -> None:
         chooser.view(address).outstanding -= 1
+        self.waiting.append(load.waiting)
         chooser.record_load(now, address, load)
         if isinstance(outcome, Answered):
             chooser.view(address).record_success()
             chooser.record_duration(address, "r", now - sent_at)
             self.served += 1
+            self.took.append(now - sent_at)
             return
         self.refused += 1
         chooser.record_cold_refusal(now, address)
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -189,6 +189,23 @@
         notice = self.notice_of("Server-Limit: 3", status=421)
         self.assertEqual(notice, TargetNotice(3.0))
 
+    def test_the_slowdown_in_the_load_of_a_target(self):
+        for text, slowdown in (
+            ("2,1,3,100", 1.0),
+            ("2,1,3,312.5", 3.125),
+            ("0,0,3,0", 0.1),
+            ("0,0,3,999999999", 20.0),
+        ):
+            with self.subTest(text=text):
+                notice = _notice(Response(200, (("server-load", text),)))
+                self.assertEqual(notice, TargetNotice(slowdown=slowdown))
+
+    def test_loads_without_a_slowdown_that_can_be_read_say_nothing(self):
+        for text in ("2,1,3", "", "x", "1,2,3,-5", "1,2,3,nan", "1,2,3,4,5", "1,,3,4"):
+            with self.subTest(text=text):
+                notice = _notice(Response(200, (("Server-Load", text),)))
+                self.assertEqual(notice, TargetNotice())
+
     def test_rates_that_cannot_be_read_are_none(self):
         for text in ("", "x", "-1", "nan", "inf", "1e9", "1,5", "9" * 400, "\u0663"):
             response = Response(200, (("Server-Limit", text),))
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -14,6 +14,7 @@
 from rhubarbhall.core.traffic.lost_runs import LostRuns
 from rhubarbhall.core.traffic.rate_limit import RateLimit
 from rhubarbhall.core.traffic.requests import TargetNotice
+from rhubarbhall.core.traffic.slowdown import ReportedSlowdown
 from rhubarbhall.core.traffic.warmup import Warmup
 from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
 from rhubarbhall.programs.router_suspects import SuspectHandlers
@@ -51,6 +52,8 @@
         )
         self.admission_queue.rate_limit = RateLimit()
         self.admission_queue.warmup = Warmup()
+        self.admission_queue.slowdown = ReportedSlowdown()
+        self.admission_queue.record_slowdown = lambda now, ticket, slowdown: None
         self.admission_queue.lost_runs = LostRuns()
         self.admission_queue.record_stated_rate = lambda now, ticket, rate: (
             self.admission_queue.rate_limit.record_answer(now, now - 0.1, rate)
