--- a/rhubarbhall/standins/platform_target.py
+++ b/rhubarbhall/standins/platform_target.py
@@ -80,6 +80,10 @@
         them. Empty without a limit.
     announces_leaving : bool
         Whether its answers say that it leaves.
+    warmup_left : str
+        Remaining time of its warm-up, as its heartbeats state it; not counted down.
+    stated_load : str
+        Load that its answers state; empty for none.
     crash_path : str
         Start of the paths of requests under which it crashes; empty for none.
     """
@@ -93,6 +97,8 @@
     grants_by_request: bool = False
     stated_rate: str = ""
     announces_leaving: bool = False
+    warmup_left: str = "0ms"
+    stated_load: str = ""
     crash_path: str = ""
 
 
@@ -228,7 +234,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self._sequence,
-                "warmup_left": "0ms",
+                "warmup_left": self.behaviour.warmup_left,
             },
             "holds": [
                 [row.first, row.last, row.fence] for row in self._unexpired_ranges()
@@ -370,6 +376,8 @@
             headers.append(("Server-Limit", self.behaviour.stated_rate))
         if self.behaviour.announces_leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.behaviour.stated_load:
+            headers.append(("Server-Load", self.behaviour.stated_load))
         return tuple(headers)
 
     def _answer(
