Give a target that comes back its share of keys once it is warm

Cause: a target without keys got an even share at once, which a cold one cannot serve for the time of its warm-up, while the present owners can.

Change: for a service with `warmup_per_s`, a target without keys has to be known for `warmup` before it gets its share. Within 10 s of the start of the daemon that assigns it, it counts as part of the first start of a deployment and does not wait.

--- a/rhubarbhall/core/ownership/reconciler.py
+++ b/rhubarbhall/core/ownership/reconciler.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.directory import KeyDirectory
-    from rhubarbhall.core.ownership.key_table import Range
+    from rhubarbhall.core.ownership.key_table import Claim, Range
     from rhubarbhall.core.ownership.liveness import Liveness
     from rhubarbhall.core.ownership.range_load_balancer import RangeLoadBalancer
     from rhubarbhall.core.ownership.range_witness import (
@@ -43,6 +43,9 @@
 MAX_RANKS = 8
 #: Time for which a new target is known before keys are assigned to it.
 NEW_TARGET_DELAY_S = 0.3
+#: Time after the start of this daemon in which new targets count as part of the first
+#: start of a deployment. They are not cold then.
+DEPLOYMENT_START_S = 10.0
 #: Time without a lease and without a new record in the log after which a record is
 #: written only to make the log grow.
 LOG_GROWTH_TIMEOUT_S = 1.0
@@ -129,6 +132,10 @@
         self._votes = votes
         self._witnessed_lease = witnessed_lease
         self._started_at = started_at
+        #: Duration of the warm-up of a target, if it accepts fewer requests meanwhile.
+        self.warmup_s: Seconds = 0.0
+        #: Since when targets without keys have been known, by their owners.
+        self._new_since: dict[Address, Seconds] = {}
         self._claims = ServiceClaims(
             local_address,
             service,
@@ -466,12 +473,17 @@
         return table
 
     def _assign_to_new_targets(self, now: Seconds, table: KeyTable) -> KeyTable:
-        """Assign an even share of the keys to targets that own none yet."""
+        """Assign an even share of the keys to targets that own none yet.
+
+        A target that has come back during traffic first warms up: it could not serve
+        the requests for its share, which the present owners can.
+        """
         owners = table.size_by_owner()
         claims = list(self._claims.all(now))
         new_targets = [
             claim for claim in self._claims.receivers(now) if claim.owner not in owners
         ]
+        new_targets = self._warm(now, new_targets)
         is_due = self._rank_delay_passed(
             now - NEW_TARGET_DELAY_S, "welcome", bool(new_targets)
         )
@@ -482,6 +494,19 @@
         )
         return table.moved(moves)
 
+    def _warm(self, now: Seconds, new_targets: list[Claim]) -> list[Claim]:
+        """Return the targets without keys whose warm-up must have passed."""
+        self._new_since = {
+            claim.owner: self._new_since.get(claim.owner, now) for claim in new_targets
+        }
+        if now - self._started_at <= DEPLOYMENT_START_S:
+            return new_targets
+        return [
+            claim
+            for claim in new_targets
+            if now - self._new_since[claim.owner] >= self.warmup_s
+        ]
+
     def _shed_load(self, now: Seconds, table: KeyTable) -> KeyTable:
         """Move busy ranges of the local target to targets that are less busy."""
         if self._target_keys.state(now) is not TargetState.READY:
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -233,6 +233,7 @@
         self.publisher.by_key = rules is not None and rules.by_key
         warmup_rate = rules.warmup_per_s if rules is not None else None
         self.admission_queue.warmup.configure(self._advance_timers(), warmup_rate)
+        self.reconciler.warmup_s = rules.warmup_s if warmup_rate is not None else 0.0
         self.chooser.warmup_by_service = routing.warmup_by_service()
         callers = routing.callers
         self.callers.limit(
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -474,6 +474,23 @@
             changed.size_by_owner()["10.0.0.4:1"], 65536 / 4, delta=65536 / 50
         )
 
+    # Guards against: requests for the keys of a target that has come back, which it
+    # cannot serve before it is warm.
+    def test_a_target_that_comes_back_during_traffic_gets_its_share_once_warm(self):
+        self.reconciler.warmup_s = 3.0
+        self.pass_time(10.0)
+        came_back_at = self.now
+        self.set_member("10.0.0.4:1")
+        owners = self.table.size_by_owner()
+        while "10.0.0.4:1" not in owners and self.now < came_back_at + 9.0:
+            self.pass_time(0.1, contacted=(B, C, "10.0.0.4:1"))
+            owners = (self.propose() or self.table).size_by_owner()
+        self.assertAlmostEqual(self.now - came_back_at, 3.0, delta=0.8)
+
+    def test_at_the_first_start_of_a_deployment_no_share_waits_for_a_warm_up(self):
+        self.reconciler.warmup_s = 3.0
+        self.test_a_new_target_gets_an_even_share()
+
     def test_a_first_table_is_created_only_after_the_discovery_period(self):
         directory = KeyDirectory()
         directory.advance_end(0)
