--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -16,6 +16,7 @@
     Outcome,
     Unknown,
 )
+from rhubarbhall.core.traffic.slowdown import bounded
 
 _MS_PER_S = 1000
 #: Error kinds that earlier builds do not know, each with the one that is sent instead:
@@ -26,6 +27,7 @@
     ErrorKind.TARGET_COLD: ErrorKind.OVERLOADED,
 }
 _NO_KEY = -1
+_PERCENT = 100
 
 
 def encode_key(key: int | None) -> int:
@@ -77,6 +79,7 @@
             load.waiting,
             load.slots,
             load.rate,
+            _encode_slowdown(load),
         )
     is_not_run = isinstance(outcome, NotRun)
     retry_after_s = outcome.retry_after_s if is_not_run else 0.0
@@ -93,9 +96,20 @@
         load.rate,
         ceil(needed_s * _MS_PER_S),
         is_cold,
+        _encode_slowdown(load),
     )
 
 
+def _encode_slowdown(load: Load) -> int:
+    return 0 if load.slowdown is None else round(load.slowdown * _PERCENT)
+
+
+def decode_load(frame: Reply | RequestFailed) -> Load:
+    """Return the target's load that a frame carries."""
+    slowdown = bounded(frame.slowdown / _PERCENT) if frame.slowdown else None
+    return Load(frame.running, frame.waiting, frame.slots, frame.rate, slowdown)
+
+
 def decode_outcome(frame: Reply | RequestFailed) -> Outcome:
     """Return the outcome that a frame carries.
 
--- a/rhubarbhall/core/traffic/queue_entries.py
+++ b/rhubarbhall/core/traffic/queue_entries.py
@@ -55,6 +55,8 @@
         Whether it counts as long work.
     standing : Standing
         Whether targets have ended under it.
+    slowdown : float
+        Slowdown that its answer reports; 1 if it reports none.
     """
 
     ticket: int
@@ -65,6 +67,7 @@
     sent_at: Seconds | None = None
     is_long: bool = False
     standing: Standing = Standing.CLEAR
+    slowdown: float = 1.0
 
 
 def rank_by_priority(request: RoutedRequest, urgency: Urgency) -> Rank:
