Let refused callers return while the target latency can be met

Callers without a promised place were told up to 0.3 of the time until their deadline, so that they returned when the target latency had passed. While it can be met, they are now told up to 0.3 of the time until then.

--- a/rhubarbhall/core/traffic/retry_times.py
+++ b/rhubarbhall/core/traffic/retry_times.py
@@ -19,8 +19,9 @@
 RATE_WINDOW_S = 1.0
 #: Share of that rate that is promised to refused callers; new requests take the rest.
 PROMISED_SHARE = 0.5
-#: Share of the remaining time after which callers are asked to return at the latest.
-#: Callers wait at most a third of it, whatever they are told.
+#: Share of the remaining time after which callers are asked to return at the latest:
+#: until the target latency if that can be met, else until the deadline. Callers wait at
+#: most a third of the latter, whatever they are told.
 MAX_REMAINING_SHARE = 0.3
 #: Part of the longest wait over which callers are spread whose promise comes later.
 SPREAD_SHARE = 0.2
@@ -75,6 +76,10 @@
         if at - now <= longest_s:
             self._promised_until = at
             return max(MIN_RETRY_AFTER_S, at - now)
+        in_time_s = MAX_REMAINING_SHARE * (request.target_latency_deadline - now)
+        if in_time_s > MIN_RETRY_AFTER_S:
+            # The answer is worth most while it can meet the target latency.
+            longest_s = min(longest_s, in_time_s)
         return max(MIN_RETRY_AFTER_S, self._spread_s(longest_s))
 
     def _spread_s(self, longest_s: Seconds) -> Seconds:
--- a/tests/core/traffic/test_load_shedding.py
+++ b/tests/core/traffic/test_load_shedding.py
@@ -40,6 +40,8 @@
 
 class SimulationCase(AdmissionQueueCase):
     SLOTS = 3
+    #: Share of the time that callers are told for which they wait.
+    PATIENCE = 1.0
 
     def simulate(self, kinds, length_s, rate_factor=lambda now, route: 1.0, seed=3):
         """Run callers and target; count the first tries and the answers by route."""
@@ -85,7 +87,7 @@
             elif isinstance(outcome, NotRun):
                 self.returned_refused += is_retry
                 left_s = began + kind.deadline_s - now
-                wait_s = min(max(outcome.retry_after_s, 0.05), left_s / 3)
+                wait_s = min(self.PATIENCE * outcome.retry_after_s, left_s / 3)
                 if left_s > kind.work_s + 0.02:
                     at(now + wait_s, attempt, kind, began, True)
 
