Let requests with little time left begin before they are withdrawn

A request that is received together with its withdrawal is not begun, also where a slot is free. A withdrawal now follows its request after 20 ms at the earliest. A request counts as refused at the entrance only if a target was left out in the same choice.

--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -72,6 +72,9 @@
 #: another daemon. It covers the work of both processes, which share less than one core
 #: with their targets on the smallest VMs.
 WITHDRAWAL_MARGIN_S = 0.04
+#: Minimum time between sending a request and its withdrawal. Received together with
+#: its withdrawal it would not begin although a slot is free.
+MIN_WITHDRAWAL_DELAY_S = 0.02
 #: Lowest HTTP status of a server error.
 _FIRST_SERVER_ERROR = 500
 _NO_TARGET = NotRun(ErrorKind.NO_TARGET, NO_OWNER_RETRY_AFTER_S)
@@ -258,8 +261,10 @@
         if pending.request.key is not None:
             self._send_by_key(now, pending)
             return
+        tried = len(pending.tried)
         address = self._choose_target_with_room(now, pending, standing)
-        if address is None and pending.sends == 0 and pending.tried:
+        has_left_out = len(pending.tried) > tried
+        if address is None and pending.sends == 0 and has_left_out:
             self._finish(now, pending, self._entrance_refusal(now, pending))
         elif address is None or pending.sends >= MAX_SENDS:
             self._finish(now, pending, refusal)
@@ -441,6 +446,7 @@
         lead_s = self._peers.round_trip_s(address) + WITHDRAWAL_MARGIN_S
         withdraw = TimerCallback(lambda later: self._withdraw(pending, address))
         due = min(pending.request.deadline, self._drain_end) - lead_s
+        due = max(due, pending.sent_at + MIN_WITHDRAWAL_DELAY_S)
         pending.withdrawal_timer = self._timers.at(due, withdraw)
 
     def _withdraw(self, pending: PendingRequest, address: Address) -> None:
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -315,6 +315,13 @@
         self.outcome(0.97, ANSWER)
         self.assertEqual(self.replies, [ANSWER])
 
+    def test_a_request_with_little_time_left_may_begin_before_it_is_withdrawn(self):
+        self.submit("/look/1", now=0.1, timeout_s=0.1)
+        self.fire_timers(0.11)
+        self.assertEqual(self.peers.withdrawn, [])
+        self.fire_timers(0.121)
+        self.assertEqual(self.peers.withdrawn, self.peers.sent[1:])
+
     def test_without_an_answer_of_the_daemon_the_outcome_is_unknown(self):
         self.fire_timers(self.WITHDRAWN_AT)
         self.fire_timers(0.995)
