--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -125,6 +125,9 @@
     ----------
     draining : bool
         Set while the daemon drains; each answer then closes its connection.
+    yielded : int
+        Connections that were closed, or whose request was refused, for the room that
+        they took.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         #: The connection whose bytes are being parsed, which must not be closed.
         self._receiving: socket.socket | None = None
         self.draining = False
+        self.yielded = 0
 
     def limit(self, limits: CallerLimits) -> None:
         """Set the limits, also for what open connections receive from now on."""
@@ -189,6 +193,7 @@
             if connection.opened_at > opened_before:
                 return False
             if not connection.has_been_used and not connection.reader.body_size:
+                self.yielded += 1
                 self.drop(sock)
                 return True
         return False
@@ -414,6 +419,7 @@
                     worst, most = sock, size * held_s
         if worst is None:
             return False
+        self.yielded += 1
         connection = self._connection_by_sock[worst]
         if self.unsent(worst) is not None:
             self.drop(worst)
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -148,6 +148,10 @@
             "Bytes of bodies that are held.",
             float(daemon.body_budget.used),
         ),
+        "callers_yielded": (
+            "Connections of callers closed or refused for the room they took.",
+            float(daemon.callers.yielded),
+        ),
         "orders_running": (
             "Requests at the target.",
             float(load.running),
