Don't count the time in which nothing is read against a caller

A connection that is not read, because its answers are unsent, was refused with 408 for a head that waits in the kernel, and was read in a planned stop. Neither happens now; its times begin anew when it is read again. A test also covers the connections that max_fds leaves to callers.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -287,8 +287,12 @@
         connection.is_paused = is_paused
         if is_paused:
             self._poller.removeReader(sock)
-        else:
-            self._poller.addReader(self, sock)
+            return
+        self._poller.addReader(self, sock)
+        # The caller could bring nothing in the meantime.
+        connection.last_active_at = time.monotonic()
+        if connection.message_since is not None:
+            connection.message_since = connection.last_active_at
 
     def on_sent(self, sock: socket.socket) -> None:
         """Handle the next request of a caller that reads its answers again."""
@@ -364,7 +368,7 @@
                 if now - unsent.progress_at > self._limits.keep_s:
                     self.drop(sock)
                     continue
-            if connection.current is not None:
+            if connection.current is not None or connection.is_paused:
                 continue
             if self._is_head_late(now, connection):
                 # The rest may have arrived while this process did something else.
@@ -445,7 +449,8 @@
         """
         now = time.monotonic()
         for sock, connection in list(self._connection_by_sock.items()):
-            self._read(sock)
+            if not connection.is_paused:
+                self._read(sock)
             idle_s = now - connection.last_active_at
             is_busy = connection.current is not None or connection.reader.in_message
             if not is_busy and idle_s >= MIN_IDLE_S:
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -259,6 +259,16 @@
         self.tick()
         self.assertEqual(len(connection.waiting), MAX_READ_AHEAD + 2)
 
+    # The rest of the head waits in the kernel because the server does not read it.
+    def test_a_head_in_part_is_not_late_while_nothing_is_read(self):
+        self.server.limit(CallerLimits(head_s=0.0, idle_s=0.0))
+        caller = self.connect()
+        self.send(caller, REQUEST + REQUEST[:5])
+        self.answer()
+        self.server.sweep()
+        (connection,) = self.server._connection_by_sock.values()
+        self.assertFalse(connection.closing)
+
     def test_an_answer_of_which_nothing_is_accepted_ends_its_connection(self):
         self.server.limit(CallerLimits(keep_s=0.0))
         self.ask()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -22,6 +22,12 @@
 from rhubarbhall.platform.names import parse_time
 from rhubarbhall.platform.operator import parse_configuration
 from rhubarbhall.platform.settings import parse_settings
+from rhubarbhall.programs.router_store import (
+    MAX_CALLER_CONNECTIONS,
+    MIN_CALLER_CONNECTIONS,
+    RESERVED_DESCRIPTORS,
+    max_caller_connections,
+)
 
 ROOT = Path(__file__).parent.parent.parent
 HEARTBEAT = {
@@ -171,6 +177,18 @@
         self.assertEqual((settings.drain_s, settings.grace_s), (2.5, 6.0))
         self.assertEqual(settings.configuration_s, 2.5)
 
+    # Silent connections of callers took all descriptors of a process.
+    def test_descriptors_bound_the_connections_of_callers(self):
+        for limits, expected in (
+            ({}, MAX_CALLER_CONNECTIONS),
+            ({"max_fds": 8192}, MAX_CALLER_CONNECTIONS),
+            ({"max_fds": 1000}, 1000 - RESERVED_DESCRIPTORS),
+            ({"max_fds": 100}, MIN_CALLER_CONNECTIONS),
+        ):
+            body = msgspec.json.encode({**self.SETTINGS, "limits": limits})
+            descriptors = parse_settings(body).max_descriptors
+            self.assertEqual(max_caller_connections(descriptors), expected)
+
     def test_the_way_of_granting_keys_is_decoded(self):
         for way, expected in (("request", True), ("heartbeat", False)):
             body = msgspec.json.encode({**self.SETTINGS, "grants": way})
