--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -125,6 +125,9 @@
     ----------
     draining : bool
         Set while the daemon drains; each answer then closes its connection.
+    yielded : int
+        Connections that were closed, or whose request was refused, for the room that
+        they took.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         #: The connection whose bytes are being parsed, which must not be closed.
         self._receiving: socket.socket | None = None
         self.draining = False
+        self.yielded = 0
 
     def limit(self, limits: CallerLimits) -> None:
         """Set the limits, also for what open connections receive from now on."""
@@ -189,6 +193,7 @@
             if connection.opened_at > opened_before:
                 return False
             if not connection.has_been_used and not connection.reader.body_size:
+                self.yielded += 1
                 self.drop(sock)
                 return True
         return False
@@ -282,8 +287,12 @@
         connection.is_paused = is_paused
         if is_paused:
             self._poller.removeReader(sock)
-        else:
-            self._poller.addReader(self, sock)
+            return
+        self._poller.addReader(self, sock)
+        # The caller could bring nothing in the meantime.
+        connection.last_active_at = time.monotonic()
+        if connection.message_since is not None:
+            connection.message_since = connection.last_active_at
 
     def on_sent(self, sock: socket.socket) -> None:
         """Handle the next request of a caller that reads its answers again."""
@@ -359,7 +368,7 @@
                 if now - unsent.progress_at > self._limits.keep_s:
                     self.drop(sock)
                     continue
-            if connection.current is not None:
+            if connection.current is not None or connection.is_paused:
                 continue
             if self._is_head_late(now, connection):
                 # The rest may have arrived while this process did something else.
@@ -414,6 +423,7 @@
                     worst, most = sock, size * held_s
         if worst is None:
             return False
+        self.yielded += 1
         connection = self._connection_by_sock[worst]
         if self.unsent(worst) is not None:
             self.drop(worst)
@@ -439,7 +449,8 @@
         """
         now = time.monotonic()
         for sock, connection in list(self._connection_by_sock.items()):
-            self._read(sock)
+            if not connection.is_paused:
+                self._read(sock)
             idle_s = now - connection.last_active_at
             is_busy = connection.current is not None or connection.reader.in_message
             if not is_busy and idle_s >= MIN_IDLE_S:
