--- a/rhubarbhall/adapters/loop.py
+++ b/rhubarbhall/adapters/loop.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Manager, handler
 
 from rhubarbhall.adapters.poller import DirectPoll
 
+if TYPE_CHECKING:
+    from rhubarbhall.types import Seconds
+
 #: Upper bound of the time between two checks for received signals.
 SIGNAL_CHECK_INTERVAL_S = 0.1
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -46,6 +51,15 @@
         """
         self._signals.install()
 
+    @property
+    def signal_delay_s(self) -> Seconds:
+        """Time from the last signal to its action, in seconds.
+
+        A busy loop, or one that has not begun to run, carries out actions late; what
+        has to be done by a time after the signal counts from the signal.
+        """
+        return self._signals.delay_s
+
     def add(self, component: BaseComponent) -> None:
         """Add a component to the loop."""
         component.register(self.manager)
@@ -70,19 +84,23 @@
     def __init__(self, action_by_signal: dict[int, Callable[[], None]]) -> None:
         super().__init__()
         self._action_by_signal = action_by_signal
-        self._received: set[int] = set()
+        #: When each signal whose action is due was received first.
+        self._received: dict[int, Seconds] = {}
+        self.delay_s: Seconds = 0.0
 
     def install(self) -> None:
         for number in self._action_by_signal:
             signal.signal(number, self.record)
 
     def record(self, number: int, frame: object) -> None:
-        self._received.add(number)
+        self._received.setdefault(number, time.monotonic())
 
     @handler("generate_events", priority=20)
     def _generate_events(self, event) -> None:
         while self._received:
-            self._action_by_signal[self._received.pop()]()
+            number, received_at = self._received.popitem()
+            self.delay_s = time.monotonic() - received_at
+            self._action_by_signal[number]()
         event.reduce_time_left(SIGNAL_CHECK_INTERVAL_S)
 
 
--- a/rhubarbhall/programs/router_shutdown.py
+++ b/rhubarbhall/programs/router_shutdown.py
@@ -5,8 +5,10 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from rhubarbhall.adapters.peer_links import CHECK_INTERVAL_S
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ConfigurationError
+from rhubarbhall.core.timers import TimerCallback
 from rhubarbhall.core.traffic.shutdown import Shutdown
 from rhubarbhall.platform.settings import read_settings
 
@@ -51,17 +53,33 @@
             # platform restarts the process, which then reads the settings again.
             self.request_stop()
 
-    def request_stop(self) -> None:
-        """Start to drain the daemon and then exit; a second call has no effect."""
+    def request_stop(self, signalled_before_s: Seconds = 0.0) -> None:
+        """Start to drain the daemon and then exit; a second call has no effect.
+
+        Parameters
+        ----------
+        signalled_before_s : float
+            Time since the stop signal, from which the platform counts the grace period.
+        """
         if self.shutdown is None:
             now = self._advance_timers()
-            self.shutdown = Shutdown(now, self.settings.grace_s)
+            requested_at = now - signalled_before_s
+            self.shutdown = Shutdown(requested_at, self.settings.grace_s)
+            # A timer of its own: a failure of another check must not hold up the exit.
+            self.timers.every(
+                CHECK_INTERVAL_S, TimerCallback(self._check_stop), first=now
+            )
             self.request_router.drain(self.shutdown.last_outcomes_at)
             self.admission_queue.drain(self.shutdown.last_outcomes_at)
             self.log_event(LogEvent(313, {"in_flight": self.request_router.in_flight}))
 
     def _check_stop(self, now: Seconds) -> None:
         shutdown = self.shutdown
+        if now >= shutdown.exit_at:
+            # Also after a loop that was busy since the last outcomes were due.
+            self.request_router.end_pending(now)
+            self.end()
+            return
         if now >= shutdown.notice_at and not self._shutdown_announced:
             self._shutdown_announced = True
             self.sessions.announce_shutdown()
@@ -78,7 +96,7 @@
                 shutdown.lingers_since = now
                 self.sessions.acceptor.stop_listening()
         elif shutdown.may_exit(now):
-            self._end()
+            self.end()
 
     def _has_work(self) -> bool:
         """Return whether somebody waits for an answer of this daemon."""
@@ -89,7 +107,8 @@
             or self.sessions.has_undelivered
         )
 
-    def _end(self) -> None:
+    def end(self) -> None:
+        """Log what has no outcome yet and end the loop; a second call has no effect."""
         if not self._ended:
             self._ended = True
             load = self.admission_queue.load
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -440,8 +440,6 @@
         if self.witnessed_lease.remaining_s(now) <= 0:
             self._request_renewals(now)
         self.publisher.write_due(now, self.local_member(now))
-        if self.shutdown is not None:
-            self._check_stop(now)
 
     def _sweep(self, now: Seconds) -> None:
         for client in self._clients:
--- a/tests/adapters/test_loop.py
+++ b/tests/adapters/test_loop.py
@@ -70,6 +70,15 @@
         output = self.run_program(before_start="send(signal.SIGHUP, signal.SIGTERM)")
         self.assertEqual(sorted(output), ["end", "planned stop", "reload"])
 
+    # The grace period was counted from when a busy loop carried out the action.
+    def test_the_delay_of_an_action_is_known(self):
+        output = self.run_program(
+            before_start="send(signal.SIGTERM); import time; time.sleep(0.3); "
+            "loop._signals._action_by_signal[signal.SIGTERM] = "
+            "lambda: (print(loop.signal_delay_s >= 0.3), loop.stop())"
+        )
+        self.assertEqual(output, ["True", "end"])
+
 
 if __name__ == "__main__":
     unittest.main()
