End a stopping router by its loop alone

An alarm signal whose handler ends the process depends on a second timer of the kernel, which the platform's processes may not have, and would cut what the loop could still answer.

--- a/rhubarbhall/programs/router.py
+++ b/rhubarbhall/programs/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -17,12 +16,6 @@
 from rhubarbhall.programs.options import option, run
 from rhubarbhall.programs.routing_daemon import RoutingDaemon
 
-#: Time before the end of the grace period at which the process exits even if its loop
-#: is busy, in seconds. Later than `Shutdown.exit_at`, at which the loop ends it.
-LAST_EXIT_MARGIN_S = 0.15
-#: Lower bound of the time to that exit, in seconds; zero would set no timer.
-MIN_EXIT_DELAY_S = 0.01
-
 
 @click.command("rhubarb-router")
 @option(
@@ -40,23 +33,10 @@
 
 
 def _serve(path: Path, settings: PlatformSettings, log: LogOutput) -> None:
-    def stop() -> None:
-        delay_s = loop.signal_delay_s
-        if not signal.getitimer(signal.ITIMER_REAL)[0]:
-            remaining_s = settings.grace_s - LAST_EXIT_MARGIN_S - delay_s
-            signal.setitimer(signal.ITIMER_REAL, max(MIN_EXIT_DELAY_S, remaining_s))
-        daemon.request_stop(delay_s)
-
-    def exit_at_once(number: int, frame: object) -> None:
-        try:
-            daemon.end()
-            log.flush()
-        finally:
-            os._exit(0)
-
-    loop = Loop(on_stop=stop, on_reload=lambda: daemon.reload())
-    # The loop may be busy when the grace period ends, for example with a large body.
-    signal.signal(signal.SIGALRM, exit_at_once)
+    loop = Loop(
+        on_stop=lambda: daemon.request_stop(loop.signal_delay_s),
+        on_reload=lambda: daemon.reload(),
+    )
     loop.catch_signals()
     daemon = RoutingDaemon(path, settings, loop.stop, log)
     loop.add(daemon)
