Test that a configuration states the pace of cold targets

Cause: the fake daemon of test_router_configuration lacked what the pace is passed on to, so 20 of its tests ended with an error since. Change: it has the warm-up, the chooser's services and the reconciler's delay, and a test checks that a configuration sets all three and the next one takes them back. No check was changed.

--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -27,6 +27,7 @@
     position,
 )
 from rhubarbhall.core.timers import TimerService
+from rhubarbhall.core.traffic.warmup import Warmup
 from rhubarbhall.platform.names import CONFIGURATION_KEY
 from rhubarbhall.programs.router_peers import PUSH_GRACE_S, PeerHandlers, RecordGap
 from rhubarbhall.programs.router_store import COMPARISON_TIMEOUT_S, StoreHandlers
@@ -64,6 +65,9 @@
         self.read_lease = ReadLease()
         self.request_router = SimpleNamespace(routing=None)
         self.publisher = SimpleNamespace(by_key=False)
+        self.admission_queue = SimpleNamespace(warmup=Warmup())
+        self.chooser = SimpleNamespace(warmup_by_service={})
+        self.reconciler = SimpleNamespace(warmup_s=0.0)
         self.callers = SimpleNamespace(limit=lambda limits: None)
         load = SimpleNamespace(utilization=0.0, cost=0.0)
         self.balancer = SimpleNamespace(
@@ -92,6 +96,22 @@
         return self.pong(1).configuration
 
 
+class WarmupTests(unittest.TestCase):
+    """The pace of cold targets that a configuration states, and takes back."""
+
+    def test_it_takes_effect_with_the_configuration(self):
+        daemon, stated = FakeDaemon(), b'"max_connections":20'
+        pace = stated + b',"warmup":"3s","warmup_per_s":6.5'
+        daemon._apply_configuration(configuration(1).replace(stated, pace))
+        self.assertEqual(daemon.admission_queue.warmup.rate, 6.5)
+        self.assertEqual(set(daemon.chooser.warmup_by_service), {"keyed", "pay"})
+        self.assertEqual(daemon.reconciler.warmup_s, 3.0)
+        daemon._apply_configuration(configuration(2))
+        self.assertIsNone(daemon.admission_queue.warmup.rate)
+        self.assertEqual(daemon.chooser.warmup_by_service, {})
+        self.assertEqual(daemon.reconciler.warmup_s, 0.0)
+
+
 class ConfigurationTestCase(unittest.TestCase):
     def setUp(self):
         self.daemon = FakeDaemon()
