Keep reports of refusals by daemon

Each reply that told of a free slot went through the reports of all daemons. They are now kept by daemon, with a bound on daemons and on kinds of each.

--- a/rhubarbhall/core/traffic/refusal_reports.py
+++ b/rhubarbhall/core/traffic/refusal_reports.py
@@ -25,12 +25,14 @@
 #: in any case, so that the report is renewed before it is too old.
 PROBE_SHARE = 8
 PROBE_INTERVAL_S = 0.1
-#: Maximum number of reports; beyond it those that are too old are dropped.
-MAX_REPORTS = 1024
+#: Maximum number of daemons with reports, and of reports of each of them; beyond it
+#: those that have come first are dropped.
+MAX_DAEMONS = 256
+MAX_KINDS = 16
 
-#: Kind of request at a daemon: address, route, whether it is a retry, and whether the
-#: target latency has passed.
-_Kind: TypeAlias = "tuple[Address, str, bool, bool]"
+#: Kind of request at a daemon: route, whether it is a retry, and whether the target
+#: latency has passed.
+_Kind: TypeAlias = "tuple[str, bool, bool]"
 
 
 @dataclass(slots=True)
@@ -55,16 +57,19 @@
     refused: int = 0
 
 
-def _kind(now: Seconds, address: Address, request: RoutedRequest) -> _Kind:
+def _kind(now: Seconds, request: RoutedRequest) -> _Kind:
     is_late = now >= request.target_latency_deadline
-    return address, request.route, request.is_retry, is_late
+    return request.route, request.is_retry, is_late
 
 
 class RefusalReports:
     """Recent refusals of other daemons, by kind of request."""
 
     def __init__(self) -> None:
-        self._report_by_kind: dict[_Kind, _Report] = {}
+        self._reports_by_address: dict[Address, dict[_Kind, _Report]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._reports_by_address.values()))
 
     def record_refusal(
         self, now: Seconds, address: Address, request: RoutedRequest, refusal: NotRun
@@ -72,27 +77,25 @@
         """Record a refusal, if it tells the time that the request would have needed."""
         if refusal.needed_s <= 0:
             return
-        if len(self._report_by_kind) >= MAX_REPORTS:
-            self._report_by_kind = {
-                kind: report
-                for kind, report in self._report_by_kind.items()
-                if now - report.reported_at <= MAX_REPORT_AGE_S
-            }
-        kind = _kind(now, address, request)
-        earlier = self._report_by_kind.get(kind)
+        reports = self._reports_by_address.pop(address, {})
+        self._reports_by_address[address] = reports
+        kind = _kind(now, request)
+        earlier = reports.pop(kind, None)
         report = _Report(now, refusal.needed_s, now)
         if earlier is not None:
             report.refused, report.probed_at = earlier.refused, earlier.probed_at
-        self._report_by_kind[kind] = report
+        reports[kind] = report
+        for known, limit in (
+            (reports, MAX_KINDS),
+            (self._reports_by_address, MAX_DAEMONS),
+        ):
+            if len(known) > limit:
+                del known[next(iter(known))]
 
     def record_load(self, address: Address, load: Load) -> None:
         """Forget the refusals of a daemon whose target has a free slot again."""
         if load.running < load.slots and load.waiting == 0:
-            self._report_by_kind = {
-                kind: report
-                for kind, report in self._report_by_kind.items()
-                if kind[0] != address
-            }
+            self._reports_by_address.pop(address, None)
 
     def refuses(
         self,
@@ -106,7 +109,8 @@
         A call counts as a request that is refused, or else sent. The daemon has the
         time until the deadline less the round trip.
         """
-        report = self._report_by_kind.get(_kind(now, address, request))
+        reports = self._reports_by_address.get(address)
+        report = reports.get(_kind(now, request)) if reports else None
         if report is None:
             return False
         age_s = now - report.reported_at
--- a/tests/core/traffic/test_refusal_reports.py
+++ b/tests/core/traffic/test_refusal_reports.py
@@ -9,8 +9,9 @@
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.traffic.load_shedding import RefusalStage
 from rhubarbhall.core.traffic.refusal_reports import (
+    MAX_DAEMONS,
+    MAX_KINDS,
     MAX_REPORT_AGE_S,
-    MAX_REPORTS,
     PROBE_SHARE,
     RefusalReports,
 )
@@ -73,11 +74,12 @@
         self.assertFalse(self.reports.refuses(5.01, NEAR, request(5.01), 0.0))
 
     def test_reports_of_many_daemons_and_routes_are_bounded(self):
-        for number in range(3 * MAX_REPORTS):
-            now = 6.0 + number / 100
-            here = request(now, route=str(number))
-            self.reports.record_refusal(now, OWNER, here, refusal(1.5))
-        self.assertLessEqual(len(self.reports._report_by_kind), MAX_REPORTS)
+        for daemon in range(2 * MAX_DAEMONS):
+            for route in range(2 * MAX_KINDS):
+                here = request(6.0, route=str(route))
+                self.reports.record_refusal(6.0, str(daemon), here, refusal(1.5))
+        self.assertEqual(len(self.reports), MAX_DAEMONS * MAX_KINDS)
+        self.assertTrue(self.reports.refuses(6.01, str(daemon), here, 0.0))
 
 
 class HotRangeTests(AdmissionQueueCase):
