Read compressed key tables and do not write them yet

Cause: a daemon of an earlier build rejects a compressed table, goes on with the one before it and renews its read lease, so a rolling upgrade could give a key two owners.

--- a/rhubarbhall/core/ownership/stored_values.py
+++ b/rhubarbhall/core/ownership/stored_values.py
@@ -1,4 +1,7 @@
-"""The form in which large values lie in the store: compressed, with a mark.
+"""A form in which large values may lie in the store: compressed, with a mark.
+
+This build reads the form and does not write it yet: earlier builds, which may run in
+the same deployment during an upgrade, would go on with the key table before such a one.
 
 A key table of 27 owners has 8 KB, is written several times a second during faults and
 is read by several daemons of each region. Only calls to the store use this form. Within
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -31,7 +31,7 @@
     offset_of,
     position,
 )
-from rhubarbhall.core.ownership.stored_values import pack_value, unpack_value
+from rhubarbhall.core.ownership.stored_values import unpack_value
 from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import PARTITION, STORE_ERA
 
@@ -274,7 +274,8 @@
             path += f"&at={offset_of(at)}"
         epoch = self.epoch
 
-        body = _record(key, pack_value(value))
+        # Builds that cannot read packed values may run beside this one.
+        body = _record(key, value)
 
         def on_reply(result: Response | Failed) -> None:
             answer = self._outdated(epoch, result) or _append_result(epoch, result)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,6 +22,7 @@
     Unavailable,
     position,
 )
+from rhubarbhall.core.ownership.stored_values import pack_value
 from rhubarbhall.core.requests import Response
 from rhubarbhall.platform.store import LogStore
 
@@ -52,15 +53,19 @@
         self.store.read_tail("t", 7, LongPoll(1.5, 1.0), self.results.append)
         return self.results[-1]
 
-    def test_a_large_value_is_stored_compressed_and_read_as_it_was(self):
+    def test_a_compressed_value_is_read_as_it_was(self):
         value = b"table " * 1000
-        self.http.replies.append(Response(200, (), b'{"offset":7}'))
-        self.store.append("t", "k", value, None, self.results.append)
-        stored = self.http.calls[0][2]
+        stored = record(b"k", pack_value(value))
         self.assertLess(len(stored), 200)
         result = self.read_tail(Response(200, (), struct.pack(">QQ", 8, 0) + stored))
         self.assertEqual(result.entries, (Entry(7, "k", value),))
 
+    def test_values_are_written_as_earlier_builds_read_them(self):
+        value = b"table " * 1000
+        self.http.replies.append(Response(200, (), b'{"offset":7}'))
+        self.store.append("t", "k", value, None, self.results.append)
+        self.assertEqual(self.http.calls[0][2], record(b"k", value))
+
     def test_bytes_of_a_call_are_counted_with_its_result(self):
         counted = []
         self.store = LogStore(
