Mend what a reading of the diff found in load shedding and peer messages

Faults: times of sent requests and counts of removed routes were kept for good; a very low priority overflowed in the queue's checks; a daemon that was late reported itself as idle with the refusals of withdrawn requests; the mean at usual speed was used as real time in three estimates; a window narrowed in an overload was shown to operators for good; kinds that travel as others counted as failures of the target; a connection with a few unread bytes and a large body never yielded; a withdrawn request could be sent on; a refused repeat hid that a target had answered with a server error.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -425,7 +425,8 @@
             return False
         self.yielded += 1
         connection = self._connection_by_sock[worst]
-        if self.unsent(worst) is not None:
+        unsent = self.unsent(worst)
+        if unsent is not None and unsent.size >= connection.reader.body_size:
             self.drop(worst)
         else:
             self._reject(worst, connection, ErrorKind.REQUEST_TIMEOUT)
@@ -436,7 +437,7 @@
     ) -> tuple[int, Seconds]:
         """Return how many bytes a connection holds, and since when."""
         unsent = self.unsent(sock)
-        if unsent is not None:
+        if unsent is not None and unsent.size >= connection.reader.body_size:
             return unsent.size, unsent.since
         return connection.reader.body_size, connection.last_active_at
 
--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -122,5 +122,8 @@
     def on_lease_renewed(self, witness: Address, requested_at: Seconds) -> None:
         """Handle a witness's renewal of the lease, requested at `requested_at`."""
 
+    def local_load(self) -> Load:
+        """Return the load of the local target."""
+
     def pong(self, number: int) -> Pong:
         """Return the answer to the ping with this number."""
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -149,6 +149,9 @@
     is_cold : bool
         Whether the reason is that the target is cold; `kind` then is one that daemons
         of earlier builds know.
+    is_ineligible : bool
+        Whether the reason is that the request may not run there, by its region or
+        failure domain; `kind` then is one that daemons of earlier builds know.
     slowdown
         As in `Reply`.
     """
@@ -164,6 +167,7 @@
     needed_ms: int = 0
     is_cold: bool = False
     slowdown: int = 0
+    is_ineligible: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -46,7 +46,7 @@
     flatten_headers,
 )
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
-from rhubarbhall.adapters.peer_traffic import OTHER_REGION, SAME_REGION, PeerTraffic
+from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.ownership.peer_selection import relay_plan
@@ -445,8 +445,7 @@
         parts = link.writer.encode_parts(frame)
         size = sum(map(len, parts))
         link.queued_bytes += size
-        scope = SAME_REGION if link.same_region else OTHER_REGION
-        self._traffic.record(frame, scope, size)
+        self._traffic.record(frame, self._traffic.scope(link.address), size)
         if body is None:
             self.dialer.send(link.sock, b"".join(parts))
         else:
--- a/rhubarbhall/adapters/peer_outcomes.py
+++ b/rhubarbhall/adapters/peer_outcomes.py
@@ -26,6 +26,9 @@
     ErrorKind.DOMAIN_EVACUATED: ErrorKind.SHUTTING_DOWN,
     ErrorKind.TARGET_COLD: ErrorKind.OVERLOADED,
 }
+#: Kinds of requests that may not run where they were sent.
+_INELIGIBLE_KINDS = (ErrorKind.REGION_NOT_ALLOWED, ErrorKind.DOMAIN_EVACUATED)
+_KIND_BY_SENT_KIND = {_SENT_KINDS[kind]: kind for kind in _INELIGIBLE_KINDS}
 _NO_KEY = -1
 _PERCENT = 100
 
@@ -97,6 +100,7 @@
         ceil(needed_s * _MS_PER_S),
         is_cold,
         _encode_slowdown(load),
+        outcome.kind in _INELIGIBLE_KINDS,
     )
 
 
@@ -125,7 +129,11 @@
         if not HTTPStatus.OK <= frame.status <= MAX_STATUS:
             return Unknown(ErrorKind.ANSWER_LOST)
         return Answered(frame.status, pair_headers(frame.headers), frame.body)
-    kind = ErrorKind.TARGET_COLD if frame.is_cold else ErrorKind(frame.kind)
+    kind = ErrorKind(frame.kind)
+    if frame.is_cold:
+        kind = ErrorKind.TARGET_COLD
+    elif frame.is_ineligible:
+        kind = _KIND_BY_SENT_KIND.get(kind, kind)
     if frame.not_run:
         retry_after_s = frame.retry_after_ms / _MS_PER_S
         return NotRun(kind, retry_after_s, frame.needed_ms / _MS_PER_S)
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -100,7 +100,11 @@
 def _read_frames(
     reader: FrameReader, data: bytes
 ) -> tuple[list[Frame], ValueError | None]:
-    """Return the frames that are complete, and the error of bytes that are invalid."""
+    """Return the frames that are complete, and the error of bytes that are invalid.
+
+    All frames of one read are held at once, so that a `Cancel` is seen before its
+    `Forward` is begun.
+    """
     frames: list[Frame] = []
     try:
         for frame in reader.feed(data):
@@ -276,7 +280,10 @@
         session.last_number = max(session.last_number, frame.number)
         if cancels[frame.number].withdraws:
             not_run = NotRun(ErrorKind.DEADLINE_UNREACHABLE)
-            self._send(session, encode_outcome(frame.number, not_run, Load()))
+            self._send(
+                session,
+                encode_outcome(frame.number, not_run, self._handler.local_load()),
+            )
         return True
 
     def _send(self, session: Session, frame: Frame) -> None:
@@ -373,8 +380,10 @@
             # The request never arrived, and the connection that it was sent on is
             # closed, so it cannot arrive any more.
             not_run = NotRun(ErrorKind.OWNER_UNREACHABLE)
-            return encode_outcome(number, not_run, Load())
-        return encode_outcome(number, Unknown(ErrorKind.ANSWER_LOST), Load())
+            return encode_outcome(number, not_run, self._handler.local_load())
+        return encode_outcome(
+            number, Unknown(ErrorKind.ANSWER_LOST), self._handler.local_load()
+        )
 
     # Requests
 
--- a/rhubarbhall/core/ownership/stored_values.py
+++ b/rhubarbhall/core/ownership/stored_values.py
@@ -3,10 +3,10 @@
 This build reads the form and does not write it yet: earlier builds, which may run in
 the same deployment during an upgrade, would go on with the key table before such a one.
 
-A key table of 27 owners has 8 KB, is written several times a second during faults and
-is read by several daemons of each region. Only calls to the store use this form. Within
-a process, and in pushes between daemons, values are plain: frames are compressed as a
-stream, in which a table refers to the version before it.
+A key table of 27 owners takes some 4 KB, is written several times a second during
+faults and is read by several daemons of each region. Only calls to the store use this
+form. Within a process, and in pushes between daemons, values are plain: frames are
+compressed as a stream, in which a table refers to the version before it.
 """
 
 from __future__ import annotations
@@ -23,7 +23,10 @@
 
 
 def pack_value(value: bytes) -> bytes:
-    """Return the stored form of a value: compressed if it is shorter for that."""
+    """Return the stored form of a value: compressed if it is shorter for that.
+
+    Only tests call it in this build.
+    """
     if len(value) < MIN_PACKED_BYTES or len(value) > MAX_VALUE_BYTES:
         return value
     packed = MARK + zlib.compress(value)
--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -484,7 +484,7 @@
 
     def _send(self, now: Seconds, entry: QueueEntry) -> None:
         request = entry.request
-        if request.deadline - now < self._min_work_s(request):
+        if request.deadline - now < self._min_work_s(now, request):
             self._refuse_dequeued(entry, NotRun(ErrorKind.DEADLINE_UNREACHABLE))
             return
         if self._may_outlast_drain(now, request):
@@ -520,12 +520,12 @@
         retry_after_s = max(self._drain_end - now, MIN_RETRY_AFTER_S)
         return NotRun(ErrorKind.SHUTTING_DOWN, retry_after_s)
 
-    def _min_work_s(self, request: RoutedRequest) -> Seconds:
+    def _min_work_s(self, now: Seconds, request: RoutedRequest) -> Seconds:
         """Return the minimum remaining time for which a request is sent, in seconds.
 
         With less, the target would work on an answer that comes after the deadline.
         """
-        return max(MIN_WORK_S, MIN_WORK_SHARE * self.durations.mean_s(request.route))
+        return max(MIN_WORK_S, MIN_WORK_SHARE * self._work_s(now, request))
 
     def _refuse_dequeued(self, entry: QueueEntry, outcome: NotRun) -> None:
         """Refuse a request that was already taken out of the queue."""
@@ -758,12 +758,12 @@
             # The outcome of another request may have ended this one as well.
             if entry not in self._waiting:
                 continue
-            needed_s = work_s / self.limit.value + self._min_work_s(entry.request)
+            needed_s = work_s / self.limit.value + self._min_work_s(now, entry.request)
             if now + needed_s > entry.request.deadline:
                 self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_overloaded(now, entry)
             else:
-                work_s += self.durations.mean_s(entry.request.route)
+                work_s += self._work_s(now, entry.request)
 
     def _refuse_unservable(self, now: Seconds) -> None:
         """Refuse late requests that are estimated to get no slot in time.
@@ -778,7 +778,7 @@
             if self._policy.is_starved(entry.request):
                 continue
             wait_s = self._late_service.wait_s(now, kept)
-            needed_s = wait_s + self._min_work_s(entry.request)
+            needed_s = wait_s + self._min_work_s(now, entry.request)
             if now + needed_s > entry.request.deadline:
                 self._record_shortage(now, RefusalStage.NOT_IN_TIME, entry.request)
                 self._refuse_overloaded(now, entry)
@@ -792,7 +792,8 @@
         remaining time would not suffice for the target's work.
         """
         return (
-            now + max(EXPIRE_INTERVAL_S, self._min_work_s(request)) >= request.deadline
+            now + max(EXPIRE_INTERVAL_S, self._min_work_s(now, request))
+            >= request.deadline
         )
 
     def _abandon(self, now: Seconds, entry: QueueEntry) -> None:
--- a/rhubarbhall/core/traffic/far_targets.py
+++ b/rhubarbhall/core/traffic/far_targets.py
@@ -41,6 +41,9 @@
 PROBE_INTERVAL_S = 0.5
 #: Time without a request to a region after which a wide window is forgotten.
 IDLE_TIMEOUT_S = 3.0
+#: Age of the last request up to which a window is shown to operators, in seconds: two
+#: of the longest pauses.
+MAX_GAUGE_AGE_S = 2 * PROBE_INTERVAL_S / MIN_WINDOW
 #: Age up to which a reported load is relied on. Loads change many times a second; older
 #: reports say little, and the targets count as unknown.
 REPORT_TIMEOUT_S = 1.0
@@ -117,10 +120,13 @@
         known = self._group_by_name.get(group)
         return known.window if known else INITIAL_WINDOW
 
-    @property
-    def smallest_window(self) -> float:
-        """The window for the group that takes least, for operators."""
-        known = (group.window for group in self._group_by_name.values())
+    def smallest_window(self, now: Seconds) -> float:
+        """Return the window for the group in use that takes least, for operators."""
+        known = (
+            group.window
+            for group in self._group_by_name.values()
+            if now - group.last_sent_at <= MAX_GAUGE_AGE_S
+        )
         return min(known, default=INITIAL_WINDOW)
 
     def known_load(self, now: Seconds, address: Address) -> Load | None:
--- a/rhubarbhall/core/traffic/load_shedding.py
+++ b/rhubarbhall/core/traffic/load_shedding.py
@@ -25,6 +25,8 @@
 #: late answers, an answer in time is preferred to a late one of the next two priorities
 #: above it, as each kind of request counts.
 PRIORITY_FACTOR = 0.75
+#: Steps of priority beyond which the value stays the same; larger powers overflow.
+MAX_PRIORITY_STEPS = 100
 #: Value of an answer that misses the target latency relative to one that meets it.
 LATE_FACTOR = 0.5
 #: Factor on the value of a retry, just enough to go before new requests of its kind.
@@ -41,6 +43,8 @@
 #: Number of arrivals above which all counts are halved, so that shares follow demand:
 #: some 10 s of the requests for a target.
 MAX_COUNTED = 150
+#: Halved count below which a route is forgotten.
+MIN_KEPT_COUNT = 0.5
 #: Minimum number of arrivals of a route by which its share is judged.
 MIN_COUNTED = 4
 
@@ -48,14 +52,14 @@
 class RefusalStage(enum.StrEnum):
     """Stage at which a request is refused as not run for lack of room.
 
-    ENTRANCE : the daemon that would get it has just refused another one of its kind.
+    SENDER : not sent, as the other daemon has just refused another one of its kind.
     QUEUE_FULL : too many requests wait, and none of them is worth less.
     DISPLACED : a request that is worth more has taken its place in the queue.
     NOT_IN_TIME : it cannot be served by its deadline, or only late.
     WITHDRAWN : the router that sent it has withdrawn it, as its deadline is near.
     """
 
-    ENTRANCE = "entrance"
+    SENDER = "sender"
     QUEUE_FULL = "queue_full"
     DISPLACED = "displaced"
     NOT_IN_TIME = "not_in_time"
@@ -63,7 +67,7 @@
 
 
 class ServedShares:
-    """Shares of the requests of each route that a target has served lately."""
+    """Served requests of each route, retries included, for each first attempt."""
 
     def __init__(self) -> None:
         self._arrived: Counter[str] = Counter()
@@ -76,7 +80,8 @@
             for counts in (self._arrived, self._served):
                 for name in list(counts):
                     counts[name] /= 2
-            self._arrived = +self._arrived
+                    if counts[name] < MIN_KEPT_COUNT:
+                        del counts[name]
 
     def record_served(self, route: str) -> None:
         """Record that a request was sent to the target."""
@@ -139,7 +144,8 @@
 
     def value_per_s(self, request: RoutedRequest, urgency: Urgency) -> float:
         """Return the value of an answer for each second that its work takes."""
-        value = PRIORITY_FACTOR**request.priority
+        steps = max(-MAX_PRIORITY_STEPS, min(MAX_PRIORITY_STEPS, request.priority))
+        value = PRIORITY_FACTOR**steps
         if urgency is not Urgency.IN_TIME:
             value *= LATE_FACTOR
         if request.is_retry:
--- a/rhubarbhall/core/traffic/pending_requests.py
+++ b/rhubarbhall/core/traffic/pending_requests.py
@@ -9,7 +9,12 @@
 if TYPE_CHECKING:
     from rhubarbhall.core.ownership.key_table import Span
     from rhubarbhall.core.timers import Timer
-    from rhubarbhall.core.traffic.requests import Headers, Outcome, RoutedRequest
+    from rhubarbhall.core.traffic.requests import (
+        Answered,
+        Headers,
+        Outcome,
+        RoutedRequest,
+    )
     from rhubarbhall.types import Address, Seconds
 
 
@@ -136,6 +141,9 @@
         Time when the request first waited for a key or a connection, local clock.
     may_have_run : bool
         Whether a target may have executed the request.
+    failed_answer : Answered, optional
+        Answer with a server error while the request is sent again. The caller gets it
+        unless the other attempt is answered.
     """
 
     ticket: int
@@ -158,3 +166,4 @@
     awaited_address: Address | None = None
     waiting_since: Seconds | None = None
     may_have_run: bool = False
+    failed_answer: Answered | None = None
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -284,14 +284,14 @@
         address = self._choose_target_with_room(now, pending, standing)
         has_left_out = len(pending.tried) > tried
         if address is None and pending.sends == 0 and has_left_out:
-            self._finish(now, pending, self._entrance_refusal(now, pending))
+            self._finish(now, pending, self._sender_refusal(now, pending))
         elif address is None or pending.sends >= MAX_SENDS:
             self._finish(now, pending, refusal)
         else:
             self._send(now, pending, address)
 
-    def _entrance_refusal(self, now: Seconds, pending: PendingRequest) -> NotRun:
-        self.refusals[RefusalStage.ENTRANCE] += 1
+    def _sender_refusal(self, now: Seconds, pending: PendingRequest) -> NotRun:
+        self.refusals[RefusalStage.SENDER] += 1
         retry_after_s = self._retry_times.retry_after_s(now, pending.request)
         return NotRun(ErrorKind.OVERLOADED, retry_after_s)
 
@@ -361,7 +361,7 @@
         )
         if address is not None and pending.sends < MAX_SENDS:
             if self._would_be_refused(now, pending, address):
-                self._finish(now, pending, self._entrance_refusal(now, pending))
+                self._finish(now, pending, self._sender_refusal(now, pending))
                 return
             self._send(now, pending, address)
         else:
@@ -456,7 +456,7 @@
             self._finish(now, pending, refusal)
             return
         if (
-            now + self._chooser.min_answer_time_s(address, request.route)
+            now + self._chooser.min_answer_time_s(now, address, request.route)
             > request.deadline
         ):
             # The deadline would pass before the answer, with the outcome unknown.
@@ -592,6 +592,7 @@
         else:
             view.record_served(False)
             if self._may_repeat(now, pending):
+                pending.failed_answer = answer
                 self._send_to_next(now, pending)
                 return
         self._finish(now, pending, answer)
@@ -629,7 +630,10 @@
         self, now: Seconds, pending: PendingRequest, address: Address, outcome: NotRun
     ) -> None:
         request = pending.request
-        if outcome.kind is ErrorKind.NOT_OWNER and pending.span is not None:
+        is_at_former_owner = (
+            outcome.kind is ErrorKind.NOT_OWNER and pending.span is not None
+        )
+        if is_at_former_owner and not pending.is_withdrawn:
             pending.non_owners.add((address, pending.span.fence))
             self._send_to_next(now, pending)
             return
@@ -736,6 +740,11 @@
         for timer in (pending.deadline_timer, pending.retry_timer):
             if timer is not None:
                 timer.cancel()
+        is_awaited = outcome != Unknown(ErrorKind.CALLER_GONE)
+        if pending.failed_answer is not None and is_awaited:
+            if not isinstance(outcome, Answered):
+                # The request has run, and this answer of a target is ready.
+                outcome = pending.failed_answer
         if isinstance(outcome, NotRun) and pending.may_have_run:
             # An earlier attempt may have run, so the outcome must not deny that.
             has_expired = now >= pending.request.deadline
--- a/rhubarbhall/core/traffic/retry_times.py
+++ b/rhubarbhall/core/traffic/retry_times.py
@@ -39,7 +39,10 @@
 
 
 class RetryTimes:
-    """Times promised to the callers that one target or entrance has refused."""
+    """Times promised to the callers that one queue or router has refused.
+
+    A router does not know the rate of another target: it promises a place each 2 s.
+    """
 
     def __init__(self) -> None:
         self._sent_at: deque[Seconds] = deque()
@@ -49,11 +52,15 @@
     def record_sent(self, now: Seconds) -> None:
         """Record that a request was sent to the target."""
         self._sent_at.append(now)
+        self._forget_old(now)
 
-    def _interval_s(self, now: Seconds) -> Seconds:
-        """Return the mean time between two places for refused callers."""
+    def _forget_old(self, now: Seconds) -> None:
         while self._sent_at and now - self._sent_at[0] > RATE_WINDOW_S:
             self._sent_at.popleft()
+
+    def _interval_s(self, now: Seconds) -> Seconds:
+        """Return the mean time between two places for refused callers."""
+        self._forget_old(now)
         rate = max(1, len(self._sent_at)) / RATE_WINDOW_S
         return 1.0 / (PROMISED_SHARE * rate)
 
--- a/rhubarbhall/core/traffic/target_chooser.py
+++ b/rhubarbhall/core/traffic/target_chooser.py
@@ -59,8 +59,8 @@
 #: Maximum number of targets of the local region, and of all others, that are compared
 #: for one request.
 MAX_RANKED = 12
-#: Share of occupied slots above which a target is assumed to become slower.
-SLOWDOWN_UTILIZATION = 0.7
+#: Share of occupied slots above which requests are assumed to queue.
+QUEUEING_UTILIZATION = 0.7
 #: Bytes of the digest by which a target is chosen for a request.
 HASH_BYTES = 8
 
@@ -315,16 +315,17 @@
             SAME_REGION_HOP_S if member.region == self._region else CROSS_REGION_HOP_S
         )
 
-    def min_answer_time_s(self, address: Address, route: str) -> Seconds:
+    def min_answer_time_s(self, now: Seconds, address: Address, route: str) -> Seconds:
         """Return the minimum time in which a target can be expected to answer.
 
         The estimate is in seconds and includes both hops.
         """
         member = self._directory.member_by_address.get(address)
         hop_s = self._hop_s(address, member) if member else 0.0
-        work_s = (
-            self._mean_by_route.get(route, 0.0) * self.view(address).relative_duration
-        )
+        view = self.view(address)
+        work_s = self._mean_by_route.get(route, 0.0) * view.relative_duration
+        if view.load.slowdown is not None:
+            work_s *= aged(view.load.slowdown, now - view.reported_at)
         return MIN_HOP_SHARE * hop_s + MIN_DURATION_SHARE * work_s
 
     def choose(
@@ -520,7 +521,7 @@
         slots = max(1, member.slots)
         is_outdated = self._is_far_report_outdated(now, address, member)
         occupied = self._occupied(now, view, member, is_outdated)
-        queue_s = work_s * max(0.0, occupied / slots - SLOWDOWN_UTILIZATION)
+        queue_s = work_s * max(0.0, occupied / slots - QUEUEING_UTILIZATION)
         if not is_outdated:
             queue_s = max(queue_s, self._rate_wait_s(now, address, member))
         # Prefers the less occupied target while none has a queue.
--- a/rhubarbhall/programs/router_metrics.py
+++ b/rhubarbhall/programs/router_metrics.py
@@ -54,7 +54,7 @@
         self.local_outcomes: Counter[tuple[str, str]] = Counter()
         #: Requests refused for lack of room, by stage.
         self.refusals: Counter[str] = Counter()
-        #: Requests at the own target whose caller was refused before, by result.
+        #: Requests at the local target whose caller was refused before, by result.
         self.returns: Counter[str] = Counter()
         #: Calls to the store, by method and type of the result.
         self.store_calls: Counter[tuple[str, str]] = Counter()
@@ -240,7 +240,7 @@
         ),
         "far_window": (
             "Requests that may be under way to the far service that takes least.",
-            daemon.chooser.far_targets.smallest_window,
+            daemon.chooser.far_targets.smallest_window(now),
         ),
         "retry_budget_left": (
             "Repeats left over all services.",
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -287,6 +287,10 @@
         if tell.end >= self.directory.end:
             self.read_lease.confirm(asked_at - tell.age_ms / 1000)
 
+    def local_load(self) -> Load:
+        """Return the load of the local target."""
+        return self.admission_queue.load
+
     def pong(self, number: int) -> Pong:
         """Return the answer to a ping: directory end and age, configuration, load."""
         age_s = min(self.read_lease.age_s(self._advance_timers()), 3600.0)
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -332,12 +332,12 @@
         callers = routing.callers
         self.callers.limit(
             CallerLimits(
-                self.max_caller_connections,
-                callers.max_head,
-                callers.max_body,
-                callers.head_timeout_s,
-                callers.idle_timeout_s,
-                callers.head_timeout_s,
+                connections=self.max_caller_connections,
+                max_head=callers.max_head,
+                max_body=callers.max_body,
+                idle_s=callers.head_timeout_s,
+                keep_s=callers.idle_timeout_s,
+                head_s=callers.head_timeout_s,
             )
         )
         fields = {"version": routing.version, "routes": len(routing.routes)}
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -125,6 +125,9 @@
         self.origin_by_id: dict[str, object] = {}
         self.cancelled: list[int] = []
 
+    def local_load(self):
+        return Load()
+
     def on_forward(self, origin, request):
         assert request.id not in self.origin_by_id, "arrived twice"
         self.origin_by_id[request.id] = origin
--- a/tests/core/traffic/test_far_targets.py
+++ b/tests/core/traffic/test_far_targets.py
@@ -158,6 +158,12 @@
         self.far.record_sent(now, "r2", address, ticket, weight)
         return ticket
 
+    # A window narrowed in an overload was shown for good, as only replies widen it.
+    def test_operators_are_not_shown_a_window_that_is_not_used_any_more(self):
+        self.far.record_done(0.1, self.send(0.0), OVERLOADED)
+        self.assertLess(self.far.smallest_window(1.0), INITIAL_WINDOW)
+        self.assertEqual(self.far.smallest_window(60.0), INITIAL_WINDOW)
+
     def test_refusals_of_requests_under_way_together_count_once(self):
         tickets = [self.send(0.0, each) for each in "abc"]
         for ticket in tickets:
--- a/tests/core/traffic/test_load_shedding.py
+++ b/tests/core/traffic/test_load_shedding.py
@@ -14,8 +14,10 @@
 from unittest import mock
 
 from rhubarbhall.core.traffic.load_shedding import (
+    MAX_COUNTED,
     SHORTAGE_TIME_S,
     RefusalStage,
+    ServedShares,
     SheddingPolicy,
 )
 from rhubarbhall.core.traffic.queue_entries import Urgency
@@ -271,6 +273,22 @@
         self.assertTrue(self.policy.update(SHORTAGE_TIME_S))
         self.assertLess(self.rank(**urgent), self.rank(**call))
 
+    # The power of a very low priority overflowed, which ended the queue's checks.
+    def test_priorities_far_from_zero_have_a_value(self):
+        self.policy.update(0.1)
+        highest = self.rank(route="short", priority=-(1 << 31))
+        lowest = self.rank(route="short", priority=(1 << 31) - 1)
+        self.assertLess(highest, self.rank(route="short", priority=1))
+        self.assertLess(self.rank(route="short", priority=1), lowest)
+
+    # Counts of routes that configurations have removed were kept for good.
+    def test_routes_without_requests_are_forgotten(self):
+        shares = ServedShares()
+        for number in range(5000):
+            shares.record_arrival(f"r{number}")
+            shares.record_served(f"r{number}")
+        self.assertLess(len(shares._arrived) + len(shares._served), 2 * MAX_COUNTED)
+
     def test_an_answer_in_time_is_worth_more_than_a_late_one(self):
         self.policy.update(0.1)
         late = self.rank(Urgency.LATE, route="long", priority=0)
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -260,6 +260,15 @@
                 repeats += budget.take(tick / 100)
         self.assertLessEqual(repeats, ratio * requests + slack)
 
+    # A repeat that was refused made the request count as not run, although a target
+    # had answered it with a server error.
+    def test_a_refused_repeat_does_not_hide_that_the_request_has_run(self):
+        self.submit("/look/1")
+        self.outcome(0.1, FAILED)
+        self.assertEqual(self.replies, [])
+        self.outcome(0.2, NotRun(ErrorKind.OVERLOADED, 0.1))
+        self.assertEqual(self.replies, [FAILED])
+
 
 class DeadlineTests(RequestRouterCase):
     def test_request_past_its_deadline_is_cancelled_and_may_have_run(self):
--- a/tests/core/traffic/test_retry_times.py
+++ b/tests/core/traffic/test_retry_times.py
@@ -28,6 +28,12 @@
         for index, each in enumerate(told[1:], start=1):
             self.assertAlmostEqual(each, index * 0.1)
 
+    # A router that refused nothing kept the time of each request for good.
+    def test_times_of_sent_requests_are_forgotten_without_refusals(self):
+        for number in range(1000):
+            self.times.record_sent(NOW + number / 20)
+        self.assertLess(len(self.times._sent_at), 30)
+
     def test_promises_expire(self):
         for _ in range(10):
             self.times.retry_after_s(NOW, PLENTY)
