Keep the answer to a peer's request when bodies of requests fill the room

Cause: the limit on answers to peers counted the body of the answered request and had no share of its own, so beside bodies that filled the room an answer that was ready became "outcome unknown" (502): found by BoundedBodiesTests.test_uploads_together_stay_within_the_room_and_leave_nothing (1 of 32 tests failed in tests.platform.test_large_bodies and test_path).

--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -26,6 +26,7 @@
 from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyReservation
 from rhubarbhall.core.traffic.requests import Answered, NotRun, Unknown
 from rhubarbhall.platform.names import CONFIGURATION_KEY
+from rhubarbhall.platform.target import ANSWERS_SHARE
 from rhubarbhall.programs.router_store import NO_VERSION
 
 if TYPE_CHECKING:
@@ -86,6 +87,9 @@
 
         def on_outcome(outcome: Outcome) -> None:
             self.request_log.record_local_outcome(request, outcome)
+            if request.reservation is not None:
+                # The answer takes the room of its request's body.
+                request.reservation.release()
             outcome = self._without_large_body(outcome)
             self.sessions.answer(origin, outcome, self.admission_queue.load)
 
@@ -101,10 +105,13 @@
         """Return an outcome without its answer if there is no room for sending that.
 
         The peer then takes too little of the answers that are sent to it. The request
-        has run, so its outcome is unknown.
+        has run, so its outcome is unknown. Bodies of requests do not displace answers:
+        these have the share `ANSWERS_SHARE` besides the room for bodies.
         """
         if isinstance(outcome, Answered) and len(outcome.body) > SMALL_BODY_BYTES:
-            if not self.body_budget.make_room(len(outcome.body)):
+            budget = self.body_budget
+            room = (1 + ANSWERS_SHARE) * budget.limit
+            if budget.used + len(outcome.body) > room:
                 return Unknown(ErrorKind.ANSWER_TOO_LARGE)
         return outcome
 
