Collect all errors of an operators' configuration with their places

Cause: parse_configuration stopped at the first error and did not name the entry. Change: entries are decoded one by one by the same functions; parse_configuration raises the first error, read_configuration returns all. BODY_SHARE moves to body_budget.py so that a check outside programs/ can use it.

--- a/rhubarbhall/core/traffic/body_budget.py
+++ b/rhubarbhall/core/traffic/body_budget.py
@@ -9,6 +9,9 @@
 
 from collections.abc import Callable
 
+#: Share of the process's memory for bodies. While a body is encoded it is held up to
+#: three times, and the program itself takes a fifth.
+BODY_SHARE = 1 / 3
 #: Size up to which a body is taken whatever else is held, so that large bodies do not
 #: keep out small ones, in bytes.
 SMALL_BODY_BYTES = 16 * 1024
--- a/rhubarbhall/core/traffic/routes.py
+++ b/rhubarbhall/core/traffic/routes.py
@@ -197,3 +197,42 @@
         chosen = max(range(len(credits)), key=credits.__getitem__)
         credits[chosen] -= sum(part.weight for part in route.parts)
         return route.parts[chosen].service
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationEntries:
+    """The entries of a configuration in the order of the file.
+
+    Parameters
+    ----------
+    version : int, optional
+        Version of the configuration; None if it cannot be read.
+    routes : tuple of HostRoute
+        All routes.
+    services : tuple of ServiceRules
+        All services; of several with one name the last one counts.
+    callers : tuple of CallerRules
+        All limits on callers; the last one counts.
+    """
+
+    version: int | None
+    routes: tuple[HostRoute, ...] = ()
+    services: tuple[ServiceRules, ...] = ()
+    callers: tuple[CallerRules, ...] = ()
+
+    def routing_table(self) -> RoutingTable:
+        """Return the table that daemons route by.
+
+        Raises
+        ------
+        ValueError
+            If the version is unknown.
+        """
+        if self.version is None:
+            raise ValueError("a configuration without a version")
+        return RoutingTable(
+            version=self.version,
+            routes=self.routes,
+            services_by_name={service.name: service for service in self.services},
+            callers=self.callers[-1] if self.callers else CallerRules(),
+        )
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -1,16 +1,21 @@
 """Decodes the operators' configuration, which is kept in the platform's store.
 
-The structs hold the platform's field names; the results are types of the core.
+The structs hold the platform's field names; the results are types of the core. Daemons
+take a configuration only if it has no errors; the check of a file reports all of them.
 """
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from rhubarbhall.core.traffic.routes import (
     CallerRules,
+    ConfigurationEntries,
     HostRoute,
     RoutePart,
     RoutingTable,
@@ -29,6 +34,71 @@
 _Rate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 _DEFAULT_CALLERS = CallerRules()
 
+ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
+#: Types of entries that are used; others are ignored.
+KNOWN_TYPES = (ROUTES, SERVICES, LIMITS)
+
+_Spec = TypeVar("_Spec")
+#: The end of a message of `msgspec` that names the place, and one for an absent field.
+_AT_PLACE = re.compile(r" - at `\$([^`]*)`$")
+_MISSING_FIELD = re.compile(r"^Object missing required field `([^`]*)`")
+#: The steps of such a place: names of fields and indices of lists.
+_STEPS = re.compile(r"\.(\w+)|\[(\d+)\]")
+
+
+class _FieldError(ValueError):
+    """A value of a field that is not allowed."""
+
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(f"{field}: {reason}")
+        self.field = field
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class EntryError:
+    """A reason for which daemons reject a configuration.
+
+    Parameters
+    ----------
+    resource_type, name : str
+        Type and name of the entry, as far as they are known; empty for errors of the
+        file as a whole.
+    field : str
+        Field of the entry's `spec`, or of the file; empty if it is none in particular.
+    reason : str
+        The value and what is allowed.
+    """
+
+    resource_type: str
+    name: str
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        name = repr(self.name) if self.name else ""
+        place = " ".join(filter(None, (self.resource_type, name, self.field)))
+        return f"{place}: {self.reason}" if place else self.reason
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReading:
+    """What a configuration holds, with all errors in it.
+
+    Parameters
+    ----------
+    entries : ConfigurationEntries
+        The entries without an error.
+    errors : tuple of EntryError
+        Why daemons reject the configuration; empty if they take it.
+    unknown : tuple of (str, str)
+        Types and names of the entries that daemons ignore, as they don't know the type.
+    """
+
+    entries: ConfigurationEntries
+    errors: tuple[EntryError, ...]
+    unknown: tuple[tuple[str, str], ...]
+
 
 class _Metadata(msgspec.Struct, frozen=True):
     name: str = ""
@@ -46,9 +116,9 @@
     version: _Version
 
 
-class _Configuration(msgspec.Struct, frozen=True):
-    version: _Version
-    resources: list[_Resource]
+class _RawEntries(msgspec.Struct, frozen=True):
+    #: Decoded one by one, so that an error names its entry.
+    resources: list[msgspec.Raw]
 
 
 class _TrafficPart(msgspec.Struct, frozen=True):
@@ -87,19 +157,59 @@
     idle_timeout: str = "15s"
 
 
-_DECODER = msgspec.json.Decoder(_Configuration)
+_ENTRIES_DECODER = msgspec.json.Decoder(_RawEntries)
+_ENTRY_DECODER = msgspec.json.Decoder(_Resource)
 _VERSION_DECODER = msgspec.json.Decoder(_VersionOnly)
 
 
+def _value_at(content: Any, place: str) -> str:
+    """Return the text of the value at a place within an entry; empty if it has none."""
+    for name, index in _STEPS.findall(place):
+        try:
+            content = content[name if name else int(index)]
+        except (KeyError, IndexError, TypeError):
+            return ""
+    return f"{content!r}; "
+
+
+def _field_error(error: ValueError, content: Any) -> _FieldError:
+    """Return an error of `msgspec` as one that names the field and quotes its value."""
+    if isinstance(error, _FieldError):
+        return error
+    text = str(error)
+    found = _AT_PLACE.search(text)
+    place = found[1] if found else ""
+    reason = text[: found.start()] if found else text
+    missing = _MISSING_FIELD.match(text)
+    if missing:
+        return _FieldError(f"{place}.{missing[1]}".lstrip("."), reason)
+    value = _value_at(content, place) if place else ""
+    return _FieldError(place.lstrip("."), value + reason)
+
+
+def _convert(resource: _Resource, spec_type: type[_Spec]) -> _Spec:
+    try:
+        return msgspec.convert(resource.spec, spec_type)
+    except ValueError as error:
+        raise _field_error(error, resource.spec) from None
+
+
+def _seconds(field: str, text: str) -> float:
+    try:
+        return parse_time(text)
+    except ValueError as error:
+        raise _FieldError(field, str(error)) from None
+
+
 def _route(resource: _Resource) -> HostRoute:
-    spec = msgspec.convert(resource.spec, _RouteSpec)
+    spec = _convert(resource, _RouteSpec)
     parts = tuple(RoutePart(part.service, part.weight) for part in spec.traffic_split)
+    field = "traffic_split" if parts else "service"
     if not parts:
         parts = (RoutePart(spec.service, 1),)
     if not all(part.service for part in parts):
-        raise ValueError(
-            f"route {resource.metadata.name!r} names no service, or an empty one"
-        )
+        reason = f"route {resource.metadata.name!r} names no service, or an empty one"
+        raise _FieldError(field, f"{reason}; allowed: the name of a service")
     return HostRoute(
         name=resource.metadata.name,
         host=spec.hostname.lower(),
@@ -107,34 +217,37 @@
         parts=parts,
         idempotent=spec.type == _IDEMPOTENT,
         priority=spec.priority,
-        timeout_s=None if spec.timeout is None else parse_time(spec.timeout),
-        target_latency_s=parse_time(spec.target_latency),
+        timeout_s=None if spec.timeout is None else _seconds("timeout", spec.timeout),
+        target_latency_s=_seconds("target_latency", spec.target_latency),
         max_attempts=spec.max_attempts,
         allowed_regions=frozenset(spec.allowed_regions),
     )
 
 
 def _service(resource: _Resource) -> ServiceRules:
-    spec = msgspec.convert(resource.spec, _ServiceSpec)
+    spec = _convert(resource, _ServiceSpec)
     return ServiceRules(
         resource.metadata.name,
         spec.sharded,
         spec.max_connections,
-        parse_time(spec.warmup),
+        _seconds("warmup", spec.warmup),
         spec.warmup_per_s or None,
     )
 
 
 def _callers(resource: _Resource) -> CallerRules:
-    spec = msgspec.convert(resource.spec, _LimitsSpec)
+    spec = _convert(resource, _LimitsSpec)
     return CallerRules(
         spec.max_header_bytes,
         spec.max_body_bytes,
-        parse_time(spec.header_timeout),
-        parse_time(spec.idle_timeout),
+        _seconds("header_timeout", spec.header_timeout),
+        _seconds("idle_timeout", spec.idle_timeout),
     )
 
 
+_READ_BY_TYPE = {ROUTES: _route, SERVICES: _service, LIMITS: _callers}
+
+
 def read_version(data: bytes) -> int:
     """Return the version of a configuration without decoding the rest.
 
@@ -146,6 +259,62 @@
     return decode(_VERSION_DECODER, data).version
 
 
+def _described(raw: msgspec.Raw) -> tuple[str, str]:
+    """Return type and name of an entry that has errors, as far as they can be read."""
+    try:
+        content = msgspec.json.decode(raw)
+    except (ValueError, RecursionError):
+        return "", ""
+    if not isinstance(content, dict):
+        return "", ""
+    metadata = content.get("metadata")
+    name = metadata.get("name") if isinstance(metadata, dict) else ""
+    kind = content.get("resource_type")
+    return kind if isinstance(kind, str) else "", name if isinstance(name, str) else ""
+
+
+def _resources(
+    raw_entries: list[msgspec.Raw], errors: list[EntryError]
+) -> Iterator[_Resource]:
+    """Yield the entries that can be decoded, and add the errors of the others."""
+    for index, raw in enumerate(raw_entries):
+        try:
+            resource = decode(_ENTRY_DECODER, raw)
+        except ValueError as error:
+            found = _field_error(error, None)
+            reason = f"entry {index}: {found.reason}"
+            errors.append(EntryError(*_described(raw), found.field, reason))
+        else:
+            yield resource
+
+
+def read_configuration(data: bytes) -> ConfigurationReading:
+    """Decode the entries of a configuration one by one, and collect all errors."""
+    errors: list[EntryError] = []
+    unknown: list[tuple[str, str]] = []
+    found: dict[str, list[Any]] = {name: [] for name in KNOWN_TYPES}
+    version, raw_entries = None, []
+    try:
+        raw_entries = decode(_ENTRIES_DECODER, data).resources
+        version = read_version(data)
+    except ValueError as error:
+        found_error = _field_error(error, None)
+        errors.append(EntryError("", "", found_error.field, found_error.reason))
+    for resource in _resources(raw_entries, errors):
+        kind, name = resource.resource_type, resource.metadata.name
+        if kind not in _READ_BY_TYPE:
+            unknown.append((kind, name))
+            continue
+        try:
+            found[kind].append(_READ_BY_TYPE[kind](resource))
+        except _FieldError as error:
+            errors.append(EntryError(kind, name, error.field, error.reason))
+    entries = ConfigurationEntries(
+        version, tuple(found[ROUTES]), tuple(found[SERVICES]), tuple(found[LIMITS])
+    )
+    return ConfigurationReading(entries, tuple(errors), tuple(unknown))
+
+
 def parse_configuration(data: bytes) -> RoutingTable:
     """Decode the routes, services and limits of a configuration.
 
@@ -155,16 +324,7 @@
         If the data is malformed or a value in it is not allowed. Callers then keep the
         configuration that was in force before.
     """
-    configuration = decode(_DECODER, data)
-    by_type: dict[str, list[_Resource]] = {}
-    for resource in configuration.resources:
-        by_type.setdefault(resource.resource_type, []).append(resource)
-    routes = tuple(_route(each) for each in by_type.get("routes", ()))
-    services = [_service(each) for each in by_type.get("services", ())]
-    limits = [_callers(each) for each in by_type.get("limits", ())]
-    return RoutingTable(
-        version=configuration.version,
-        routes=routes,
-        services_by_name={service.name: service for service in services},
-        callers=limits[-1] if limits else _DEFAULT_CALLERS,
-    )
+    reading = read_configuration(data)
+    if reading.errors:
+        raise ValueError(str(reading.errors[0]))
+    return reading.entries.routing_table()
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -52,7 +52,7 @@
 from rhubarbhall.core.ownership.target_keys import TargetKeys
 from rhubarbhall.core.timers import TimerCallback, TimerService
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
-from rhubarbhall.core.traffic.body_budget import BodyBudget
+from rhubarbhall.core.traffic.body_budget import BODY_SHARE, BodyBudget
 from rhubarbhall.core.traffic.crash_suspects import CrashSuspects
 from rhubarbhall.core.traffic.eligibility import LocalPlace, PlacementRules
 from rhubarbhall.core.traffic.request_router import RequestRouter
@@ -122,9 +122,6 @@
 MAX_CONTROL_CONNECTIONS = 32
 #: Frames of the stack that the log shows of a timer's failure.
 FAILURE_FRAMES = 4
-#: Share of the process's memory for bodies. While a body is encoded it is held up to
-#: three times, and the program itself takes a fifth.
-BODY_SHARE = 1 / 3
 #: Bits of the random number that distinguishes this run of the process from others.
 SESSION_BITS = 63
 
