--- a/rhubarbhall/programs/ctl.py
+++ b/rhubarbhall/programs/ctl.py
@@ -9,6 +9,7 @@
 import difflib
 import itertools
 import sys
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -24,7 +25,11 @@
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.records import DeclareLost, IntentRecord
 from rhubarbhall.core.selectors import parse_selector
+from rhubarbhall.core.traffic.configuration_check import CheckContext
 from rhubarbhall.platform.ingress import SUSPECTS_PATH
+from rhubarbhall.platform.operator import parse_configuration
+from rhubarbhall.platform.operator_check import CheckReport, check_configuration
+from rhubarbhall.platform.settings import BYTES_PER_MB
 from rhubarbhall.programs.mesh_client import (
     LogReader,
     MeshError,
@@ -35,7 +40,12 @@
 )
 from rhubarbhall.programs.options import ADDRESS, MESH_KEY, option, run
 from rhubarbhall.programs.outcome_summary import summarize, summary_rows
-from rhubarbhall.programs.store_view import StoreView, member_rows, owner_rows
+from rhubarbhall.programs.store_view import (
+    StoreView,
+    member_rows,
+    owner_rows,
+    target_regions,
+)
 from rhubarbhall.programs.text_tables import text_table
 from rhubarbhall.programs.trace import explain, find_lines, format_trace
 
@@ -47,6 +57,8 @@
 EXIT_VOID = 1
 #: Exit code if an intent is not yet in force in all daemons.
 EXIT_LAGGING = 3
+#: Maximum number of findings of one kind that the text of a check shows.
+SHOWN_OF_A_KIND = 10
 
 _log_option = option(
     "--log", type=ADDRESS, required=True, help="Address of the platform's log."
@@ -124,10 +136,14 @@
 
 @command.command()
 @_file_argument
-def check(file: str) -> None:
-    """Check an intent file; makes no network calls."""
+@click.pass_context
+def check(context: click.Context, file: str) -> int:
+    """Check an intent file, or a configuration in JSON; makes no network calls."""
+    if Path(file).read_bytes().lstrip().startswith(b"{"):
+        return context.invoke(store_check, file=file, store=None)
     document = _read_document(file)
     click.echo(f"{file}: {len(document.get('services', {}))} services, no mistakes")
+    return 0
 
 
 @command.command()
@@ -372,6 +388,78 @@
     return 0
 
 
+def _print_report(file: str, report: CheckReport) -> None:
+    counts = Counter(each.kind for each in report.findings)
+    shown: Counter[str] = Counter()
+    for each in report.findings:
+        shown[each.kind] += 1
+        if shown[each.kind] > SHOWN_OF_A_KIND:
+            continue
+        place = " ".join(filter(None, (each.type, each.name, each.field)))
+        click.echo(f"{each.severity}: {each.kind}: {place}: {each.message}")
+    for kind, count in counts.items():
+        if count > SHOWN_OF_A_KIND:
+            left = count - SHOWN_OF_A_KIND
+            click.echo(f"{kind}: {left} more; --json shows all")
+    for group, lines in (report.changes or {}).items():
+        click.echo(f"{group}:")
+        for line in lines:
+            click.echo(f"  {line}")
+    click.echo(f"{file}: {len(report.findings)} findings")
+
+
+@store_group.command("check")
+@_file_argument
+@click.option(
+    "--against",
+    type=click.Path(exists=True, dir_okay=False),
+    help="File with the configuration in force.",
+)
+@option("--store", type=ADDRESS, help="Address of the platform's store.")
+@click.option(
+    "--memory-mb",
+    type=click.FloatRange(0.0, min_open=True),
+    default=200.0,
+    show_default=True,
+    help="Memory of the smallest VM.",
+)
+@click.option(
+    "--retry-ratio",
+    type=click.FloatRange(0.0),
+    default=0.2,
+    show_default=True,
+    help="Bound retry_budget_ratio of the settings.",
+)
+@_json_option
+def store_check(
+    file: str,
+    against: str | None,
+    store: str | None,
+    memory_mb: float,
+    retry_ratio: float,
+    as_json: bool,
+) -> int:
+    """Check a configuration before it is sent; exit code 1 if it has errors."""
+    in_force = regions = None
+    try:
+        data = Path(file).read_bytes()
+        if store is not None:
+            view = StoreView(store)
+            regions = target_regions(view.directory())
+            in_force = view.routing() if against is None else None
+        if against is not None:
+            in_force = parse_configuration(Path(against).read_bytes())
+    except (OSError, ValueError, MeshError) as error:
+        raise click.ClickException(str(error)) from error
+    context = CheckContext(memory_mb * BYTES_PER_MB, retry_ratio, regions)
+    report = check_configuration(data, context, in_force)
+    if as_json:
+        _print_json(report)
+    else:
+        _print_report(file, report)
+    return int(report.has_errors)
+
+
 @command.group("suspects")
 def suspects_group() -> None:
     """Show and clear the requests under which targets have ended."""
--- a/rhubarbhall/programs/store_view.py
+++ b/rhubarbhall/programs/store_view.py
@@ -159,6 +159,14 @@
     ]
 
 
+def target_regions(directory: KeyDirectory) -> dict[str, frozenset[str]]:
+    """Return the regions of the targets of each service."""
+    regions: dict[str, set[str]] = {}
+    for each in directory.member_by_address.values():
+        regions.setdefault(each.service, set()).add(each.region)
+    return {service: frozenset(found) for service, found in regions.items()}
+
+
 def owner_rows(service: str, table: KeyTable) -> list[tuple[object, ...]]:
     """Return a row for each range of keys.
 
--- a/tests/programs/test_store_view.py
+++ b/tests/programs/test_store_view.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import tempfile
 import threading
 import time
 import unittest
+from pathlib import Path
 
 from click.testing import CliRunner, Result
 
@@ -81,3 +84,19 @@
     def test_an_unreadable_configuration_is_reported(self):
         self.store.put("keyed.op", "config", b"{")
         self.assertIn("keyed.op", str(self.ctl("routes").exception))
+
+    def test_a_file_is_checked_against_the_configuration_and_members_in_force(self):
+        self.fill_store()
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "new.json"
+            file.write_bytes(configuration(4, timeout="3s"))
+            result = self.ctl("check", str(file), "--json")
+            self.assertEqual(result.return_value, 1)
+            report = json.loads(result.output)
+            kinds = {each["kind"] for each in report["findings"]}
+            self.assertIn("version_not_above", kinds)
+            self.assertEqual(list(report["changes"]), ["timeouts"])
+            file.write_bytes(configuration(5, timeout="3s"))
+            self.assertEqual(self.ctl("check", str(file)).return_value, 0)
+            self.store.faults.refuses = True
+            self.assertIn("503", str(self.ctl("check", str(file)).exception))
