--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -259,12 +259,16 @@
     return decode(_VERSION_DECODER, data).version
 
 
-def _described(raw: msgspec.Raw) -> tuple[str, str]:
-    """Return type and name of an entry that has errors, as far as they can be read."""
+def _content(data: bytes | msgspec.Raw) -> Any:
+    """Return the content of JSON that has errors; None if it cannot be decoded."""
     try:
-        content = msgspec.json.decode(raw)
+        return msgspec.json.decode(data)
     except (ValueError, RecursionError):
-        return "", ""
+        return None
+
+
+def _described(content: Any) -> tuple[str, str]:
+    """Return type and name of an entry that has errors, as far as they are known."""
     if not isinstance(content, dict):
         return "", ""
     metadata = content.get("metadata")
@@ -281,9 +285,10 @@
         try:
             resource = decode(_ENTRY_DECODER, raw)
         except ValueError as error:
-            found = _field_error(error, None)
+            content = _content(raw)
+            found = _field_error(error, content)
             reason = f"entry {index}: {found.reason}"
-            errors.append(EntryError(*_described(raw), found.field, reason))
+            errors.append(EntryError(*_described(content), found.field, reason))
         else:
             yield resource
 
@@ -298,7 +303,7 @@
         raw_entries = decode(_ENTRIES_DECODER, data).resources
         version = read_version(data)
     except ValueError as error:
-        found_error = _field_error(error, None)
+        found_error = _field_error(error, _content(data))
         errors.append(EntryError("", "", found_error.field, found_error.reason))
     for resource in _resources(raw_entries, errors):
         kind, name = resource.resource_type, resource.metadata.name
--- a/tests/platform/test_operator_check.py
+++ b/tests/platform/test_operator_check.py
@@ -68,6 +68,15 @@
             with self.subTest(data=data[:20]):
                 self.assertTrue(check(data).has_errors)
 
+    def test_a_wrong_value_outside_of_a_spec_is_quoted(self):
+        wrong = entry("routes", "q")
+        (found,) = check(document({**wrong, "spec": "none"})).findings
+        self.assertEqual((found.type, found.name, found.field), ("routes", "q", "spec"))
+        self.assertIn("'none'", found.message)
+        (found,) = check(document(version=-7)).findings
+        self.assertEqual(found.field, "version")
+        self.assertIn("-7", found.message)
+
     def test_findings_of_routes(self):
         routes, error, warning = "routes", "error", "warning"
         twin = entry("routes", "twin", **ROUTE)
