Report names that are not unique in a configuration

Cause: two routes of one name with traffic splits of different length make RoutingTable.choose_part fail with IndexError (seen with a script on this commit's parent); of services and limits the last entry counts without a word. Change: finding duplicate_name.

--- a/rhubarbhall/core/traffic/configuration_check.py
+++ b/rhubarbhall/core/traffic/configuration_check.py
@@ -42,6 +42,7 @@
     SHADOWED_ROUTE = "shadowed_route"
     UNKNOWN_SERVICE = "unknown_service"
     UNUSED_SERVICE = "unused_service"
+    DUPLICATE_NAME = "duplicate_name"
     BAD_PREFIX = "bad_prefix"
     BAD_HOST = "bad_host"
     LATENCY_BEYOND_TIMEOUT = "latency_beyond_timeout"
@@ -212,6 +213,38 @@
         )
 
 
+def _check_names(entries: ConfigurationEntries) -> Iterator[Finding]:
+    route_by_name: dict[str, HostRoute] = {}
+    for route in entries.routes:
+        other = route_by_name.setdefault(route.name, route)
+        if other is route:
+            continue
+        # The state of the weighted round robin is kept by name.
+        is_split = len(route.parts) > 1 < len(other.parts)
+        found = _error if is_split and route.parts != other.parts else _warning
+        yield found(
+            FindingKind.DUPLICATE_NAME,
+            (ROUTE, route.name, ""),
+            f"{route.name!r} is the name of an earlier route too; allowed: each name "
+            "once, as metrics, logs and traffic splits are kept by name",
+        )
+    seen: set[str] = set()
+    for service in entries.services:
+        if service.name in seen:
+            yield _warning(
+                FindingKind.DUPLICATE_NAME,
+                (SERVICE, service.name, ""),
+                f"{service.name!r} replaces an earlier entry; allowed: each name once",
+            )
+        seen.add(service.name)
+    if len(entries.callers) > 1:
+        yield _warning(
+            FindingKind.DUPLICATE_NAME,
+            (CALLERS, "", ""),
+            f"{len(entries.callers)} entries, of which the last counts; allowed: one",
+        )
+
+
 def _check_regions(
     entries: ConfigurationEntries, regions_by_service: Mapping[str, frozenset[str]]
 ) -> Iterator[Finding]:
@@ -313,6 +346,7 @@
         yield from _check_place_of_route(route, first)
         yield from _check_limits_of_route(route, context)
         used.update(part.service for part in route.parts)
+    yield from _check_names(entries)
     yield from _check_services(entries, context, invalid_services)
     for service in entries.services:
         yield from _check_service(service, None if has_invalid_routes else used)
--- a/tests/platform/test_operator_check.py
+++ b/tests/platform/test_operator_check.py
@@ -115,10 +115,27 @@
             ({"warmup": "3s"}, "warmup_per_s"),
             ({"warmup_per_s": 6.5}, "warmup"),
         ):
-            data = document(entry("services", "s", **spec))
+            route = entry("routes", "q", **{**ROUTE, "hostname": "i", "service": "t"})
+            data = document(route, entry("services", "t", **spec))
             place = ("services", field)
             self.assert_found(data, ("warmup_incomplete", "warning", *place))
 
+    def test_names_that_are_not_unique(self):
+        # Two splits of different length under one name make requests fail.
+        split = [{"service": "s", "weight": 1}, {"service": "s", "weight": 2}]
+        for parts, severity in ((split[:1], "warning"), ([*split, *split], "error")):
+            route = {**ROUTE, "path_prefix": "/b/", "traffic_split": parts}
+            data = document(entry("routes", "r", **route), traffic_split=split)
+            self.assert_found(data, ("duplicate_name", severity, "routes", ""))
+        data = document(
+            entry("services", "s"), entry("limits", ""), entry("limits", "")
+        )
+        self.assert_found(
+            data,
+            ("duplicate_name", "warning", "services", ""),
+            ("duplicate_name", "warning", "limits", ""),
+        )
+
     def test_limits(self):
         for spec, kind, severity in (
             ({"max_body_bytes": 70_000_000}, "body_beyond_memory", "error"),
