Share the requests of split routes by route and not by name

Names of routes need not be unique. Two routes of one name with different numbers of parts made requests of one of them end with an IndexError. The new test fails before; 88 tests of the parts touched pass.

--- a/rhubarbhall/core/traffic/routes.py
+++ b/rhubarbhall/core/traffic/routes.py
@@ -141,7 +141,7 @@
     restricts_regions: bool = field(init=False)
     _routes_by_host: dict[str, dict[str, HostRoute]] = field(init=False, repr=False)
     _longest_prefix: int = field(init=False, repr=False)
-    _credits_by_route: dict[str, list[float]] = field(init=False, repr=False)
+    _credits_by_route: dict[HostRoute, list[float]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         self._routes_by_host = defaultdict(dict)
@@ -189,9 +189,8 @@
         """
         if len(route.parts) == 1:
             return route.parts[0].service
-        credits = self._credits_by_route.setdefault(
-            route.name, [0.0] * len(route.parts)
-        )
+        # By the route itself, as names need not be unique.
+        credits = self._credits_by_route.setdefault(route, [0.0] * len(route.parts))
         for index, part in enumerate(route.parts):
             credits[index] += part.weight
         chosen = max(range(len(credits)), key=credits.__getitem__)
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -429,6 +429,20 @@
 
 
 class RoutingTableTests(unittest.TestCase):
+    # Requests of the route with more parts ended with an IndexError.
+    def test_two_split_routes_may_have_the_same_name(self):
+        two, three = (
+            tuple(RoutePart(service, 1) for service in services)
+            for services in ("ab", "abc")
+        )
+        routes = (
+            HostRoute("split", "h", "/two/", two, True),
+            HostRoute("split", "h", "/three/", three, True),
+        )
+        table = RoutingTable(1, routes, {})
+        chosen = {table.choose_part(route) for route in (*routes, *routes, *routes)}
+        self.assertEqual(chosen, {"a", "b", "c"})
+
     def test_each_part_gets_its_weight_in_every_round(self):
         parts = (RoutePart("a", 90), RoutePart("b", 10))
         route = HostRoute("r", "h", "/", parts, True)
