Report route names that are not unique as a warning

Two splits under one name made requests fail, so the check called them an error; routers keep the state of a split by its route since, and only metrics and logs go by name. The test of this finding expects the warning for both. The module's tests pass.

--- a/rhubarbhall/core/traffic/configuration_check.py
+++ b/rhubarbhall/core/traffic/configuration_check.py
@@ -214,20 +214,16 @@
 
 
 def _check_names(entries: ConfigurationEntries) -> Iterator[Finding]:
-    route_by_name: dict[str, HostRoute] = {}
+    route_names: set[str] = set()
     for route in entries.routes:
-        other = route_by_name.setdefault(route.name, route)
-        if other is route:
-            continue
-        # The state of the weighted round robin is kept by name.
-        is_split = len(route.parts) > 1 < len(other.parts)
-        found = _error if is_split and route.parts != other.parts else _warning
-        yield found(
-            FindingKind.DUPLICATE_NAME,
-            (ROUTE, route.name, ""),
-            f"{route.name!r} is the name of an earlier route too; allowed: each name "
-            "once, as metrics, logs and traffic splits are kept by name",
-        )
+        if route.name in route_names:
+            yield _warning(
+                FindingKind.DUPLICATE_NAME,
+                (ROUTE, route.name, ""),
+                f"{route.name!r} is the name of an earlier route too; allowed: each "
+                "name once, as metrics and logs are kept by name",
+            )
+        route_names.add(route.name)
     seen: set[str] = set()
     for service in entries.services:
         if service.name in seen:
