--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -74,7 +74,10 @@
 LOST_OWNER_RETRY_AFTER_S = 1.0
 #: Minimum time until the deadline for which a request is sent again.
 MIN_REPEAT_TIME_S = 0.03
-#: Time beyond the round trip before the deadline at which a request is withdrawn from
+#: Round trips that a withdrawal and its answer may take. Under load a message waits on
+#: both sides; of answers between regions one in ten took twice the delay of the link.
+WITHDRAWAL_ROUND_TRIPS = 1.5
+#: Time beyond them before the deadline at which a request is withdrawn from
 #: another daemon. It covers the work of both processes, which share less than one core
 #: with their targets on the smallest VMs.
 WITHDRAWAL_MARGIN_S = 0.04
@@ -500,7 +503,8 @@
         The other daemon's answer must arrive before it: only that daemon knows whether
         the request still waits there or a target has received it.
         """
-        lead_s = self._peers.round_trip_s(address) + WITHDRAWAL_MARGIN_S
+        round_trip_s = WITHDRAWAL_ROUND_TRIPS * self._peers.round_trip_s(address)
+        lead_s = round_trip_s + WITHDRAWAL_MARGIN_S
         withdraw = TimerCallback(lambda later: self._withdraw(pending, address))
         due = min(pending.request.deadline, self._drain_end) - lead_s
         due = max(due, pending.sent_at + MIN_WITHDRAWAL_DELAY_S)
