--- a/rhubarbhall/core/traffic/admission_queue.py
+++ b/rhubarbhall/core/traffic/admission_queue.py
@@ -301,11 +301,11 @@
                 return NotRun(ErrorKind.DEADLINE_UNREACHABLE)
             return None
         urgency = self._urgency(now, request)
-        refusal = self._cold_refusal(
-            now, sum(1 for _ in self._waiting.ahead_of(request, urgency))
-        )
-        if refusal is not None:
-            return refusal
+        if self.warmup.is_cold(now):
+            ahead = sum(1 for _ in self._waiting.ahead_of(request, urgency))
+            refusal = self._cold_refusal(now, ahead)
+            if refusal is not None:
+                return refusal
         wait_s = self.expected_wait_s(now, request, urgency)
         if urgency is not Urgency.IN_TIME and not self._policy.is_starved(request):
             # Requests that meet the target latency will arrive and be sent first.
--- a/rhubarbhall/core/traffic/load_shedding.py
+++ b/rhubarbhall/core/traffic/load_shedding.py
@@ -72,20 +72,30 @@
     def __init__(self) -> None:
         self._arrived: Counter[str] = Counter()
         self._served: Counter[str] = Counter()
+        #: Sums of the counts, which each rank of a request needs.
+        self._arrived_total = 0.0
+        self._served_total = 0.0
 
     def record_arrival(self, route: str) -> None:
         """Record a request, whether it is served or refused."""
         self._arrived[route] += 1
-        if self._arrived.total() > MAX_COUNTED:
-            for counts in (self._arrived, self._served):
-                for name in list(counts):
-                    counts[name] /= 2
-                    if counts[name] < MIN_KEPT_COUNT:
-                        del counts[name]
+        self._arrived_total += 1
+        if self._arrived_total > MAX_COUNTED:
+            self._halve()
+
+    def _halve(self) -> None:
+        for counts in (self._arrived, self._served):
+            for name in list(counts):
+                counts[name] /= 2
+                if counts[name] < MIN_KEPT_COUNT:
+                    del counts[name]
+        self._arrived_total = self._arrived.total()
+        self._served_total = self._served.total()
 
     def record_served(self, route: str) -> None:
         """Record that a request was sent to the target."""
         self._served[route] += 1
+        self._served_total += 1
 
     def is_starved(self, route: str) -> bool:
         """Return whether a route is served much less often than all together."""
@@ -93,7 +103,7 @@
         if arrived < MIN_COUNTED:
             return False
         share = self._served[route] / arrived
-        total_share = self._served.total() / self._arrived.total()
+        total_share = self._served_total / self._arrived_total
         return share < MIN_SERVED_SHARE * total_share
 
 
