--- a/rhubarbhall/core/traffic/configuration_changes.py
+++ b/rhubarbhall/core/traffic/configuration_changes.py
@@ -78,8 +78,10 @@
         before, after = getattr(old, name), getattr(new, name)
         if before != after:
             changes.append((group, f"{_text(name, before)} -> {_text(name, after)}"))
-    if old.allowed_regions != new.allowed_regions:
-        texts = (",".join(sorted(each.allowed_regions)) or "all" for each in (old, new))
+    if old.permitted_regions != new.permitted_regions:
+        texts = (
+            ",".join(sorted(each.permitted_regions)) or "all" for each in (old, new)
+        )
         changes.append(("regions", " -> ".join(texts)))
     return changes
 
--- a/rhubarbhall/core/traffic/configuration_check.py
+++ b/rhubarbhall/core/traffic/configuration_check.py
@@ -248,12 +248,12 @@
         served: set[str] = set()
         for part in route.parts:
             served |= regions_by_service.get(part.service, frozenset())
-        for region in sorted(route.allowed_regions - served):
-            others = route.allowed_regions & served
+        for region in sorted(route.permitted_regions - served):
+            others = route.permitted_regions & served
             found = _warning if others else _error
             yield found(
                 FindingKind.REGION_WITHOUT_TARGET,
-                (ROUTE, route.name, "allowed_regions"),
+                (ROUTE, route.name, "permitted_regions"),
                 f"{region!r} has no target of the route's services; allowed: "
                 + (", ".join(map(repr, sorted(served))) or "none has any"),
             )
@@ -266,12 +266,12 @@
     for regions in regions_by_service.values():
         spelling.update((each.strip().casefold(), each) for each in regions)
     for route in entries.routes:
-        for region in sorted(route.allowed_regions):
+        for region in sorted(route.permitted_regions):
             usual = spelling.setdefault(region.strip().casefold(), region)
             if usual != region:
                 yield _warning(
                     FindingKind.REGION_SPELLINGS,
-                    (ROUTE, route.name, "allowed_regions"),
+                    (ROUTE, route.name, "permitted_regions"),
                     f"{region!r} is spelled {usual!r} elsewhere; allowed: one spelling",
                 )
 
--- a/rhubarbhall/core/traffic/eligibility.py
+++ b/rhubarbhall/core/traffic/eligibility.py
@@ -54,19 +54,19 @@
 
     Parameters
     ----------
-    allowed_regions : frozenset of str
+    permitted_regions : frozenset of str
         Regions that the route allows; all if empty.
     evacuated_domains : frozenset of str
         Failure domains that operators have evacuated.
     """
 
-    allowed_regions: frozenset[str] = frozenset()
+    permitted_regions: frozenset[str] = frozenset()
     evacuated_domains: frozenset[str] = frozenset()
 
     @property
     def is_unrestricted(self) -> bool:
         """Whether the request may run everywhere."""
-        return not (self.allowed_regions or self.evacuated_domains)
+        return not (self.permitted_regions or self.evacuated_domains)
 
     def allows(self, place: Place | None) -> bool:
         """Return whether the request may run at a place; `None` if it is unknown."""
@@ -76,9 +76,9 @@
 
     def allows_region(self, place: Place | None) -> bool:
         """Return whether the route allows the region of a place."""
-        if not self.allowed_regions:
+        if not self.permitted_regions:
             return True
-        return place is not None and place.region in self.allowed_regions
+        return place is not None and place.region in self.permitted_regions
 
     def is_evacuated(self, place: Place | None) -> bool:
         """Return whether only an evacuation keeps the request from a place."""
@@ -113,20 +113,20 @@
 
     def eligibility(self, request: RoutedRequest) -> Eligibility:
         """Return where a request may run by the rules that are in force now."""
-        allowed_regions = self._allowed_regions(request)
-        if not (allowed_regions or self.evacuated_domains):
+        permitted_regions = self._permitted_regions(request)
+        if not (permitted_regions or self.evacuated_domains):
             return ANYWHERE
-        return Eligibility(allowed_regions, self.evacuated_domains or frozenset())
+        return Eligibility(permitted_regions, self.evacuated_domains or frozenset())
 
-    def _allowed_regions(self, request: RoutedRequest) -> frozenset[str]:
+    def _permitted_regions(self, request: RoutedRequest) -> frozenset[str]:
         routing = self.routing
         if routing is None or not (
-            routing.restricts_regions or request.allowed_regions
+            routing.restricts_regions or request.permitted_regions
         ):
-            return request.allowed_regions
+            return request.permitted_regions
         # Names of routes need not be unique, so the route is matched again.
         route = routing.match(request.host, request.path)
-        return request.allowed_regions if route is None else route.allowed_regions
+        return request.permitted_regions if route is None else route.permitted_regions
 
     def local_refusal(self, request: RoutedRequest) -> NotRun | None:
         """Return the refusal of a request that may not run at the local target."""
--- a/rhubarbhall/core/traffic/far_targets.py
+++ b/rhubarbhall/core/traffic/far_targets.py
@@ -31,15 +31,17 @@
 INITIAL_WINDOW = 8.0
 MIN_WINDOW = 1 / 8
 MAX_WINDOW = 64.0
-#: Window up to which each answer widens it by a whole request, once a region that had
+#: Window up to which each answer widens it by a whole request, once a group that had
 #: refused all has answered again.
 RETURN_THRESHOLD = 4.0
-#: Factor by which a refusal narrows the window.
+#: Factor by which a refusal narrows the window; with additive increase, daemons that
+#: send to the same group come to equal shares.
 DECREASE = 0.5
 #: Pause between two requests at a window of one; it grows as the window narrows, up to
 #: 4 s. Twenty daemons of a full region then send five requests a second to another.
 PROBE_INTERVAL_S = 0.5
-#: Time without a request to a region after which a wide window is forgotten.
+#: Time without a request to a group, in seconds, after which a window beyond the first
+#: one is forgotten: what it was measured by has changed.
 IDLE_TIMEOUT_S = 3.0
 #: Age of the last request up to which a window is shown to operators, in seconds: two
 #: of the longest pauses.
--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -248,7 +248,7 @@
             target_latency_deadline=now + route.target_latency_s - spent_s,
             is_retry=spent_s > RETRY_DETECTION_S,
             max_attempts=route.max_attempts,
-            allowed_regions=route.allowed_regions,
+            permitted_regions=route.permitted_regions,
         )
 
     def _is_by_key(self, service: str) -> bool:
--- a/rhubarbhall/core/traffic/requests.py
+++ b/rhubarbhall/core/traffic/requests.py
@@ -53,7 +53,7 @@
         Identifies equal requests, as `fingerprint_of` returns it; empty until needed.
     reservation : BodyReservation, optional
         Room that the body takes at this daemon, if another one has sent the request.
-    allowed_regions : frozenset of str
+    permitted_regions : frozenset of str
         Regions that the route allowed when the request arrived; all if empty. They
         count if no route in force matches the request any more.
     """
@@ -77,7 +77,7 @@
     is_suspected: bool = False
     fingerprint: Fingerprint = b""
     reservation: BodyReservation | None = field(default=None, compare=False, repr=False)
-    allowed_regions: frozenset[str] = frozenset()
+    permitted_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rhubarbhall/core/traffic/routes.py
+++ b/rhubarbhall/core/traffic/routes.py
@@ -51,7 +51,7 @@
         still meet it are preferred under load.
     max_attempts : int
         Maximum number of targets that may receive one request.
-    allowed_regions : frozenset of str
+    permitted_regions : frozenset of str
         Regions in which the requests may run; all if empty.
     """
 
@@ -64,7 +64,7 @@
     timeout_s: Seconds | None = None
     target_latency_s: Seconds = 1.0
     max_attempts: int = 1
-    allowed_regions: frozenset[str] = frozenset()
+    permitted_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +146,7 @@
     def __post_init__(self) -> None:
         self._routes_by_host = defaultdict(dict)
         self._credits_by_route = {}
-        self.restricts_regions = any(each.allowed_regions for each in self.routes)
+        self.restricts_regions = any(each.permitted_regions for each in self.routes)
         self._longest_prefix = max(
             (len(each.prefix) for each in self.routes), default=0
         )
--- a/rhubarbhall/core/traffic/slowdown.py
+++ b/rhubarbhall/core/traffic/slowdown.py
@@ -14,7 +14,8 @@
 #: would keep it from getting requests, or give it all of them.
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 20.0
-#: Time in which a report loses half of its weight, in seconds.
+#: Time in which a report loses half of its weight, in seconds: the speed of a shared
+#: machine changes several times a second.
 HALF_LIFE_S = 0.3
 
 
--- a/rhubarbhall/core/traffic/warmup.py
+++ b/rhubarbhall/core/traffic/warmup.py
@@ -16,8 +16,8 @@
     from rhubarbhall.types import Seconds
 
 #: Time for which unused tokens accumulate, in seconds, and the minimum number that can
-#: accumulate. The queue checks for tokens each 0.1 s, and the users' bound allows half
-#: of the rate and 8 requests more in each second.
+#: accumulate. The queue checks for tokens each 0.1 s, and the users' usual bound allows
+#: half of the rate and 8 requests more in each second.
 BURST_S = 0.25
 MIN_BURST = 2.0
 #: Window in which the users count the requests to a cold target, in seconds.
--- a/rhubarbhall/platform/operator.py
+++ b/rhubarbhall/platform/operator.py
@@ -220,7 +220,7 @@
         timeout_s=None if spec.timeout is None else _seconds("timeout", spec.timeout),
         target_latency_s=_seconds("target_latency", spec.target_latency),
         max_attempts=spec.max_attempts,
-        allowed_regions=frozenset(spec.allowed_regions),
+        permitted_regions=frozenset(spec.allowed_regions),
     )
 
 
--- a/rhubarbhall/platform/operator_check.py
+++ b/rhubarbhall/platform/operator_check.py
@@ -33,6 +33,7 @@
     "target_latency_s": "target_latency",
     "max_head": "max_header_bytes",
     "max_body": "max_body_bytes",
+    "permitted_regions": "allowed_regions",
     "head_timeout_s": "header_timeout",
     "idle_timeout_s": "idle_timeout",
     "warmup_s": "warmup",
--- a/tests/core/traffic/test_eligibility.py
+++ b/tests/core/traffic/test_eligibility.py
@@ -41,7 +41,7 @@
     """Return the usual configuration with these allowed regions on all routes."""
     table = routing(version)
     routes = [
-        replace(each, allowed_regions=frozenset(regions)) for each in table.routes
+        replace(each, permitted_regions=frozenset(regions)) for each in table.routes
     ]
     return replace(table, routes=tuple(routes))
 
@@ -248,7 +248,7 @@
             (b', "allowed_regions": ["r1", "r2"]', {"r1", "r2"}),
         ):
             (route,) = parse_configuration(spec % text).routes
-            self.assertEqual(route.allowed_regions, expected)
+            self.assertEqual(route.permitted_regions, expected)
 
 
 class EvacuationTests(EligibilityCase):
