Test routers beside crowds at each of their ports

Crowds of large bodies whole and piece by piece, of large and of the smallest chunks, of bodies above the limit, of long heads and many headers, of requests in a pipeline and of silent connections, at the ports for callers, heartbeats, readiness and peers. The clients come again when they are closed. Checked are that the processes live, memory and descriptors, and that an ordinary request is answered beside the crowd and after it.

--- a/tests/untrusted/crowd.py
+++ b/tests/untrusted/crowd.py
@@ -36,23 +36,33 @@
         Bytes that it sends and reads in one turn at most; it may read none.
     turns_between : int
         Turns between two of its turns to send.
+    comes_again : bool
+        Whether it connects again, and sends all again, once its connection is closed.
     """
 
     parts: list[bytes | memoryview]
     send_bytes: int = SEND_BYTES
     receive_bytes: int = 0
     turns_between: int = 0
+    comes_again: bool = False
     sock: socket.socket | None = None
     is_closed: bool = False
     _turn: int = field(default=0)
+    _port: int = field(default=0)
+    _all_parts: list[bytes | memoryview] = field(default_factory=list)
 
     def connect(self, port: int) -> None:
         """Open the connection, with a small receive buffer."""
+        self._port = port
+        self._all_parts = list(self.parts)
+        self._open()
+
+    def _open(self) -> None:
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.sock.settimeout(5.0)
         try:
-            self.sock.connect((HOST, port))
+            self.sock.connect((HOST, self._port))
         except OSError:
             self.is_closed = True
         self.sock.setblocking(False)
@@ -61,7 +71,9 @@
         """Send and read some bytes."""
         self._turn += 1
         if self.is_closed:
-            return
+            if not self.comes_again:
+                return
+            self._come_again()
         try:
             if self.parts and self._turn % (self.turns_between + 1) == 0:
                 self._send()
@@ -72,6 +84,12 @@
         except OSError:
             self.is_closed = True
 
+    def _come_again(self) -> None:
+        self.sock.close()
+        self.is_closed = False
+        self.parts = list(self._all_parts)
+        self._open()
+
     def _send(self) -> None:
         part = memoryview(self.parts[0])
         count = self.sock.send(part[: self.send_bytes])
@@ -79,7 +97,12 @@
 
 
 def play(
-    port: int, clients: Iterable[Client], duration_s: float, watch: Callable[[], None]
+    port: int,
+    clients: Iterable[Client],
+    duration_s: float,
+    watch: Callable[[], None],
+    on_connected: Callable[[], None] = lambda: None,
+    is_over: Callable[[], bool] = lambda: False,
 ) -> None:
     """Let clients connect and act for a time, then close them.
 
@@ -87,13 +110,18 @@
     ----------
     watch : callable
         Called after each turn.
+    on_connected : callable
+        Called once all clients have connected.
+    is_over : callable
+        Called after each turn; returns whether the clients are to be closed early.
     """
     crowd = list(clients)
     try:
         for client in crowd:
             client.connect(port)
+        on_connected()
         ends_at = time.monotonic() + duration_s
-        while time.monotonic() < ends_at:
+        while time.monotonic() < ends_at and not is_over():
             for client in crowd:
                 client.turn()
             watch()
--- a/tests/untrusted/deployment.py
+++ b/tests/untrusted/deployment.py
@@ -91,7 +91,9 @@
 class Vm:
     """One VM: the addresses on it and its router process."""
 
-    def __init__(self, service: str, folder: Path, store: str) -> None:
+    def __init__(
+        self, service: str, folder: Path, store: str, memory_mb: int, max_fds: int
+    ) -> None:
         names = ("inbound", "outbound", "ready", "control", "app")
         ports = free_ports(len(names))
         self.service = service
@@ -107,7 +109,7 @@
             "app_addr": self.address("app"),
             "service": service,
             "platform": {"address": store},
-            "limits": {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS},
+            "limits": {"memory_mb": memory_mb, "max_fds": max_fds},
         }
         self._path.write_text(json.dumps(settings))
         self.process = subprocess.Popen(
@@ -144,15 +146,24 @@
 
 
 class Deployment:
-    """The routers, and a thread with the stand-ins; `close` ends all of them."""
+    """The routers, and a thread with the stand-ins; `close` ends all of them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    memory_mb, max_fds : int
+        Limits in the settings of the routers.
+    """
+
+    def __init__(self, memory_mb: int = MEMORY_MB, max_fds: int = MAX_FDS) -> None:
+        self.memory_mb, self.max_fds = memory_mb, max_fds
         self._folder = tempfile.TemporaryDirectory()
         (store_port,) = free_ports(1)
         self.store = PlatformStore((HOST, store_port))
         self.store.put("keyed.op", "config", configuration())
         folder, store = Path(self._folder.name), f"{HOST}:{store_port}"
-        self.vms = [Vm(service, folder, store) for service in SERVICES]
+        self.vms = [
+            Vm(service, folder, store, memory_mb, max_fds) for service in SERVICES
+        ]
         self._loop = Loop()
         self._timers = TimerService()
         client = HttpClient("stand-ins", 50)
