Let the connection of the least use give way at the limit

Callers saw: 503 for each new connection while others had brought one request and stayed, for up to a minute; the target the same at the port for heartbeats.

Cause: only a connection without any request gave way, after up to 10 s. And whoever had to yield for bytes was looked for among all connections with each piece that found no room, in vain when nobody was old enough.

Refused connections give way first, then those that bring the fewest bytes a second, none for silent and idle ones, after 1 s. At most 128 refused connections linger.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -8,9 +8,11 @@
 import itertools
 import time
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
 from rhubarbhall.adapters.http_wire import (
     ParsedRequest,
     RequestReader,
@@ -36,11 +38,16 @@
 MAX_UNSENT_BYTES = 64 * 1024
 #: Requests that wait on a connection above which no more are read.
 MAX_READ_AHEAD = 16
+#: Time for which a connection may bring nothing before it gives way to a new one, in
+#: seconds. A caller on the same VM sends its request within milliseconds.
+UNUSED_S = 1.0
 #: Time without bytes after which a draining server closes a connection, in seconds:
 #: longer than a caller on the same VM takes to send its first request.
 MIN_IDLE_S = 0.1
-#: Time for which the bytes of a refused request are still read, in seconds.
+#: Time for which the bytes of a refused request are still read, in seconds, and limit
+#: of the connections on which that is done at a time.
 LINGER_S = 2.0
+MAX_LINGERING = 128
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -64,8 +71,6 @@
         Parser of the received bytes.
     peer : str
         IP address of the caller.
-    opened_at : float
-        When the connection was opened.
     last_active_at : float
         When bytes were last received or an answer was last written.
     waiting : deque of ParsedRequest
@@ -76,8 +81,6 @@
         Id of the request being handled.
     message_since : float, optional
         When the first bytes of the request were received that is received in part.
-    has_been_used : bool
-        Whether a whole request was received.
     is_paused : bool
         Whether nothing is read for the present.
     closing : bool
@@ -88,22 +91,15 @@
 
     reader: RequestReader
     peer: str
-    opened_at: Seconds
     last_active_at: Seconds
     waiting: deque[ParsedRequest] = field(default_factory=deque)
     current: ParsedRequest | None = None
     request_id: RequestId | None = None
     message_since: Seconds | None = None
-    has_been_used: bool = False
     is_paused: bool = False
     closing: bool = False
     lingers_until: Seconds | None = None
 
-    def discard_waiting(self) -> None:
-        for parsed in self.waiting:
-            parsed.release()
-        self.waiting.clear()
-
 
 class CallerServer(Listener):
     """Reads requests, passes them to a sink and writes their answers in order.
@@ -147,6 +143,10 @@
         self._request_ids = itertools.count(1)
         #: The connection whose bytes are being parsed, which must not be closed.
         self._receiving: socket.socket | None = None
+        #: Connections whose request was refused, the oldest first.
+        self._lingering: dict[socket.socket, None] = {}
+        self._by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
+        self._by_use = EvictionOrder(self._unused, self._may_give_way)
         self.draining = False
         self.yielded = 0
 
@@ -169,8 +169,7 @@
     def on_accepted(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Start reading a new connection, or refuse it beyond the limit.
 
-        At the limit the oldest connection gives way that has not brought a whole
-        request, if it had time for one.
+        At the limit the connection gives way that is of the least use.
         """
         is_full = len(self._connection_by_sock) >= self._limits.connections
         if is_full and not self._drop_unused():
@@ -181,22 +180,49 @@
         limits = self._limits
         reader = RequestReader(limits.max_head, limits.max_body, self._budget)
         now = time.monotonic()
-        self._connection_by_sock[sock] = _Connection(reader, peer[0], now, now)
+        self._connection_by_sock[sock] = _Connection(reader, peer[0], now)
 
     def _drop_unused(self) -> bool:
-        """Close the oldest connection without a whole request; return if there is one.
+        """Close the connection that is of the least use; return if there is one."""
+        now = time.monotonic()
+        unused_s = min(self._limits.idle_s, self._limits.head_s, UNUSED_S)
+        sock = self._by_use.next(now, unused_s)
+        if sock is None:
+            return False
+        self.yielded += 1
+        self.drop(sock)
+        return True
+
+    def _unused(self, now: Seconds) -> Iterator[Candidate]:
+        """Yield the connections that may give way to a new one.
 
-        Connections are kept in the order in which they were opened.
+        Refused ones come first, then those without a whole request by how little they
+        bring, then those whose requests wait for one another.
         """
-        opened_before = time.monotonic() - min(self._limits.idle_s, self._limits.head_s)
         for sock, connection in self._connection_by_sock.items():
-            if connection.opened_at > opened_before:
-                return False
-            if not connection.has_been_used and not connection.reader.body_size:
-                self.yielded += 1
-                self.drop(sock)
-                return True
-        return False
+            if self._may_give_way(sock):
+                yield self._use(now, sock, connection)
+
+    def _use(
+        self, now: Seconds, sock: socket.socket, connection: _Connection
+    ) -> Candidate:
+        if connection.waiting:
+            return Candidate(sock, connection.last_active_at, float("-inf"))
+        unsent = self.unsent(sock)
+        if unsent is not None:
+            return Candidate(sock, unsent.progress_at, 0.0)
+        since = connection.message_since or connection.last_active_at
+        if connection.closing:
+            return Candidate(sock, since, 1.0)
+        rate = connection.reader.body_size / max(now - since, UNUSED_S)
+        return Candidate(sock, since, -rate)
+
+    def _may_give_way(self, sock: socket.socket) -> bool:
+        """Return whether a connection has more or less than one request in progress."""
+        connection = self._connection_by_sock.get(sock)
+        return connection is not None and (
+            connection.current is None or bool(connection.waiting)
+        )
 
     def on_data(self, sock: socket.socket, data: bytes) -> None:
         """Handle received bytes of requests."""
@@ -219,17 +245,22 @@
             reader.wants_continue = False
             self.send(sock, _CONTINUE)
         if reader.finished:
-            connection.has_been_used = True
+            connection.waiting.extend(reader.finished)
+            reader.finished.clear()
             connection.message_since = now
         if not reader.in_message:
             connection.message_since = None
-        connection.waiting.extend(reader.finished)
-        reader.finished.clear()
         if len(connection.waiting) > MAX_PIPELINED:
             self._reject(sock, connection, ErrorKind.MALFORMED_REQUEST)
             return
         self._start_next(sock, connection)
 
+    @staticmethod
+    def _discard_waiting(connection: _Connection) -> None:
+        for parsed in connection.waiting:
+            parsed.release()
+        connection.waiting.clear()
+
     def _reject(
         self, sock: socket.socket, connection: _Connection, kind: ErrorKind
     ) -> None:
@@ -240,12 +271,19 @@
         refusal before it has sent all.
         """
         connection.closing = True
-        connection.discard_waiting()
+        self._discard_waiting(connection)
         connection.reader.close()
         connection.lingers_until = time.monotonic() + LINGER_S
         if connection.current is None:
-            self.send(sock, encode_response(refusal(kind), keep_alive=False))
-            self.finish_sending(sock)
+            self._send_refusal(sock, kind)
+
+    def _send_refusal(self, sock: socket.socket, kind: ErrorKind) -> None:
+        self.send(sock, encode_response(refusal(kind), keep_alive=False))
+        self.finish_sending(sock)
+        if sock in self._clients:
+            self._lingering[sock] = None
+        if len(self._lingering) > MAX_LINGERING:
+            self.drop(next(iter(self._lingering)))
 
     def _start_next(self, sock: socket.socket, connection: _Connection) -> None:
         while (
@@ -332,7 +370,7 @@
         if keep:
             return
         connection.closing = True
-        connection.discard_waiting()
+        self._discard_waiting(connection)
         if connection.lingers_until is None:
             self.finish(sock)
         else:
@@ -340,11 +378,12 @@
 
     def on_closed(self, sock: socket.socket) -> None:
         """Report the unanswered request of an ended connection to the sink."""
+        self._lingering.pop(sock, None)
         connection = self._connection_by_sock.pop(sock, None)
         if connection is None:
             return
         connection.reader.close()
-        connection.discard_waiting()
+        self._discard_waiting(connection)
         if connection.current is not None:
             connection.current.release()
         if connection.request_id is not None:
@@ -411,16 +450,7 @@
         bool
             Whether a connection was closed or its request refused.
         """
-        now = time.monotonic()
-        worst, most = None, 0.0
-        for sock, connection in self._connection_by_sock.items():
-            size, since = self._held(sock, connection)
-            held_s = now - since
-            if sock is self._receiving or size <= SMALL_BODY_BYTES:
-                continue
-            if held_s >= age_s:
-                if worst is None or size * held_s > most:
-                    worst, most = sock, size * held_s
+        worst = self._by_bytes.next(time.monotonic(), age_s)
         if worst is None:
             return False
         self.yielded += 1
@@ -432,6 +462,19 @@
             self._reject(worst, connection, ErrorKind.REQUEST_TIMEOUT)
         return True
 
+    def _byte_holders(self, now: Seconds) -> Iterator[Candidate]:
+        for sock, connection in self._connection_by_sock.items():
+            size, since = self._held(sock, connection)
+            if size > SMALL_BODY_BYTES and sock is not self._receiving:
+                yield Candidate(sock, since, size * (now - since))
+
+    def _holds_bytes(self, sock: socket.socket) -> bool:
+        connection = self._connection_by_sock.get(sock)
+        if connection is None or sock is self._receiving:
+            return False
+        size, _ = self._held(sock, connection)
+        return size > SMALL_BODY_BYTES
+
     def _held(
         self, sock: socket.socket, connection: _Connection
     ) -> tuple[int, Seconds]:
