Count heads, waiting requests and small bodies in the account

Callers saw: their router was ended beside clients that sent heads of very many short headers and stopped short of their end: 319 MB of 140 with 1,500 clients.

Cause: heads were bounded by their text alone. A header of two letters takes 200 bytes beside its text, so a head of 16 KB held 500 KB, and nothing counted it. Requests that wait for another one of their connection, and bodies up to 16 KB, had no common bound either.

Heads above 4 KB and waiting requests take room now, with 200 bytes for each header; small bodies may take 8 MB beside a full account; a connection with 64 KB of waiting requests is not read on. A byte now and then is no longer progress of a body.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -8,7 +8,7 @@
 import itertools
 import time
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -36,8 +36,12 @@
 MAX_PIPELINED = 32
 #: Unsent bytes above which no further request of a connection is read or handled.
 MAX_UNSENT_BYTES = 64 * 1024
-#: Requests that wait on a connection above which no more are read.
+#: Requests that wait on a connection above which no more are read, and their bytes.
 MAX_READ_AHEAD = 16
+MAX_READ_AHEAD_BYTES = 64 * 1024
+#: Bytes of waiting requests on all connections above which the account is checked with
+#: each request that has to wait.
+MAX_UNCHECKED_BYTES = 1 << 20
 #: Time for which a connection may bring nothing before it gives way to a new one, in
 #: seconds. A caller on the same VM sends its request within milliseconds.
 UNUSED_S = 1.0
@@ -83,6 +87,13 @@
         When the first bytes of the request were received that is received in part.
     is_paused : bool
         Whether nothing is read for the present.
+    waiting_bytes : int
+        Memory that the requests in `waiting` take, in bytes.
+    progress_at : float
+        When a request was begun, or brought the last of several parts of its body of
+        `SMALL_BODY_BYTES` each. A few bytes now and then are no progress.
+    progress_bytes : int
+        Size of its body at that time, in bytes.
     closing : bool
         Whether received bytes are ignored because the connection is about to be closed.
     lingers_until : float, optional
@@ -97,9 +108,20 @@
     request_id: RequestId | None = None
     message_since: Seconds | None = None
     is_paused: bool = False
+    waiting_bytes: int = 0
+    progress_at: Seconds = 0.0
+    progress_bytes: int = 0
     closing: bool = False
     lingers_until: Seconds | None = None
 
+    def record_progress(self, now: Seconds, body_bytes: int) -> None:
+        self.progress_at, self.progress_bytes = now, body_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Memory that received requests take that are not being handled, in bytes."""
+        return self.waiting_bytes + self.reader.held_bytes
+
 
 class CallerServer(Listener):
     """Reads requests, passes them to a sink and writes their answers in order.
@@ -124,6 +146,9 @@
     yielded : int
         Connections that were closed, or whose request was refused, for the room that
         they took.
+    waiting_bytes : int
+        Memory that the heads of requests take that wait for another one of their
+        connection, in bytes.
     """
 
     def __init__(
@@ -149,6 +174,7 @@
         self._by_use = EvictionOrder(self._unused, self._may_give_way)
         self.draining = False
         self.yielded = 0
+        self.waiting_bytes = 0
 
     def limit(self, limits: CallerLimits) -> None:
         """Set the limits, also for what open connections receive from now on."""
@@ -161,6 +187,11 @@
         """The open connections."""
         return list(self._connection_by_sock)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait to be sent, and those of the heads of waiting requests."""
+        return self.unsent_bytes + self.waiting_bytes
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -207,7 +238,7 @@
         self, now: Seconds, sock: socket.socket, connection: _Connection
     ) -> Candidate:
         if connection.waiting:
-            return Candidate(sock, connection.last_active_at, float("-inf"))
+            return Candidate(sock, connection.progress_at, float("-inf"))
         unsent = self.unsent(sock)
         if unsent is not None:
             return Candidate(sock, unsent.progress_at, 0.0)
@@ -233,6 +264,7 @@
         reader = connection.reader
         if connection.message_since is None:
             connection.message_since = now
+            connection.record_progress(now, 0)
         self._receiving = sock
         try:
             reader.feed(data)
@@ -244,22 +276,39 @@
         if reader.wants_continue:
             reader.wants_continue = False
             self.send(sock, _CONTINUE)
+        if reader.body_size - connection.progress_bytes >= SMALL_BODY_BYTES:
+            connection.record_progress(now, reader.body_size)
         if reader.finished:
-            connection.waiting.extend(reader.finished)
+            self._add_waiting(connection, reader.finished)
             reader.finished.clear()
             connection.message_since = now
+            connection.record_progress(now, reader.body_size)
         if not reader.in_message:
             connection.message_since = None
         if len(connection.waiting) > MAX_PIPELINED:
             self._reject(sock, connection, ErrorKind.MALFORMED_REQUEST)
             return
         self._start_next(sock, connection)
+        if connection.waiting and self.waiting_bytes > MAX_UNCHECKED_BYTES:
+            self._budget.relieve()
 
-    @staticmethod
-    def _discard_waiting(connection: _Connection) -> None:
-        for parsed in connection.waiting:
-            parsed.release()
-        connection.waiting.clear()
+    def _add_waiting(
+        self, connection: _Connection, requests: Iterable[ParsedRequest]
+    ) -> None:
+        for parsed in requests:
+            connection.waiting.append(parsed)
+            connection.waiting_bytes += parsed.held_bytes
+            self.waiting_bytes += parsed.head_bytes
+
+    def _take_waiting(self, connection: _Connection) -> ParsedRequest:
+        parsed = connection.waiting.popleft()
+        connection.waiting_bytes -= parsed.held_bytes
+        self.waiting_bytes -= parsed.head_bytes
+        return parsed
+
+    def _discard_waiting(self, connection: _Connection) -> None:
+        while connection.waiting:
+            self._take_waiting(connection).release()
 
     def _reject(
         self, sock: socket.socket, connection: _Connection, kind: ErrorKind
@@ -291,7 +340,7 @@
             and connection.waiting
             and self._unsent_size(sock) <= MAX_UNSENT_BYTES
         ):
-            parsed = connection.waiting.popleft()
+            parsed = self._take_waiting(connection)
             connection.current = parsed
             request_id = next(self._request_ids)
             connection.request_id = request_id
@@ -313,12 +362,13 @@
     def _pause_or_resume(self, sock: socket.socket, connection: _Connection) -> None:
         """Read no more from a caller that does not read its answers, for the present.
 
-        The same holds while many of its requests wait. Each of them and each answer
-        takes memory.
+        The same holds while many of its requests wait, or large ones. Each of them and
+        each answer takes memory.
         """
         is_paused = not connection.closing and (
             self._unsent_size(sock) > MAX_UNSENT_BYTES
             or len(connection.waiting) >= MAX_READ_AHEAD
+            or connection.waiting_bytes >= MAX_READ_AHEAD_BYTES
         )
         if is_paused == connection.is_paused or sock not in self._clients:
             return
@@ -328,7 +378,8 @@
             return
         self._poller.addReader(self, sock)
         # The caller could bring nothing in the meantime.
-        connection.last_active_at = time.monotonic()
+        now = connection.last_active_at = time.monotonic()
+        connection.record_progress(now, connection.reader.body_size)
         if connection.message_since is not None:
             connection.message_since = connection.last_active_at
 
@@ -436,9 +487,9 @@
     def relieve(self, age_s: Seconds) -> bool:
         """Close the connection that holds the most bytes for the longest time.
 
-        Counted are answers that are not accepted and bodies received in part, above
-        `SMALL_BODY_BYTES`. The request of such an answer has run; that of such a body
-        is refused as not run.
+        Counted are answers that are not accepted and requests that are received in part
+        or wait for another one, above `SMALL_BODY_BYTES`. The request of such an answer
+        has run; the others are refused as not run.
 
         Parameters
         ----------
@@ -456,7 +507,7 @@
         self.yielded += 1
         connection = self._connection_by_sock[worst]
         unsent = self.unsent(worst)
-        if unsent is not None and unsent.size >= connection.reader.body_size:
+        if unsent is not None and unsent.size >= connection.received_bytes:
             self.drop(worst)
         else:
             self._reject(worst, connection, ErrorKind.REQUEST_TIMEOUT)
@@ -480,9 +531,9 @@
     ) -> tuple[int, Seconds]:
         """Return how many bytes a connection holds, and since when."""
         unsent = self.unsent(sock)
-        if unsent is not None and unsent.size >= connection.reader.body_size:
+        if unsent is not None and unsent.size >= connection.received_bytes:
             return unsent.size, unsent.since
-        return connection.reader.body_size, connection.last_active_at
+        return connection.received_bytes, connection.progress_at
 
     def close_idle(self) -> None:
         """Close the connections without a pending request.
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -23,6 +23,15 @@
 #: Limit of the interim answers (1xx) before an answer. Servers send one or two; without
 #: a limit a connection could be kept busy by them until its request's deadline.
 MAX_INTERIM_ANSWERS = 16
+#: Limit of the requests that one read completes; a caller whose requests are answered
+#: in order has no use for more.
+MAX_FINISHED = 32
+#: Memory that a header takes besides its text, in bytes, and a request besides its head
+#: and body.
+HEADER_OVERHEAD_BYTES = 200
+REQUEST_OVERHEAD_BYTES = 1024
+#: Memory of a head up to which no room is taken for it, in bytes.
+FREE_HEAD_BYTES = 4 * 1024
 _REASON_BY_STATUS = {status.value: status.phrase for status in HTTPStatus}
 _CONNECTION_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length"}
@@ -155,10 +164,21 @@
     keep_alive : bool
         Whether the connection may be used for another request.
     reservation : BodyReservation, optional
-        Room that the body takes, to be released by the user; none without a body.
+        Room that the request takes, to be released by the user; none for a short one
+        without a body.
+    head_bytes : int
+        Memory that its head takes, in bytes.
     """
 
-    __slots__ = ("method", "path", "headers", "body", "keep_alive", "reservation")
+    __slots__ = (
+        "method",
+        "path",
+        "headers",
+        "body",
+        "keep_alive",
+        "reservation",
+        "head_bytes",
+    )
 
     def __init__(
         self,
@@ -168,6 +188,7 @@
         body: bytes,
         keep_alive: bool,
         reservation: BodyReservation | None = None,
+        head_bytes: int = 0,
     ) -> None:
         self.method = method
         self.path = path
@@ -175,6 +196,12 @@
         self.body = body
         self.keep_alive = keep_alive
         self.reservation = reservation
+        self.head_bytes = head_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, in bytes."""
+        return self.head_bytes + len(self.body)
 
     def release(self) -> None:
         """Give back the room of the body, once the request is done with."""
@@ -218,6 +245,40 @@
         self.finished: list[ParsedRequest] = []
         self.wants_continue = False
 
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes and take room for what is held of them."""
+        super().feed(data)
+        self._reserve()
+
+    def _reserve(self) -> None:
+        """Take room for the bytes that are held and have none yet.
+
+        Raises
+        ------
+        WireError
+            If there is no room.
+        """
+        excess = self._head_bytes + self._unreported_bytes - FREE_HEAD_BYTES
+        held = self._body.size + max(0, excess)
+        reservation = self._reservation
+        count = held if reservation is None else held - reservation.size
+        if count <= 0:
+            return
+        if reservation is None:
+            reservation = self._reservation = BodyReservation(self._budget)
+        if not reservation.grow(count):
+            raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
+
+    @property
+    def _head_bytes(self) -> int:
+        """Memory that the head which is being received takes, in bytes."""
+        return self._header_bytes + HEADER_OVERHEAD_BYTES * len(self._headers)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the message which is being received takes, in bytes."""
+        return self._head_bytes + self._unreported_bytes + self._body.size
+
     def limit(self, max_head: int, max_body: int) -> None:
         """Set the limits for what is received from now on, in bytes."""
         self._max_head, self._max_body = max_head, max_body
@@ -248,14 +309,6 @@
         if length > SMALL_BODY_BYTES and not self._budget.make_room(length):
             raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
 
-    def on_body(self, data: bytes) -> None:
-        """Add a part of the body if there is room for it."""
-        if self._reservation is None:
-            self._reservation = BodyReservation(self._budget)
-        if not self._reservation.grow(len(data)):
-            raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
-        super().on_body(data)
-
     def _reset(self) -> None:
         super()._reset()
         if self._reservation is not None:
@@ -272,13 +325,18 @@
     def on_message_complete(self) -> None:
         """Add the whole request to `finished`."""
         self.in_message = False
+        if len(self.finished) >= MAX_FINISHED:
+            raise WireError(ErrorKind.MALFORMED_REQUEST)
+        self._unreported_bytes = 0
+        self._reserve()
+        head_bytes = self._head_bytes + REQUEST_OVERHEAD_BYTES
         try:
             path = self._url.decode("ascii")
         except UnicodeDecodeError:
             raise WireError(ErrorKind.MALFORMED_REQUEST) from None
         reservation, self._reservation = self._reservation, None
         body = self._body.take()
-        if reservation is not None:
+        if reservation is not None and body:
             reservation.settle(body)
         self.finished.append(
             ParsedRequest(
@@ -288,8 +346,11 @@
                 body,
                 self._parser.should_keep_alive(),
                 reservation,
+                head_bytes,
             )
         )
+        self._header_bytes = 0
+        self._headers = []
 
 
 class _StatusReader(_MessageReader):
--- a/rhubarbhall/core/traffic/body_budget.py
+++ b/rhubarbhall/core/traffic/body_budget.py
@@ -12,9 +12,11 @@
 #: Share of the process's memory for bodies. While a body is encoded it is held up to
 #: three times, and the program itself takes a fifth.
 BODY_SHARE = 1 / 3
-#: Size up to which a body is taken whatever else is held, so that large bodies do not
+#: Size up to which a body is taken beside a full account, so that large bodies do not
 #: keep out small ones, in bytes.
 SMALL_BODY_BYTES = 16 * 1024
+#: Bytes above the limit that small bodies may take together.
+SMALL_ROOM_BYTES = 8 << 20
 #: Age from which what a connection holds yields to a new body that has no room, and
 #: to answers that are ready, in seconds. A caller on the same VM reads an answer within
 #: milliseconds.
@@ -41,19 +43,31 @@
         self._bytes = 0
         self._body: bytes | None = None
 
+    @property
+    def size(self) -> int:
+        """Number of bytes that are reserved, without a whole body."""
+        return self._bytes
+
     def grow(self, count: int) -> bool:
         """Take more room and return whether there is enough; else take none."""
         size = self._bytes + count
-        if size > SMALL_BODY_BYTES and not self._budget.make_room(count):
+        if size > SMALL_BODY_BYTES:
+            has_room = self._budget.make_room(count)
+        else:
+            has_room = self._budget.make_small_room(count)
+        if not has_room:
             return False
         self._bytes = size
         self._budget.reserved += count
         return True
 
     def settle(self, body: bytes) -> None:
-        """Hold the whole body from now on, once with all others who hold it."""
-        self._budget.reserved -= self._bytes
-        self._bytes = 0
+        """Hold the whole body from now on, once with all others who hold it.
+
+        Its bytes were taken before by `grow`, maybe with others, which stay reserved.
+        """
+        self._budget.reserved -= len(body)
+        self._bytes -= len(body)
         self._body = body
         self._budget.hold(body)
 
@@ -140,10 +154,25 @@
                 return False
         return True
 
+    def make_small_room(self, count: int) -> bool:
+        """Return whether a small body may grow; small ones may exceed the limit."""
+        if self.reserved + count <= self.limit:
+            # Nearly always so, and cheap to tell.
+            return True
+        while self.used + count > self.limit + SMALL_ROOM_BYTES:
+            if not any(free(YIELD_TO_BODY_S) for free in self._reliefs):
+                return False
+        return True
+
     def relieve(self) -> None:
         """Let connections yield until the limit is met, or none is left that may."""
-        while (used := self.used) > self.limit:
-            is_hard = used > HARD_LIMIT_SHARE * self.limit
-            age_s = 0.0 if is_hard else YIELD_TO_ANSWER_S
-            if not any(free(age_s) for free in self._reliefs):
+        self.relieve_excess()
+        while self.used > self.limit:
+            if not any(free(YIELD_TO_ANSWER_S) for free in self._reliefs):
+                return
+
+    def relieve_excess(self) -> None:
+        """Let connections of any age yield while the hard limit is exceeded."""
+        while self.used > HARD_LIMIT_SHARE * self.limit:
+            if not any(free(0.0) for free in self._reliefs):
                 return
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -375,7 +375,7 @@
             replace(UNKNOWN_LIMITS, connections=self.max_caller_connections),
             self.body_budget,
         )
-        self.body_budget.add_source(lambda: self.callers.unsent_bytes)
+        self.body_budget.add_source(lambda: self.callers.held_bytes)
         self.body_budget.add_source(lambda: self.links.held_bytes)
         self.body_budget.add_source(lambda: self.sessions.held_bytes)
         self.body_budget.add_relief(self.callers.relieve)
