Bound the processor time that one connection takes in an iteration

Callers saw: no answers while 400 clients sent bodies in chunks of 1 to 7 bytes, and for 30 s after these had gone.

Cause: a read of 64 KB brings 11,000 such chunks, each of which costs a call and a look at the whole account, and every connection is read in each iteration of the loop. New connections were accepted one in each iteration.

Reads take 16 KB, four at a time while they are cheap. A connection that brings more than 512 parts in a read is costly: four of these, or of refused ones whose bytes are dropped, are read in an iteration, 2 KB each, in turn and after all others. A body in the smallest chunks is still served.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -32,6 +32,14 @@
     from rhubarbhall.core.requests import Response
     from rhubarbhall.types import RequestId, Seconds
 
+#: Limit of the bytes that one read takes, and of the reads of one connection at a time.
+#: The next one follows at once only if the last one cost little processor time.
+READ_BYTES = 16 * 1024
+MAX_READS = 4
+#: Parts of requests in one read (headers, chunks) above which reading the connection
+#: is costly, and the limit of the bytes that a read of such a connection takes.
+MAX_STEPS = 512
+COSTLY_READ_BYTES = 2 * 1024
 #: Limit of the requests of one connection that wait for the one being handled.
 MAX_PIPELINED = 32
 #: Unsent bytes above which no further request of a connection is read or handled.
@@ -87,6 +95,8 @@
         When the first bytes of the request were received that is received in part.
     is_paused : bool
         Whether nothing is read for the present.
+    is_costly : bool
+        Whether what it brings takes much processor time for its bytes, or is not used.
     waiting_bytes : int
         Memory that the requests in `waiting` take, in bytes.
     progress_at : float
@@ -108,6 +118,7 @@
     request_id: RequestId | None = None
     message_since: Seconds | None = None
     is_paused: bool = False
+    is_costly: bool = False
     waiting_bytes: int = 0
     progress_at: Seconds = 0.0
     progress_bytes: int = 0
@@ -151,6 +162,8 @@
         connection, in bytes.
     """
 
+    read_bytes = READ_BYTES
+
     def __init__(
         self,
         bind: tuple[str, int],
@@ -276,6 +289,8 @@
         if reader.wants_continue:
             reader.wants_continue = False
             self.send(sock, _CONTINUE)
+        if reader.steps > MAX_STEPS:
+            connection.is_costly = True
         if reader.body_size - connection.progress_bytes >= SMALL_BODY_BYTES:
             connection.record_progress(now, reader.body_size)
         if reader.finished:
@@ -310,6 +325,34 @@
         while connection.waiting:
             self._take_waiting(connection).release()
 
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read from a connection, or defer that if it is costly."""
+        connection = self._connection_by_sock.get(sock)
+        if connection is None:
+            self._read(sock)
+            return
+        for _ in range(MAX_READS):
+            if connection.is_costly:
+                self._poller.defer(self, sock)
+                return
+            count = self._read(sock)
+            if count < READ_BYTES or connection.is_paused or sock not in self._clients:
+                return
+
+    def on_deferred(self, sock: socket.socket) -> None:
+        """Read some bytes of a connection that is costly to read."""
+        connection = self._connection_by_sock.get(sock)
+        if connection is None or connection.is_paused:
+            return
+        size = READ_BYTES if connection.closing else COSTLY_READ_BYTES
+        count = self._read(sock, size)
+        if sock not in self._clients or connection.is_paused:
+            return
+        if count:
+            self._poller.defer(self, sock)
+        else:
+            self._poller.addReader(self, sock)
+
     def _reject(
         self, sock: socket.socket, connection: _Connection, kind: ErrorKind
     ) -> None:
@@ -319,7 +362,7 @@
         caller still sends is read and dropped for a while, since it may not read the
         refusal before it has sent all.
         """
-        connection.closing = True
+        connection.closing = connection.is_costly = True
         self._discard_waiting(connection)
         connection.reader.close()
         connection.lingers_until = time.monotonic() + LINGER_S
--- a/rhubarbhall/adapters/http_wire.py
+++ b/rhubarbhall/adapters/http_wire.py
@@ -231,6 +231,9 @@
         Whether the head of a request has been received in part.
     wants_continue : bool
         Whether a caller waits for ``100 Continue``; reset by the user.
+    steps : int
+        Parts that the last bytes consisted of: paths, headers, chunks. The processor
+        time that the bytes take grows with them.
     """
 
     def __init__(
@@ -244,9 +247,11 @@
         self.in_head = False
         self.finished: list[ParsedRequest] = []
         self.wants_continue = False
+        self.steps = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes and take room for what is held of them."""
+        self.steps = 0
         super().feed(data)
         self._reserve()
 
@@ -291,9 +296,15 @@
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the path."""
+        self.steps += 1
         self._count_header_bytes(len(url))
         self._url += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add one header."""
+        self.steps += 1
+        super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Check the headers before the body is received."""
         self.in_head = False
@@ -309,6 +320,11 @@
         if length > SMALL_BODY_BYTES and not self._budget.make_room(length):
             raise WireError(ErrorKind.NO_ROOM_FOR_BODY)
 
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self.steps += 1
+        super().on_body(data)
+
     def _reset(self) -> None:
         super()._reset()
         if self._reservation is not None:
--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -28,8 +28,10 @@
 
 #: Limit of the bytes that one read takes.
 READ_BYTES = 64 * 1024
-#: Limit of the connections that wait to be accepted.
+#: Limit of the connections that wait to be accepted, and of those that are accepted at
+#: a time.
 BACKLOG = 5000
+MAX_ACCEPTED = 32
 #: Limit of the buffered parts that one write passes to the socket.
 MAX_GATHERED_PARTS = 32
 _RETRY_ERRORS = (EAGAIN, EWOULDBLOCK, EINTR)
@@ -84,8 +86,15 @@
     ----------
     channel : str
         Channel of the component, unique in its process.
+
+    Attributes
+    ----------
+    read_bytes : int
+        Limit of the bytes that one read of a connection takes.
     """
 
+    read_bytes = READ_BYTES
+
     def __init__(self, channel: str) -> None:
         super().__init__(channel=channel)
         #: The listening socket, if there is one.
@@ -201,20 +210,37 @@
         """Write the bytes buffered for a socket; called by the poller."""
         self._on_write(sock)
 
-    def _read(self, sock: socket.socket) -> None:
+    def on_deferred(self, sock: socket.socket) -> None:
+        """Handle some input of a socket whose input is deferred; called by the poller.
+
+        Input that is left after it has to be deferred again.
+        """
+        raise NotImplementedError
+
+    def _read(self, sock: socket.socket, max_bytes: int = 0) -> int:
+        """Handle what a connection has received, and return how many bytes.
+
+        Parameters
+        ----------
+        sock : socket
+            The connection.
+        max_bytes : int
+            Limit of the bytes that are read; `read_bytes` if it is 0.
+        """
         if sock not in self._clients:
-            return
+            return 0
         try:
-            data = sock.recv(READ_BYTES)
+            data = sock.recv(max_bytes or self.read_bytes)
         except OSError as error:
             if error.errno not in _RETRY_ERRORS:
                 self.drop(sock)
-            return
+            return 0
         if data:
             self.on_data(sock, data)
         else:
             self.on_eof(sock)
             self.drop(sock)
+        return len(data)
 
     def on_eof(self, sock: socket.socket) -> None:
         """Handle the regular end of the received bytes; `on_closed` follows."""
@@ -378,10 +404,12 @@
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock: socket.socket) -> None:
-        if sock is self._sock:
-            self._accept()
-        else:
+        if sock is not self._sock:
             self._read(sock)
+            return
+        for _ in range(MAX_ACCEPTED):
+            if not self._accept():
+                return
 
     def on_accepted(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Handle a new connection from the address `peer`."""
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -7,8 +7,15 @@
 import time
 import unittest
 
-from rhubarbhall.adapters.callers import MAX_READ_AHEAD, MIN_IDLE_S, CallerServer
+from rhubarbhall.adapters.callers import (
+    COSTLY_READ_BYTES,
+    MAX_READ_AHEAD,
+    MIN_IDLE_S,
+    CallerServer,
+)
+from rhubarbhall.adapters.http_wire import HEADER_OVERHEAD_BYTES
 from rhubarbhall.adapters.loop import Loop
+from rhubarbhall.adapters.poller import MAX_DEFERRED_HANDLED
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.requests import Response
 from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
@@ -308,6 +315,118 @@
         late = self.connect()
         self.assertEqual(self.answer_to(late), b"HTTP/1.1 503")
 
+    def test_a_kept_connection_gives_way_that_brings_nothing(self):
+        self.server.limit(CallerLimits(connections=1, head_s=0.0))
+        kept = self.connect()
+        self.send(kept, REQUEST)
+        self.server.answer(self.sink.taken.pop()[0], Response(200, (), b"ok"))
+        self.send(self.connect(), REQUEST)
+        self.assertEqual(len(self.sink.taken), 1)
+
+    # A body that came a byte at a time kept its place for good.
+    def test_the_connection_that_brings_the_least_gives_way(self):
+        self.server.limit(CallerLimits(connections=2, head_s=0.0))
+        slow, fast = self.connect(), self.connect()
+        for caller, size in ((slow, 1), (fast, 1000)):
+            head = "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"
+            self.send(caller, head.encode() + bytes(size))
+        self.send(self.connect(), REQUEST)
+        self.assertEqual(len(self.sink.taken), 1)
+        self.assertEqual(slow.recv(1), b"")
+        self.assertEqual(self.received(fast), b"")
+
+
+CHUNKED = b"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+#: Bytes of a body in chunks of one byte, and the same on the wire.
+CHUNKED_BYTES = 100_000
+SMALLEST_CHUNKS = b"1\r\na\r\n" * CHUNKED_BYTES + b"0\r\n\r\n"
+
+
+class SmallestChunksTests(KeepingServerCase):
+    """Bodies in chunks of a few bytes left no processor time for other callers."""
+
+    def test_a_body_in_the_smallest_chunks_is_received(self):
+        caller = self.connect()
+        self.send(caller, CHUNKED + SMALLEST_CHUNKS)
+        while not self.sink.taken:
+            self.tick()
+        self.assertEqual(self.sink.taken[0][1].body, b"a" * CHUNKED_BYTES)
+
+    def test_few_chunks_are_handled_in_one_iteration_of_the_loop(self):
+        callers = [self.connect() for _ in range(20)]
+        for caller in callers:
+            caller.send(CHUNKED + SMALLEST_CHUNKS)
+        self.tick()
+        before = self.budget.used
+        self.loop.manager.tick(0.0)
+        chunks_in_a_read = COSTLY_READ_BYTES // len(b"1\r\na\r\n") + 1
+        most = MAX_DEFERRED_HANDLED * chunks_in_a_read
+        self.assertLessEqual(self.budget.used - before, most)
+
+    def test_a_request_is_handled_at_once_beside_them(self):
+        for _ in range(20):
+            self.connect().send(CHUNKED + SMALLEST_CHUNKS)
+        self.tick()
+        ordinary = self.connect()
+        ordinary.send(REQUEST)
+        self.loop.manager.tick(0.0)
+        self.loop.manager.tick(0.0)
+        self.loop.manager.tick(0.0)
+        self.assertEqual(len(self.sink.taken), 1)
+
+
+class HeldRequestsTests(KeepingServerCase):
+    """Heads and requests that wait took memory that nothing counted."""
+
+    LIMIT = 400_000
+
+    def setUp(self):
+        super().setUp()
+        self.budget.add_source(lambda: self.server.waiting_bytes)
+        self.budget.add_relief(self.server.relieve)
+
+    def test_many_short_headers_take_room(self):
+        caller = self.connect()
+        self.send(caller, REQUEST[:-2] + b"a:b\r\n" * 1000)
+        self.assertGreater(self.budget.used, 1000 * HEADER_OVERHEAD_BYTES)
+        caller.close()
+        self.tick()
+        self.assertEqual(self.budget.used, 0)
+
+    def test_an_ordinary_head_takes_none(self):
+        self.send(self.connect(), REQUEST[:-2] + b"X-Name: value\r\n" * 8)
+        self.assertEqual(self.budget.used, 0)
+
+    def test_a_head_without_room_is_refused(self):
+        self.server.limit(CallerLimits(max_head=1 << 30))
+        caller = self.connect()
+        headers = b"a:b\r\n" * (9 * self.LIMIT // HEADER_OVERHEAD_BYTES)
+        with contextlib.suppress(OSError):
+            self.send(caller, REQUEST[:-2] + headers)
+        self.assertTrue(self.received(caller).startswith(b"HTTP/1.1 503"))
+        self.assertEqual(self.budget.used, 0)
+
+    def test_a_caller_whose_requests_wait_with_large_bodies_is_not_read_on(self):
+        caller = self.connect()
+        put = b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+        caller.send((put + bytes(60_000)) * 20)
+        self.tick()
+        (connection,) = self.server._connection_by_sock.values()
+        self.assertTrue(connection.is_paused)
+        self.assertLess(self.budget.used, 4 * 60_000)
+
+    def test_waiting_requests_give_their_room_back(self):
+        caller = self.connect()
+        self.send(caller, REQUEST * 10)
+        self.assertGreater(self.server.waiting_bytes, 0)
+        for _ in range(10):
+            self.server.answer(self.sink.taken.pop()[0], Response(200, (), b"ok"))
+        self.assertEqual(self.server.waiting_bytes, 0)
+        self.send(caller, REQUEST * 10)
+        caller.close()
+        self.tick()
+        self.assertEqual((self.server.waiting_bytes, self.budget.used), (0, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
