Bound what connections to the port for peers take

Callers saw: their router was ended (455 MB of 140) beside ten connections to the port for peers with a frame in part, gave no answers beside ten with millions of frames in few compressed bytes, and ran out of descriptors (2,019 of 1,700) beside 2,000 silent ones.

Cause: these connections had no limit and no time for their Hello, each held 45 KB for its codecs at once, all frames in a read were inflated, decoded and answered in one go, and nobody yielded for frames in part or unread answers.

The number of connections follows from the descriptors; at the limit one without a Hello, or a silent one, gives way. A Hello comes within 5 s, once, with a valid address, and before a frame above 256 KB. At most 256 frames and 256 KB inflated are handled at a time. Frames in part are in memory of their own, mapped and not moved, and yield beyond the hard limit.

Ruled out by a trial: refusing a frame that has no room. That ended the connection, and other requests on it had unknown outcomes (tests/platform/test_large_bodies.py).

--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -105,6 +105,15 @@
         """Pass on received bytes."""
         self._links.receive(sock, data)
 
+    def on_deferred(self, sock: socket.socket) -> None:
+        """Let more of the bytes be handled that were received before."""
+        self._poller.addReader(self, sock)
+        self._links.receive(sock, b"")
+
+    def handle_later(self, sock: socket.socket) -> None:
+        """Handle more of the bytes received before, and read no others until then."""
+        self._poller.defer(self, sock)
+
     def on_closed(self, sock: socket.socket) -> None:
         """Report that a connection has ended."""
         self._links.connection_closed(sock, self.connect_error == ECONNREFUSED)
@@ -584,11 +593,13 @@
         link.last_contact_at = self._clock()
         self._handler.on_contact(link.address)
         try:
-            for frame in link.reader.feed(data):
+            for frame in link.reader.feed_some(data):
                 self._on_frame(link, frame)
         except ValueError:
             self.rejected += 1
             self.dialer.drop(sock)
+        if link.sock is sock and link.reader.has_more:
+            self.dialer.handle_later(sock)
 
     def _on_frame(self, link: PeerLink, frame: Frame) -> None:
         if isinstance(frame, Reply | RequestFailed):
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
 from rhubarbhall.adapters.peer_events import Origin, PeerEvents
 from rhubarbhall.adapters.peer_frames import (
     Cancel,
@@ -36,6 +38,7 @@
 from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
 from rhubarbhall.core.traffic.requests import (
     Load,
     NotRun,
@@ -43,7 +46,7 @@
     RoutedRequest,
     Unknown,
 )
-from rhubarbhall.settings import split_address
+from rhubarbhall.settings import parse_address, split_address
 
 if TYPE_CHECKING:
     import socket
@@ -53,6 +56,13 @@
 #: Time for which requests continue after their connection has ended. Short, because the
 #: daemon that sent them may have ended, together with its callers.
 ORPHAN_TIMEOUT_S = 0.45
+#: Maximum number of connections without another setting.
+MAX_CONNECTIONS = 1000
+#: Time after which a connection without a `Hello` is closed, in seconds.
+HELLO_TIMEOUT_S = 5.0
+#: Time without received bytes after which the connection of a peer may give way to a
+#: new one, in seconds: longer than the time between two pings of a peer that watches.
+SILENCE_S = 10.0
 _MS_PER_S = 1000
 
 
@@ -82,6 +92,9 @@
         When the last connection ended.
     is_resumed : bool
         Whether the present connection continues an earlier one.
+    last_contact_at, received_at : float
+        When bytes were last received, by the clock of the sessions and by the monotonic
+        clock.
     """
 
     sock: socket.socket | None
@@ -95,19 +108,21 @@
     last_number: int = 0
     broken_at: Seconds = 0.0
     is_resumed: bool = False
+    last_contact_at: Seconds = 0.0
+    received_at: Seconds = 0.0
 
 
 def _read_frames(
     reader: FrameReader, data: bytes
 ) -> tuple[list[Frame], ValueError | None]:
-    """Return the frames that are complete, and the error of bytes that are invalid.
+    """Return frames that are complete, and the error of bytes that are invalid.
 
-    All frames of one read are held at once, so that a `Cancel` is seen before its
+    All of them are held at once, so that a `Cancel` is seen before its
     `Forward` is begun.
     """
     frames: list[Frame] = []
     try:
-        for frame in reader.feed(data):
+        for frame in reader.feed_some(data):
             frames.append(frame)  # noqa: PERF402  # those before an error are kept
     except ValueError as error:
         return frames, error
@@ -131,6 +146,15 @@
         """Pass on received bytes."""
         self._sessions.receive(sock, data)
 
+    def on_deferred(self, sock: socket.socket) -> None:
+        """Let more of the bytes be handled that were received before."""
+        self._poller.addReader(self, sock)
+        self._sessions.receive(sock, b"")
+
+    def handle_later(self, sock: socket.socket) -> None:
+        """Handle more of the bytes received before, and read no others until then."""
+        self._poller.defer(self, sock)
+
     def on_closed(self, sock: socket.socket) -> None:
         """Report that a connection has ended."""
         self._sessions.connection_closed(sock)
@@ -149,6 +173,10 @@
         Returns the time, in seconds.
     traffic : PeerTraffic, optional
         Counts what is sent.
+    budget : BodyBudget, optional
+        Room for what is held for all connections of the process.
+    max_connections : int
+        Maximum number of connections.
 
     Attributes
     ----------
@@ -156,6 +184,8 @@
         Component that accepts the connections.
     rejected : int
         Connections that were closed because their bytes were not valid frames.
+    yielded : int
+        Connections that were closed for the room that they took.
     """
 
     def __init__(
@@ -164,17 +194,26 @@
         handler: PeerEvents,
         clock: Callable[[], Seconds],
         traffic: PeerTraffic | None = None,
+        budget: BodyBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._handler = handler
         self._traffic = traffic or PeerTraffic()
         self._clock = clock
+        self._max_connections = max_connections
         self.acceptor = _Acceptor(
             split_address(local_address), f"peers-{local_address}", self
         )
+        self._budget = self.acceptor.budget = budget or BodyBudget()
         self._session_by_sock: dict[socket.socket, Session] = {}
         self._broken_by_peer: dict[tuple[Address, int], Session] = {}
+        #: When each connection without a `Hello` was opened, the oldest first.
+        self._opened_by_unintroduced: dict[socket.socket, Seconds] = {}
         self._is_shutting_down = False
+        self._by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
+        self._by_use = EvictionOrder(self._unused, self._is_unused)
         self.rejected = 0
+        self.yielded = 0
 
     def cancel_orphans(self) -> None:
         """Cancel the requests of peers that have not connected again in time.
@@ -186,6 +225,15 @@
             if now - session.broken_at > ORPHAN_TIMEOUT_S:
                 del self._broken_by_peer[key]
                 self._cancel_requests_except(session, set())
+        self._close_unintroduced(now)
+
+    def _close_unintroduced(self, now: Seconds) -> None:
+        """Close the connections whose `Hello` is overdue."""
+        while self._opened_by_unintroduced:
+            sock, opened_at = next(iter(self._opened_by_unintroduced.items()))
+            if now - opened_at <= HELLO_TIMEOUT_S:
+                return
+            self.acceptor.drop(sock)
 
     def _cancel_requests_except(self, session: Session, wanted: set[int]) -> None:
         """Cancel the requests of a session other than the wanted ones."""
@@ -232,11 +280,82 @@
     # Connections
 
     def connection_accepted(self, sock: socket.socket) -> None:
-        """Create the session of a connection that a peer opened."""
-        self._session_by_sock[sock] = Session(sock)
+        """Create the session of a connection that a peer opened, or refuse it.
+
+        At the limit the connection gives way that is of the least use.
+        """
+        if len(self._session_by_sock) >= self._max_connections:
+            unused = self._by_use.next(self._clock(), 0.0)
+            if unused is None:
+                self.acceptor.drop(sock)
+                return
+            self.yielded += 1
+            self.acceptor.drop(unused)
+        now = self._clock()
+        reader = FrameReader()
+        reader.accepts_large = False
+        self._session_by_sock[sock] = Session(sock, reader, last_contact_at=now)
+        self._opened_by_unintroduced[sock] = now
+
+    def _unused(self, now: Seconds) -> Iterator[Candidate]:
+        """Yield the connections that bring nothing, those without a `Hello` first."""
+        for sock, session in self._session_by_sock.items():
+            if self._is_unused(sock):
+                since = session.last_contact_at
+                yield Candidate(sock, since, now - since if session.address else now)
+
+    def _is_unused(self, sock: socket.socket) -> bool:
+        session = self._session_by_sock.get(sock)
+        if session is None:
+            return False
+        is_silent = self._clock() - session.last_contact_at > SILENCE_S
+        return not session.address or (is_silent and not session.ticket_by_number)
+
+    def relieve(self, age_s: Seconds) -> bool:
+        """Close the connection that holds the most bytes for the longest time.
+
+        Counted are frames received in part and bytes that the peer does not accept. The
+        peer may connect again and resume its requests.
+
+        Parameters
+        ----------
+        age_s : float
+            Minimum time for which nothing more of them was received or accepted, in
+            seconds.
+
+        Returns
+        -------
+        bool
+            Whether a connection was closed.
+        """
+        sock = self._by_bytes.next(time.monotonic(), age_s)
+        if sock is None:
+            return False
+        self.yielded += 1
+        self.acceptor.drop(sock)
+        return True
+
+    def _byte_holders(self, now: Seconds) -> Iterator[Candidate]:
+        for sock, session in self._session_by_sock.items():
+            size, since = self._held(sock, session)
+            if size > SMALL_BODY_BYTES:
+                yield Candidate(sock, since, size * (now - since))
+
+    def _holds_bytes(self, sock: socket.socket) -> bool:
+        session = self._session_by_sock.get(sock)
+        return session is not None and self._held(sock, session)[0] > SMALL_BODY_BYTES
+
+    def _held(self, sock: socket.socket, session: Session) -> tuple[int, Seconds]:
+        """Return how many bytes a connection holds, and since when."""
+        unsent = self.acceptor.unsent(sock)
+        received = session.reader.buffered_bytes
+        if unsent is not None and unsent.size >= received:
+            return unsent.size, unsent.progress_at
+        return received, session.received_at
 
     def connection_closed(self, sock: socket.socket) -> None:
         """Keep the session of an ended connection, so that the peer can resume it."""
+        self._opened_by_unintroduced.pop(sock, None)
         session = self._session_by_sock.pop(sock, None)
         if session is None or not session.address:
             return
@@ -249,6 +368,8 @@
         session = self._session_by_sock.get(sock)
         if session is None:
             return
+        session.last_contact_at = self._clock()
+        session.received_at = time.monotonic()
         try:
             frames, error = _read_frames(session.reader, data)
             cancels = {each.number: each for each in frames if isinstance(each, Cancel)}
@@ -266,6 +387,12 @@
             self.acceptor.drop(sock)
         if session.address:
             self._handler.on_contact(session.address)
+        if session.sock is not sock:
+            return
+        if session.reader.has_more:
+            self.acceptor.handle_later(sock)
+        if session.reader.buffered_bytes > SMALL_BODY_BYTES:
+            self._budget.relieve_excess()
 
     def _cancelled_early(
         self, session: Session, frame: Frame, cancels: dict[int, Cancel]
@@ -296,6 +423,9 @@
                 self.acceptor.send(session.sock, b"".join(parts))
             else:
                 self.acceptor.send_parts(session.sock, parts, body)
+            unsent = self.acceptor.unsent(session.sock)
+            if unsent is not None and unsent.size > SMALL_BODY_BYTES:
+                self._budget.relieve_excess()
 
     def _on_frame(self, session: Session, frame: Frame) -> None:
         if isinstance(frame, Forward):
@@ -342,6 +472,9 @@
 
     def _on_hello(self, session: Session, hello: Hello) -> None:
         """Record which peer has connected and continue its earlier session, if any."""
+        if session.address:
+            raise ValueError(f"a second Hello, of {hello.address!r}; allowed: one")
+        parse_address(hello.address)
         key = (hello.address, hello.session)
         for sock, other in list(self._session_by_sock.items()):
             if (other.address, other.session_number) == key:
@@ -354,6 +487,7 @@
             earlier.reader, earlier.writer = session.reader, session.writer
             earlier.is_resumed = True
             session = self._session_by_sock[session.sock] = earlier
+        self._opened_by_unintroduced.pop(session.sock, None)
         session.address, session.service = hello.address, hello.service
         session.session_number = hello.session
         if self._is_shutting_down:
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import mmap
 import struct
 import zlib
 from collections.abc import Iterator
@@ -38,6 +39,10 @@
 #: Bytes that are inflated before the frames in them are decoded: a few bytes received
 #: may inflate to a thousand times as many.
 INFLATE_STEP_BYTES = 256 * 1024
+#: Frames that are decoded at a time.
+MAX_FRAMES = 256
+#: Size of a frame from which it has memory of its own until all of it is received.
+LARGE_FRAME_BYTES = 256 * 1024
 
 _LENGTH = struct.Struct(">I")
 #: Head of a stored block that is not the last one: its type, length and the complement.
@@ -101,8 +106,17 @@
     """
 
     def __init__(self, carries_records: bool = False) -> None:
-        wbits = RECORD_WINDOW_BITS if carries_records else WINDOW_BITS
-        self._deflate = zlib.compressobj(wbits=wbits, memLevel=MEMORY_LEVEL)
+        self._wbits = RECORD_WINDOW_BITS if carries_records else WINDOW_BITS
+        self._compressor: zlib._Compress | None = None
+
+    @property
+    def _deflate(self) -> zlib._Compress:
+        """The compressor, created for the first frame as it takes memory."""
+        if self._compressor is None:
+            self._compressor = zlib.compressobj(
+                wbits=self._wbits, memLevel=MEMORY_LEVEL
+            )
+        return self._compressor
 
     def encode(self, frame: Frame) -> bytes:
         """Return the bytes of the next frame, which the receiver can decode at once."""
@@ -128,61 +142,162 @@
 
 
 class FrameReader:
-    """Decodes the frames of one direction of a connection."""
+    """Decodes the frames of one direction of a connection.
+
+    Few compressed bytes may stand for very many frames, so only some of them are
+    decoded at a time.
+
+    Attributes
+    ----------
+    accepts_large : bool
+        Whether frames of more than `LARGE_FRAME_BYTES` are accepted. If it is not set,
+        they are from the second frame on.
+    """
 
     def __init__(self) -> None:
-        self._inflate = zlib.decompressobj(wbits=RECORD_WINDOW_BITS)
+        #: Created for the first bytes, as it takes memory.
+        self._inflate: zlib._Decompress | None = None
+        #: Received bytes that are not inflated yet.
+        self._deflated = b""
+        #: Inflated bytes of frames that are not decoded yet.
         self._buffer = bytearray()
+        self._large_frame: _LargeFrame | None = None
+        self._has_more_frames = False
+        self.accepts_large = True
 
     @property
     def buffered_bytes(self) -> int:
-        """Number of inflated bytes of a frame that has been received in part."""
-        return len(self._buffer)
+        """Memory of frames that are not decoded yet, in bytes."""
+        large = 0 if self._large_frame is None else self._large_frame.held_bytes
+        return len(self._buffer) + len(self._deflated) + large
 
     @property
     def is_within_frame(self) -> bool:
         """Whether a frame has been received in part."""
-        return bool(self._buffer)
+        return bool(self._buffer) or self._large_frame is not None
+
+    @property
+    def has_more(self) -> bool:
+        """Whether `feed_some` has to be called for bytes that were received before."""
+        return bool(self._deflated) or self._has_more_frames
 
     def feed(self, data: bytes) -> Iterator[Frame]:
-        """Add received bytes and yield the frames that are complete.
+        """Add received bytes and yield all frames that are complete.
+
+        Raises
+        ------
+        ValueError
+            As `feed_some` does.
+        """
+        yield from self.feed_some(data)
+        while self.has_more:
+            yield from self.feed_some(b"")
+
+    def feed_some(self, data: bytes) -> Iterator[Frame]:
+        """Add received bytes and yield frames that are complete.
+
+        At most `MAX_FRAMES` frames are yielded, and `INFLATE_STEP_BYTES` inflated;
+        `has_more` then is true.
 
         Raises
         ------
         ValueError
             If the bytes are not valid frames; the connection has to be closed.
         """
-        while True:
-            inflated = self._inflate_bytes(data)
-            data = self._inflate.unconsumed_tail
-            self._buffer += inflated
-            yield from self._take_frames()
-            if len(inflated) < INFLATE_STEP_BYTES and not data:
-                return
+        self._deflated = self._deflated + data if self._deflated else data
+        if not self._has_more_frames:
+            self._add_inflated(self._inflate_some())
+        yield from self._take_frames()
+
+    def _add_inflated(self, inflated: bytes) -> None:
+        if self._large_frame is not None:
+            inflated = self._large_frame.add(inflated)
+        self._buffer += inflated
 
     def _take_frames(self) -> Iterator[Frame]:
-        while len(self._buffer) >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(self._buffer)
-            if size > MAX_FRAME_BYTES:
-                raise ValueError(f"frame of {size} bytes; allowed: {MAX_FRAME_BYTES}")
-            end = _LENGTH.size + size
-            if len(self._buffer) < end:
+        self._has_more_frames = False
+        for _ in range(MAX_FRAMES):
+            frame = self._take_frame()
+            if frame is None:
                 return
-            with memoryview(self._buffer) as buffered:
-                frame = decode(_DECODER, buffered[_LENGTH.size : end])
-            del self._buffer[:end]
             yield frame
+        self._has_more_frames = True
+
+    def _take_frame(self) -> Frame | None:
+        large = self._large_frame
+        if large is not None:
+            if not large.is_complete:
+                return None
+            self._large_frame = None
+            return large.decode()
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (size,) = _LENGTH.unpack_from(self._buffer)
+        end = _LENGTH.size + size
+        if len(self._buffer) < end:
+            if size > LARGE_FRAME_BYTES:
+                self._begin_large(size)
+            return None
+        with memoryview(self._buffer) as buffered:
+            frame = decode(_DECODER, buffered[_LENGTH.size : end])
+        del self._buffer[:end]
+        self.accepts_large = True
+        return frame
+
+    def _begin_large(self, size: int) -> None:
+        if size > MAX_FRAME_BYTES:
+            raise ValueError(f"frame of {size} bytes; allowed: {MAX_FRAME_BYTES}")
+        if not self.accepts_large:
+            raise ValueError(f"frame of {size} bytes; allowed: {LARGE_FRAME_BYTES}")
+        self._large_frame = _LargeFrame(size)
+        self._large_frame.add(bytes(self._buffer[_LENGTH.size :]))
+        self._buffer = bytearray()
 
-    def _inflate_bytes(self, data: bytes) -> bytes:
+    def _inflate_some(self) -> bytes:
+        if not self._deflated:
+            return b""
+        if self._inflate is None:
+            self._inflate = zlib.decompressobj(wbits=RECORD_WINDOW_BITS)
         try:
-            inflated = self._inflate.decompress(data, INFLATE_STEP_BYTES)
+            inflated = self._inflate.decompress(self._deflated, INFLATE_STEP_BYTES)
         except zlib.error as error:
             raise ValueError(f"received bytes cannot be inflated: {error}") from error
         if self._inflate.eof:
             raise ValueError("the compressed stream ended before its connection")
+        self._deflated = self._inflate.unconsumed_tail
         return inflated
 
 
+class _LargeFrame:
+    """A frame of known size that is received in part.
+
+    Its memory is mapped at once, and taken by the system only as far as bytes were
+    received; a growing buffer would be moved again and again.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._memory = mmap.mmap(-1, size, mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS)
+
+    @property
+    def held_bytes(self) -> int:
+        return self._memory.tell()
+
+    @property
+    def is_complete(self) -> bool:
+        return self._memory.tell() == self._size
+
+    def add(self, data: bytes) -> bytes:
+        """Add received bytes and return those behind the frame."""
+        left = self._size - self._memory.tell()
+        self._memory.write(data[:left])
+        return data[left:]
+
+    def decode(self) -> Frame:
+        with self._memory, memoryview(self._memory) as data:
+            return decode(_DECODER, data)
+
+
 def deflate_value(value: bytes) -> bytes:
     """Return a record's value compressed by zlib, to be sent to several peers."""
     return zlib.compress(value)
--- a/rhubarbhall/core/ownership/liveness.py
+++ b/rhubarbhall/core/ownership/liveness.py
@@ -20,6 +20,8 @@
 #: Time since the last contact after which a daemon counts as lost even if this daemon
 #: has contact with few of its peers.
 CERTAIN_LOSS_TIMEOUT_S = 15.0
+#: Addresses whose last contact is recorded: several times as many as there are daemons.
+MAX_CONTACTS = 100_000
 
 
 class Liveness:
@@ -57,8 +59,13 @@
         return list(self._watched_since)
 
     def record_contact(self, now: Seconds, address: Address) -> None:
-        """Record a message from a daemon."""
-        self._last_contact_at[address] = now
+        """Record a message from a daemon.
+
+        Anybody may claim to be a daemon, so only a limited number is recorded.
+        """
+        is_known = address in self._last_contact_at
+        if is_known or len(self._last_contact_at) < MAX_CONTACTS:
+            self._last_contact_at[address] = now
 
     def record_refused_connection(self, now: Seconds, address: Address) -> None:
         """Record that the VM answers but no process listens at the address."""
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbhall.adapters.peer_frames import ConfigurationPush, Evacuated, SyncEntry
+from rhubarbhall.adapters.peer_sessions import MAX_CONNECTIONS
 from rhubarbhall.adapters.peer_stream import deflate_value
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.commands import LogEvent
@@ -59,6 +60,8 @@
 RESERVED_DESCRIPTORS = 200
 #: Connections of callers that are allowed with however few descriptors.
 MIN_CALLER_CONNECTIONS = 16
+#: Connections of peers that are allowed with however few descriptors.
+MIN_PEER_CONNECTIONS = 64
 #: Limits while no configuration is known. Callers never repeat a request that was
 #: refused as too large, so these are above what operators set; the body budget applies.
 UNKNOWN_LIMITS = CallerLimits(MAX_CALLER_CONNECTIONS, 256 << 10, 1 << 40)
@@ -72,6 +75,17 @@
     return min(MAX_CALLER_CONNECTIONS, left)
 
 
+def max_peer_connections(max_descriptors: int | None) -> int:
+    """Return how many connections peers may open; None stands for no limit.
+
+    As many are left for the connections that this daemon opens.
+    """
+    if max_descriptors is None:
+        return MAX_CONNECTIONS
+    left = max_descriptors - max_caller_connections(max_descriptors)
+    return min(MAX_CONNECTIONS, max(MIN_PEER_CONNECTIONS, left // 2))
+
+
 class StoreHandlers:
     """Handles store records; a mix-in of `RoutingDaemon` that uses its fields.
 
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -79,6 +79,7 @@
     UNKNOWN_LIMITS,
     StoreHandlers,
     max_caller_connections,
+    max_peer_connections,
 )
 from rhubarbhall.programs.router_suspects import FORGET_INTERVAL_S, SuspectHandlers
 from rhubarbhall.programs.router_target import (
@@ -232,7 +233,12 @@
             self.peer_traffic,
         )
         self.sessions = PeerSessions(
-            self.local_address, self, self.now, self.peer_traffic
+            self.local_address,
+            self,
+            self.now,
+            self.peer_traffic,
+            self.body_budget,
+            max_peer_connections(settings.max_descriptors),
         )
         self.target = HttpTargetClient(
             f"target-{self.local_address}",
@@ -379,7 +385,8 @@
         self.body_budget.add_source(lambda: self.links.held_bytes)
         self.body_budget.add_source(lambda: self.sessions.held_bytes)
         self.body_budget.add_relief(self.callers.relieve)
-        self.links.dialer.budget = self.sessions.acceptor.budget = self.body_budget
+        self.body_budget.add_relief(self.sessions.relieve)
+        self.links.dialer.budget = self.body_budget
         self._heartbeat_port = CallerServer(
             split_address(settings.heartbeat_address),
             f"heartbeats-{self.local_address}",
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -94,6 +94,9 @@
 
     has_unsent = False
 
+    def unsent(self, wire):
+        return None
+
     def drop(self, wire):
         wire.to_receiver.clear()
         self.sessions.connection_closed(wire)
