Bound the bytes at the ports for heartbeats and readiness

Their servers had an account without a limit: 32 connections with up to 32 calls of 1 MB each. They share a fiftieth of the memory now.

--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -121,6 +121,8 @@
 #: Maximum number of inbound connections from the target to the heartbeat port, and from
 #: the platform to the readiness port.
 MAX_CONTROL_CONNECTIONS = 32
+#: Share of the process's memory for what these connections bring and do not accept.
+CONTROL_SHARE = 1 / 50
 #: Frames of the stack that the log shows of a timer's failure.
 FAILURE_FRAMES = 4
 #: Bits of the random number that distinguishes this run of the process from others.
@@ -371,6 +373,7 @@
         settings = self.settings
         callers = CallerSink(self)
         control = CallerLimits(connections=MAX_CONTROL_CONNECTIONS)
+        self._control_budget = BodyBudget(CONTROL_SHARE * settings.memory_bytes)
         heartbeats = HeartbeatSink(self)
         pages = {"/metrics": self._metrics_page, "/dump": self._dump_page}
         readiness = ReadinessSink(self.is_ready, pages, self.clear_suspect)
@@ -392,13 +395,18 @@
             f"heartbeats-{self.local_address}",
             heartbeats,
             control,
+            self._control_budget,
         )
         self._readiness_port = CallerServer(
             split_address(settings.readiness_address),
             f"readiness-{self.local_address}",
             readiness,
             control,
+            self._control_budget,
         )
+        for port in (self._heartbeat_port, self._readiness_port):
+            self._control_budget.add_source(lambda port=port: port.held_bytes)
+            self._control_budget.add_relief(port.relieve)
         callers.answers = self.callers
         heartbeats.answers = self._heartbeat_port
         readiness.answers = self._readiness_port
