--- a/benchmarks/fast_target.py
+++ b/benchmarks/fast_target.py
@@ -4,7 +4,8 @@
 
 import sys
 
-from rhubarbhall.adapters.http_wire import RequestReader, encode_response
+from rhubarbhall.adapters.http_encoding import encode_response
+from rhubarbhall.adapters.http_wire import RequestReader
 from rhubarbhall.adapters.loop import Loop
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.requests import Response
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -13,12 +13,8 @@
 
 from benchmarks.report import Table
 from rhubarbhall.adapters.datagrams import DatagramCodec
-from rhubarbhall.adapters.http_wire import (
-    RequestReader,
-    ResponseReader,
-    encode_request,
-    encode_response,
-)
+from rhubarbhall.adapters.http_encoding import encode_request, encode_response
+from rhubarbhall.adapters.http_wire import RequestReader, ResponseReader
 from rhubarbhall.adapters.log_port import RecordsPage
 from rhubarbhall.core import commands, events
 from rhubarbhall.core.context import Context
--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -7,19 +7,13 @@
 
 import itertools
 import time
-from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from rhubarbhall.adapters.caller_connection import CallerConnection
 from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
-from rhubarbhall.adapters.http_wire import (
-    ParsedRequest,
-    RequestReader,
-    WireError,
-    encode_response,
-    encode_response_head,
-)
+from rhubarbhall.adapters.http_encoding import encode_response, encode_response_head
+from rhubarbhall.adapters.http_wire import ParsedRequest, RequestReader, WireError
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.caller_limits import CallerLimits
 from rhubarbhall.core.errors import ErrorKind
@@ -75,67 +69,6 @@
         """Handle the end of a connection whose request is still unanswered."""
 
 
-@dataclass(slots=True)
-class _Connection:
-    """An open connection of a caller.
-
-    Parameters
-    ----------
-    reader : RequestReader
-        Parser of the received bytes.
-    peer : str
-        IP address of the caller.
-    last_active_at : float
-        When bytes were last received or an answer was last written.
-    waiting : deque of ParsedRequest
-        Requests that wait for the one being handled.
-    current : ParsedRequest, optional
-        The request being handled.
-    request_id : int, optional
-        Id of the request being handled.
-    message_since : float, optional
-        When the first bytes of the request were received that is received in part.
-    is_paused : bool
-        Whether nothing is read for the present.
-    is_costly : bool
-        Whether what it brings takes much processor time for its bytes, or is not used.
-    waiting_bytes : int
-        Memory that the requests in `waiting` take, in bytes.
-    progress_at : float
-        When a request was begun, or brought the last of several parts of its body of
-        `SMALL_BODY_BYTES` each. A few bytes now and then are no progress.
-    progress_bytes : int
-        Size of its body at that time, in bytes.
-    closing : bool
-        Whether received bytes are ignored because the connection is about to be closed.
-    lingers_until : float, optional
-        When a connection is closed whose caller is still sending a refused request.
-    """
-
-    reader: RequestReader
-    peer: str
-    last_active_at: Seconds
-    waiting: deque[ParsedRequest] = field(default_factory=deque)
-    current: ParsedRequest | None = None
-    request_id: RequestId | None = None
-    message_since: Seconds | None = None
-    is_paused: bool = False
-    is_costly: bool = False
-    waiting_bytes: int = 0
-    progress_at: Seconds = 0.0
-    progress_bytes: int = 0
-    closing: bool = False
-    lingers_until: Seconds | None = None
-
-    def record_progress(self, now: Seconds, body_bytes: int) -> None:
-        self.progress_at, self.progress_bytes = now, body_bytes
-
-    @property
-    def received_bytes(self) -> int:
-        """Memory that received requests take that are not being handled, in bytes."""
-        return self.waiting_bytes + self.reader.held_bytes
-
-
 class CallerServer(Listener):
     """Reads requests, passes them to a sink and writes their answers in order.
 
@@ -178,7 +111,7 @@
         self._sink = sink
         self._limits = limits
         self._budget = self.budget = budget or BodyBudget()
-        self._connection_by_sock: dict[socket.socket, _Connection] = {}
+        self._connection_by_sock: dict[socket.socket, CallerConnection] = {}
         self._sock_by_request: dict[RequestId, socket.socket] = {}
         self._request_ids = itertools.count(1)
         #: The connection whose bytes are being parsed, which must not be closed.
@@ -226,7 +159,7 @@
         limits = self._limits
         reader = RequestReader(limits.max_head, limits.max_body, self._budget)
         now = time.monotonic()
-        self._connection_by_sock[sock] = _Connection(reader, peer[0], now)
+        self._connection_by_sock[sock] = CallerConnection(reader, peer[0], now)
 
     def _drop_unused(self) -> bool:
         """Close the connection that is of the least use; return if there is one."""
@@ -250,7 +183,7 @@
                 yield self._use(now, sock, connection)
 
     def _use(
-        self, now: Seconds, sock: socket.socket, connection: _Connection
+        self, now: Seconds, sock: socket.socket, connection: CallerConnection
     ) -> Candidate:
         if connection.waiting:
             return Candidate(sock, connection.progress_at, float("-inf"))
@@ -310,20 +243,20 @@
             self._budget.relieve()
 
     def _add_waiting(
-        self, connection: _Connection, requests: Iterable[ParsedRequest]
+        self, connection: CallerConnection, requests: Iterable[ParsedRequest]
     ) -> None:
         for parsed in requests:
             connection.waiting.append(parsed)
             connection.waiting_bytes += parsed.held_bytes
             self.waiting_bytes += parsed.head_bytes
 
-    def _take_waiting(self, connection: _Connection) -> ParsedRequest:
+    def _take_waiting(self, connection: CallerConnection) -> ParsedRequest:
         parsed = connection.waiting.popleft()
         connection.waiting_bytes -= parsed.held_bytes
         self.waiting_bytes -= parsed.head_bytes
         return parsed
 
-    def _discard_waiting(self, connection: _Connection) -> None:
+    def _discard_waiting(self, connection: CallerConnection) -> None:
         while connection.waiting:
             self._take_waiting(connection).release()
 
@@ -358,7 +291,7 @@
             self._poller.addReader(self, sock)
 
     def _reject(
-        self, sock: socket.socket, connection: _Connection, kind: ErrorKind
+        self, sock: socket.socket, connection: CallerConnection, kind: ErrorKind
     ) -> None:
         """Refuse what cannot be read and close the connection.
 
@@ -381,7 +314,7 @@
         if len(self._lingering) > MAX_LINGERING:
             self.drop(next(iter(self._lingering)))
 
-    def _start_next(self, sock: socket.socket, connection: _Connection) -> None:
+    def _start_next(self, sock: socket.socket, connection: CallerConnection) -> None:
         while (
             connection.current is None
             and connection.waiting
@@ -406,7 +339,9 @@
         unsent = self.unsent(sock)
         return 0 if unsent is None else unsent.size
 
-    def _pause_or_resume(self, sock: socket.socket, connection: _Connection) -> None:
+    def _pause_or_resume(
+        self, sock: socket.socket, connection: CallerConnection
+    ) -> None:
         """Read no more from a caller that does not read its answers, for the present.
 
         The same holds while many of its requests wait, or large ones. Each of them and
@@ -451,7 +386,7 @@
                 self._budget.relieve()
 
     def _write_answer(
-        self, sock: socket.socket, connection: _Connection, response: Response
+        self, sock: socket.socket, connection: CallerConnection, response: Response
     ) -> None:
         parsed = connection.current
         parsed.release()
@@ -523,7 +458,7 @@
 
         self._budget.relieve()
 
-    def _is_head_late(self, now: Seconds, connection: _Connection) -> bool:
+    def _is_head_late(self, now: Seconds, connection: CallerConnection) -> bool:
         return (
             connection.message_since is not None
             and connection.current is None
@@ -575,7 +510,7 @@
         return size > SMALL_BODY_BYTES
 
     def _held(
-        self, sock: socket.socket, connection: _Connection
+        self, sock: socket.socket, connection: CallerConnection
     ) -> tuple[int, Seconds]:
         """Return how many bytes a connection holds, and since when."""
         unsent = self.unsent(sock)
--- a/rhubarbhall/adapters/client.py
+++ b/rhubarbhall/adapters/client.py
@@ -13,11 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rhubarbhall.adapters.http_wire import (
-    ResponseReader,
-    WireError,
-    encode_request,
-)
+from rhubarbhall.adapters.http_encoding import encode_request
+from rhubarbhall.adapters.http_wire import ResponseReader, WireError
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 
--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -14,7 +14,7 @@
         SyncRequest,
         SyncResponse,
     )
-    from rhubarbhall.adapters.peer_sessions import Session
+    from rhubarbhall.adapters.peer_session import Session
     from rhubarbhall.core.traffic.requests import Load, Outcome, RoutedRequest
     from rhubarbhall.types import Address, Seconds
 
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -10,7 +10,6 @@
 
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
@@ -34,7 +33,8 @@
     SyncRequest,
 )
 from rhubarbhall.adapters.peer_outcomes import decode_key, encode_outcome, pair_headers
-from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
+from rhubarbhall.adapters.peer_session import Session
+from rhubarbhall.adapters.peer_stream import FrameReader, stored_body
 from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
@@ -66,52 +66,6 @@
 _MS_PER_S = 1000
 
 
-@dataclass(eq=False, slots=True)
-class Session:
-    """State of one run of a peer across its successive connections.
-
-    Parameters
-    ----------
-    sock : socket, optional
-        The present connection.
-    reader, writer : FrameReader, FrameWriter
-        Codec of the present connection.
-    address : str
-        Address of the peer; empty before its `Hello`.
-    service : str
-        Service of the peer's VM; empty before its `Hello`.
-    session_number : int
-        Number that the peer's process drew for itself.
-    ticket_by_number : dict of int to int
-        Requests submitted to the local target: their tickets, by the peer's number.
-    undelivered : dict of int to Frame
-        Outcomes that were decided while there was no connection, by the peer's number.
-    last_number : int
-        Highest number of a request that arrived.
-    broken_at : float
-        When the last connection ended.
-    is_resumed : bool
-        Whether the present connection continues an earlier one.
-    last_contact_at, received_at : float
-        When bytes were last received, by the clock of the sessions and by the monotonic
-        clock.
-    """
-
-    sock: socket.socket | None
-    reader: FrameReader = field(default_factory=FrameReader)
-    writer: FrameWriter = field(default_factory=FrameWriter)
-    address: Address = ""
-    service: str = ""
-    session_number: int = 0
-    ticket_by_number: dict[int, int] = field(default_factory=dict)
-    undelivered: dict[int, Frame] = field(default_factory=dict)
-    last_number: int = 0
-    broken_at: Seconds = 0.0
-    is_resumed: bool = False
-    last_contact_at: Seconds = 0.0
-    received_at: Seconds = 0.0
-
-
 def _read_frames(
     reader: FrameReader, data: bytes
 ) -> tuple[list[Frame], ValueError | None]:
--- a/rhubarbhall/platform/target.py
+++ b/rhubarbhall/platform/target.py
@@ -10,11 +10,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from rhubarbhall.adapters.http_wire import (
-    ResponseStreamReader,
-    WireError,
-    encode_request_head,
-)
+from rhubarbhall.adapters.http_encoding import encode_request_head
+from rhubarbhall.adapters.http_wire import ResponseStreamReader, WireError
 from rhubarbhall.adapters.sockets import Connector
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
--- a/tests/adapters/test_http_wire.py
+++ b/tests/adapters/test_http_wire.py
@@ -2,13 +2,8 @@
 
 import unittest
 
-from rhubarbhall.adapters.http_wire import (
-    RequestReader,
-    ResponseReader,
-    WireError,
-    encode_request,
-    encode_response,
-)
+from rhubarbhall.adapters.http_encoding import encode_request, encode_response
+from rhubarbhall.adapters.http_wire import RequestReader, ResponseReader, WireError
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.requests import Response
 
