Render pages of the readiness port at most every 0.2 s

Rendering /dump and /metrics for each request let clients of that port take all processor time; the platform's checks of the readiness are answered there too.

Connections that do not read an answer give way to new ones after those that have brought no request; the codecs of a peer's ended connection are freed.

--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -56,6 +56,11 @@
 #: of the connections on which that is done at a time.
 LINGER_S = 2.0
 MAX_LINGERING = 128
+#: Weights of connections that give way to a new one; those of the others are the bytes
+#: per second that they bring, negated.
+_REFUSED_WEIGHT = 1.0
+_UNREAD_WEIGHT = -1e15
+_PIPELINED_WEIGHT = float("-inf")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -176,7 +181,8 @@
         """Yield the connections that may give way to a new one.
 
         Refused ones come first, then those without a whole request by how little they
-        bring, then those whose requests wait for one another.
+        bring, then those that do not read an answer, then those whose requests wait for
+        one another.
         """
         for sock, connection in self._connection_by_sock.items():
             if self._may_give_way(sock):
@@ -186,13 +192,13 @@
         self, now: Seconds, sock: socket.socket, connection: CallerConnection
     ) -> Candidate:
         if connection.waiting:
-            return Candidate(sock, connection.progress_at, float("-inf"))
+            return Candidate(sock, connection.progress_at, _PIPELINED_WEIGHT)
         unsent = self.unsent(sock)
         if unsent is not None:
-            return Candidate(sock, unsent.progress_at, 0.0)
+            return Candidate(sock, unsent.progress_at, _UNREAD_WEIGHT)
         since = connection.message_since or connection.last_active_at
         if connection.closing:
-            return Candidate(sock, since, 1.0)
+            return Candidate(sock, since, _REFUSED_WEIGHT)
         rate = connection.reader.body_size / max(now - since, UNUSED_S)
         return Candidate(sock, since, -rate)
 
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -34,7 +34,7 @@
 )
 from rhubarbhall.adapters.peer_outcomes import decode_key, encode_outcome, pair_headers
 from rhubarbhall.adapters.peer_session import Session
-from rhubarbhall.adapters.peer_stream import FrameReader, stored_body
+from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
 from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
@@ -314,6 +314,8 @@
         if session is None or not session.address:
             return
         session.sock = None
+        # The codecs of a connection are of no use for the next one, and take memory.
+        session.reader, session.writer = FrameReader(), FrameWriter()
         session.broken_at = self._clock()
         self._broken_by_peer[session.address, session.session_number] = session
 
--- a/rhubarbhall/platform/ingress.py
+++ b/rhubarbhall/platform/ingress.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from rhubarbhall.core.requests import RawRequest
-    from rhubarbhall.types import RequestId
+    from rhubarbhall.types import RequestId, Seconds
 
 #: Headers of a caller that are not forwarded, in lower case: those that concern only
 #: its connection, those decoded into fields of the request, and those that the router
@@ -46,6 +46,9 @@
     }
 )
 _SERVICE_UNAVAILABLE = int(HTTPStatus.SERVICE_UNAVAILABLE)
+#: Time for which a rendered page is served again, in seconds. Rendering the state of a
+#: large deployment takes long.
+PAGE_LIFETIME_S = 0.2
 #: Path of the crash suspects on the readiness port; a fingerprint follows.
 SUSPECTS_PATH = "/suspects/"
 
@@ -176,6 +179,33 @@
             self._requests.caller_gone(ticket)
 
 
+class CachedPage:
+    """A page that is rendered anew only after some time, however often it is requested.
+
+    Parameters
+    ----------
+    render : callable
+        Returns the media type and the body.
+    clock : callable
+        Returns the time, in seconds.
+    """
+
+    def __init__(
+        self, render: Callable[[], tuple[str, bytes]], clock: Callable[[], Seconds]
+    ) -> None:
+        self._render = render
+        self._clock = clock
+        self._page = ("", b"")
+        self._rendered_at = float("-inf")
+
+    def __call__(self) -> tuple[str, bytes]:
+        """Return the media type and the body."""
+        now = self._clock()
+        if now - self._rendered_at >= PAGE_LIFETIME_S:
+            self._page, self._rendered_at = self._render(), now
+        return self._page
+
+
 class ReadinessSink:
     """Serves the platform's readiness checks and further pages.
 
--- a/rhubarbhall/programs/routing_daemon.py
+++ b/rhubarbhall/programs/routing_daemon.py
@@ -60,7 +60,7 @@
 from rhubarbhall.core.traffic.target_chooser import TargetChooser
 from rhubarbhall.core.traffic.warmup import ColdBounds, Warmup
 from rhubarbhall.platform.heartbeats import HeartbeatSink
-from rhubarbhall.platform.ingress import CallerSink, ReadinessSink
+from rhubarbhall.platform.ingress import CachedPage, CallerSink, ReadinessSink
 from rhubarbhall.platform.key_requests import KeyRequestClient
 from rhubarbhall.platform.names import OPERATOR_TOPIC
 from rhubarbhall.platform.settings import PlatformSettings
@@ -375,7 +375,10 @@
         control = CallerLimits(connections=MAX_CONTROL_CONNECTIONS)
         self._control_budget = BodyBudget(CONTROL_SHARE * settings.memory_bytes)
         heartbeats = HeartbeatSink(self)
-        pages = {"/metrics": self._metrics_page, "/dump": self._dump_page}
+        pages = {
+            "/metrics": CachedPage(self._metrics_page, self.now),
+            "/dump": CachedPage(self._dump_page, self.now),
+        }
         readiness = ReadinessSink(self.is_ready, pages, self.clear_suspect)
         self.callers = CallerServer(
             split_address(settings.caller_address),
