Close peers' connections for room after 2 s only, and look for nobody less often

An answer whose sending ends is lost, and other regions are far, so a peer's connection does not yield to an answer after 0.1 s as a caller's does. Where nobody could yield at any age, all connections were looked through each time; that is done at most every 20 ms now.

--- a/rhubarbhall/adapters/eviction.py
+++ b/rhubarbhall/adapters/eviction.py
@@ -13,6 +13,8 @@
 
 #: Time after which the order is determined anew, in seconds.
 ORDER_LIFETIME_S = 0.1
+#: Time for which nobody is looked for again once there was nobody, in seconds.
+NONE_LIFETIME_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +98,8 @@
             else:
                 old_at = candidate.since + age_s
                 self._none_before = min(self._none_before, old_at)
+        if not self._order:
+            self._none_before = max(self._none_before, now + NONE_LIFETIME_S)
         # Among equals, the one that was looked at first is the last of the list.
         self._order.reverse()
         self._order.sort(key=lambda candidate: candidate.weight)
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -38,7 +38,11 @@
 from rhubarbhall.adapters.peer_traffic import PeerTraffic
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
+from rhubarbhall.core.traffic.body_budget import (
+    SMALL_BODY_BYTES,
+    YIELD_TO_BODY_S,
+    BodyBudget,
+)
 from rhubarbhall.core.traffic.requests import (
     Load,
     NotRun,
@@ -275,13 +279,16 @@
         ----------
         age_s : float
             Minimum time for which nothing more of them was received or accepted, in
-            seconds.
+            seconds. Below `YIELD_TO_BODY_S` it is raised to that, unless it is 0: other
+            regions are far, and an answer whose sending ends here is lost.
 
         Returns
         -------
         bool
             Whether a connection was closed.
         """
+        if age_s:
+            age_s = max(age_s, YIELD_TO_BODY_S)
         sock = self._by_bytes.next(time.monotonic(), age_s)
         if sock is None:
             return False
--- a/tests/adapters/test_eviction.py
+++ b/tests/adapters/test_eviction.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from rhubarbhall.adapters.eviction import ORDER_LIFETIME_S, Candidate, EvictionOrder
+from rhubarbhall.adapters.eviction import (
+    NONE_LIFETIME_S,
+    ORDER_LIFETIME_S,
+    Candidate,
+    EvictionOrder,
+)
 
 
 class EvictionOrderTests(unittest.TestCase):
@@ -46,6 +51,13 @@
         self.assertEqual(self.looks, 1)
         self.assertEqual(self.order.next(11.0, 2.0), "young")
 
+    def test_nobody_is_looked_for_again_at_once(self):
+        for _ in range(100):
+            self.assertIsNone(self.order.next(10.0, 0.0))
+        self.assertEqual(self.looks, 1)
+        self.add("new", since=10.0, weight=1.0)
+        self.assertEqual(self.order.next(10.0 + 2 * NONE_LIFETIME_S, 0.0), "new")
+
     def test_a_shorter_age_looks_again(self):
         self.add("young", since=9.0, weight=1.0)
         self.assertIsNone(self.order.next(10.0, 2.0))
