Limit the connections that are accepted when a server stops listening

A stopping server accepted connections until none waited, so clients that went on connecting could keep it from its planned stop. At most as many as may wait are accepted now. The test did not end before.

--- a/rhubarbhall/adapters/sockets.py
+++ b/rhubarbhall/adapters/sockets.py
@@ -434,11 +434,12 @@
         """Stop accepting connections; open ones stay open.
 
         Connections that wait are accepted first, since closing the listening socket
-        would reset them.
+        would reset them. There may always be more of them, so their number is limited.
         """
         if self._sock is not None:
-            while self._accept():
-                pass
+            for _ in range(BACKLOG):
+                if not self._accept():
+                    break
             self._poller.discard(self._sock)
             self._sock.close()
             self._sock = None
--- a/tests/adapters/test_sockets.py
+++ b/tests/adapters/test_sockets.py
@@ -6,9 +6,10 @@
 import socket
 import tracemalloc
 import unittest
+from unittest import mock
 
 from rhubarbhall.adapters.loop import Loop
-from rhubarbhall.adapters.sockets import Listener
+from rhubarbhall.adapters.sockets import BACKLOG, Listener
 from rhubarbhall.core.traffic.body_budget import BodyBudget
 
 
@@ -95,3 +96,9 @@
         self.assertLess(peak, 4 << 20)
         self.listener.drop(self.listener.accepted)
         self.assertEqual(self.listener.unsent_bytes, 0)
+
+    # A crowd that went on connecting kept a stopping server from its stop.
+    def test_the_end_of_listening_does_not_wait_for_the_last_connection(self):
+        with mock.patch.object(self.listener, "_accept", return_value=True) as accept:
+            self.listener.stop_listening()
+        self.assertEqual(accept.call_count, BACKLOG)
