Test that the frame in part of an ended connection is not kept

The session of a connection that ended was kept for 0.45 s with its frame in part, beyond the account.

--- a/tests/adapters/test_peer_sessions.py
+++ b/tests/adapters/test_peer_sessions.py
@@ -149,6 +149,18 @@
         self.assertLess(self.budget.used, 2 * LIMIT)
         self.assertGreater(self.sessions.yielded, 0)
 
+    # Sessions of ended connections kept their frames in part, which nothing counted.
+    def test_a_frame_in_part_is_not_kept_after_its_connection(self):
+        begin = LIMIT.to_bytes(4, "big") + bytes(LIMIT // 2)
+        peer = self.connect(compress(encode(HELLO) + begin))
+        self.tick(100)
+        (session,) = self.sessions._session_by_sock.values()
+        self.assertGreater(session.reader.buffered_bytes, LIMIT // 4)
+        peer.close()
+        self.tick()
+        self.assertEqual(session.reader.buffered_bytes, 0)
+        self.assertEqual(list(self.sessions._broken_by_peer.values()), [session])
+
     def test_a_peer_that_reads_nothing_of_what_it_requests_is_closed(self):
         peer = self.greeted()
         (session,) = self.sessions._session_by_sock.values()
