--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -46,9 +46,9 @@
 #: Bytes of waiting requests on all connections above which the account is checked with
 #: each request that has to wait.
 MAX_UNCHECKED_BYTES = 1 << 20
-#: Time for which a connection may bring nothing before it gives way to a new one, in
+#: Time for which a connection may make no progress before it gives way to a new one, in
 #: seconds. A caller on the same VM sends its request within milliseconds.
-UNUSED_S = 1.0
+MIN_UNUSED_S = 1.0
 #: Time without bytes after which a draining server closes a connection, in seconds:
 #: longer than a caller on the same VM takes to send its first request.
 MIN_IDLE_S = 0.1
@@ -123,8 +123,8 @@
         self._receiving: socket.socket | None = None
         #: Connections whose request was refused, the oldest first.
         self._lingering: dict[socket.socket, None] = {}
-        self._by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
-        self._by_use = EvictionOrder(self._unused, self._may_give_way)
+        self._order_by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
+        self._order_by_use = EvictionOrder(self._replaceable, self._is_replaceable)
         self.draining = False
         self.yielded = 0
         self.waiting_bytes = 0
@@ -156,7 +156,7 @@
         At the limit the connection gives way that is of the least use.
         """
         is_full = len(self._connection_by_sock) >= self._limits.connections
-        if is_full and not self._drop_unused():
+        if is_full and not self._replace_one():
             too_many = refusal(ErrorKind.TOO_MANY_CONNECTIONS)
             self.send(sock, encode_response(too_many, keep_alive=False))
             self.finish(sock)
@@ -166,29 +166,29 @@
         now = time.monotonic()
         self._connection_by_sock[sock] = CallerConnection(reader, peer[0], now)
 
-    def _drop_unused(self) -> bool:
-        """Close the connection that is of the least use; return if there is one."""
+    def _replace_one(self) -> bool:
+        """Close the connection of the least use; return if there is one."""
         now = time.monotonic()
-        unused_s = min(self._limits.idle_s, self._limits.head_s, UNUSED_S)
-        sock = self._by_use.next(now, unused_s)
+        min_age_s = min(self._limits.idle_s, self._limits.head_s, MIN_UNUSED_S)
+        sock = self._order_by_use.next(now, min_age_s)
         if sock is None:
             return False
         self.yielded += 1
         self.drop(sock)
         return True
 
-    def _unused(self, now: Seconds) -> Iterator[Candidate]:
-        """Yield the connections that may give way to a new one.
+    def _replaceable(self, now: Seconds) -> Iterator[Candidate]:
+        """Yield the connections that may give way to a new one, by their use.
 
         Refused ones come first, then those without a whole request by how little they
         bring, then those that do not read an answer, then those whose requests wait for
         one another.
         """
         for sock, connection in self._connection_by_sock.items():
-            if self._may_give_way(sock):
-                yield self._use(now, sock, connection)
+            if self._is_replaceable(sock):
+                yield self._replacement_candidate(now, sock, connection)
 
-    def _use(
+    def _replacement_candidate(
         self, now: Seconds, sock: socket.socket, connection: CallerConnection
     ) -> Candidate:
         if connection.waiting:
@@ -199,11 +199,14 @@
         since = connection.message_since or connection.last_active_at
         if connection.closing:
             return Candidate(sock, since, _REFUSED_WEIGHT)
-        rate = connection.reader.body_size / max(now - since, UNUSED_S)
+        rate = connection.reader.body_size / max(now - since, MIN_UNUSED_S)
         return Candidate(sock, since, -rate)
 
-    def _may_give_way(self, sock: socket.socket) -> bool:
-        """Return whether a connection has more or less than one request in progress."""
+    def _is_replaceable(self, sock: socket.socket) -> bool:
+        """Return whether a connection may give way to a new one.
+
+        All may but those with a single request that is being handled.
+        """
         connection = self._connection_by_sock.get(sock)
         return connection is not None and (
             connection.current is None or bool(connection.waiting)
@@ -490,7 +493,7 @@
         bool
             Whether a connection was closed or its request refused.
         """
-        worst = self._by_bytes.next(time.monotonic(), age_s)
+        worst = self._order_by_bytes.next(time.monotonic(), age_s)
         if worst is None:
             return False
         self.yielded += 1
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -168,8 +168,8 @@
         #: When each connection without a `Hello` was opened, the oldest first.
         self._opened_by_unintroduced: dict[socket.socket, Seconds] = {}
         self._is_shutting_down = False
-        self._by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
-        self._by_use = EvictionOrder(self._unused, self._is_unused)
+        self._order_by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
+        self._order_by_use = EvictionOrder(self._replaceable, self._is_replaceable)
         self.rejected = 0
         self.yielded = 0
 
@@ -243,26 +243,26 @@
         At the limit the connection gives way that is of the least use.
         """
         if len(self._session_by_sock) >= self._max_connections:
-            unused = self._by_use.next(self._clock(), 0.0)
-            if unused is None:
+            replaced = self._order_by_use.next(self._clock(), 0.0)
+            if replaced is None:
                 self.acceptor.drop(sock)
                 return
             self.yielded += 1
-            self.acceptor.drop(unused)
+            self.acceptor.drop(replaced)
         now = self._clock()
         reader = FrameReader()
         reader.accepts_large = False
         self._session_by_sock[sock] = Session(sock, reader, last_contact_at=now)
         self._opened_by_unintroduced[sock] = now
 
-    def _unused(self, now: Seconds) -> Iterator[Candidate]:
+    def _replaceable(self, now: Seconds) -> Iterator[Candidate]:
         """Yield the connections that bring nothing, those without a `Hello` first."""
         for sock, session in self._session_by_sock.items():
-            if self._is_unused(sock):
+            if self._is_replaceable(sock):
                 since = session.last_contact_at
                 yield Candidate(sock, since, now - since if session.address else now)
 
-    def _is_unused(self, sock: socket.socket) -> bool:
+    def _is_replaceable(self, sock: socket.socket) -> bool:
         session = self._session_by_sock.get(sock)
         if session is None:
             return False
@@ -289,7 +289,7 @@
         """
         if age_s:
             age_s = max(age_s, YIELD_TO_BODY_S)
-        sock = self._by_bytes.next(time.monotonic(), age_s)
+        sock = self._order_by_bytes.next(time.monotonic(), age_s)
         if sock is None:
             return False
         self.yielded += 1
--- a/rhubarbhall/core/traffic/body_budget.py
+++ b/rhubarbhall/core/traffic/body_budget.py
@@ -1,7 +1,8 @@
 """The bytes of bodies that a process holds, bounded over all of its connections.
 
-Counted are the bodies of requests, received in part or whole, until their outcome, and
-what sources report: bytes that wait to be sent and answers that are being received.
+Counted are the bodies of requests, received in part or whole, until their outcome,
+their heads unless they are short, and what sources report: bytes that wait to be sent,
+answers that are being received and heads of requests that wait.
 Beyond the limit, reliefs give up the connections that hold most for longest.
 """
 
