See a request and its cancellation in one read together again

A daemon that was slow reads a request and its cancellation together and does not begin the request. The bounds are 4,096 frames and 2 MB now, which a read of ordinary frames does not reach; millions of frames in few bytes are still handled a part at a time.

--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -39,8 +39,9 @@
 #: Bytes that are inflated before the frames in them are decoded: a few bytes received
 #: may inflate to a thousand times as many.
 INFLATE_STEP_BYTES = 256 * 1024
-#: Frames that are decoded at a time.
-MAX_FRAMES = 64
+#: Frames that are decoded at a time, and steps in which their bytes are inflated.
+MAX_FRAMES = 4096
+MAX_INFLATE_STEPS = 8
 #: Size of a frame from which it has memory of its own until all of it is received.
 LARGE_FRAME_BYTES = 256 * 1024
 
@@ -194,21 +195,29 @@
             yield from self.feed_some(b"")
 
     def feed_some(self, data: bytes) -> Iterator[Frame]:
-        """Add received bytes and return an iterator over frames that are complete.
+        """Add received bytes and yield frames that are complete.
 
-        At most `MAX_FRAMES` frames are decoded, and `INFLATE_STEP_BYTES` inflated;
-        `has_more` then is true.
+        At most `MAX_FRAMES` frames are decoded, of `MAX_INFLATE_STEPS` times
+        `INFLATE_STEP_BYTES`; `has_more` then is true. A read of ordinary frames stays
+        within both: a request and its cancellation in one read are seen together.
 
         Raises
         ------
         ValueError
             If the bytes are not valid frames; the connection has to be closed.
         """
-        if self._has_more_frames:
-            self._deflated += data
-        else:
-            self._add_inflated(self._inflate_some(data))
-        return self._take_frames()
+        left = MAX_FRAMES
+        for _ in range(MAX_INFLATE_STEPS):
+            if self._has_more_frames:
+                self._deflated += data
+            else:
+                self._add_inflated(self._inflate_some(data))
+            data = b""
+            for frame in self._take_frames(left):
+                left -= 1
+                yield frame
+            if self._has_more_frames or not self._deflated:
+                return
 
     def _inflate_some(self, data: bytes) -> bytes:
         if self._inflate is None:
@@ -229,7 +238,7 @@
             inflated = self._large_frame.add(inflated)
         self._buffer += inflated
 
-    def _take_frames(self) -> Iterator[Frame]:
+    def _take_frames(self, limit: int) -> Iterator[Frame]:
         self._has_more_frames = False
         if self._large_frame is not None:
             if not self._large_frame.is_complete:
@@ -237,7 +246,7 @@
             large, self._large_frame = self._large_frame, None
             yield large.decode()
         buffer = self._buffer
-        for _ in range(MAX_FRAMES):
+        for _ in range(limit):
             if len(buffer) < _LENGTH.size:
                 return
             (size,) = _LENGTH.unpack_from(buffer)
