Decode fewer frames of a read that goes on in later iterations

With 4,096 frames at a time for eight connections in turn, the crowd of ten peers with millions of frames left no 200 within 30 s (only 503). The first part of a read may have 4,096 frames, so that a request and its cancellation are seen together; of the rest, 64 are decoded at a time.

--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -41,6 +41,7 @@
 INFLATE_STEP_BYTES = 256 * 1024
 #: Frames that are decoded at a time, and steps in which their bytes are inflated.
 MAX_FRAMES = 4096
+MAX_LATER_FRAMES = 64
 MAX_INFLATE_STEPS = 8
 #: Size of a frame from which it has memory of its own until all of it is received.
 LARGE_FRAME_BYTES = 256 * 1024
@@ -199,15 +200,16 @@
 
         At most `MAX_FRAMES` frames are decoded, of `MAX_INFLATE_STEPS` times
         `INFLATE_STEP_BYTES`; `has_more` then is true. A read of ordinary frames stays
-        within both: a request and its cancellation in one read are seen together.
+        within both: a request and its cancellation in one read are seen together. Of
+        the rest, without new bytes, at most `MAX_LATER_FRAMES` are decoded at a time.
 
         Raises
         ------
         ValueError
             If the bytes are not valid frames; the connection has to be closed.
         """
-        left = MAX_FRAMES
-        for _ in range(MAX_INFLATE_STEPS):
+        left = MAX_FRAMES if data else MAX_LATER_FRAMES
+        for _ in range(MAX_INFLATE_STEPS if data else 1):
             if self._has_more_frames:
                 self._deflated += data
             else:
