--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -43,7 +43,7 @@
 #: Requests that wait on a connection above which no more are read, and their bytes.
 MAX_READ_AHEAD = 16
 MAX_READ_AHEAD_BYTES = 64 * 1024
-#: Bytes of waiting requests on all connections above which the account is checked with
+#: Bytes of waiting requests on all connections above which the body budget is checked with
 #: each request that has to wait.
 MAX_UNCHECKED_BYTES = 1 << 20
 #: Time for which a connection may make no progress before it gives way to a new one, in
@@ -57,7 +57,7 @@
 LINGER_S = 2.0
 MAX_LINGERING = 128
 #: Weights of connections that give way to a new one; those of the others are the bytes
-#: per second that they bring, negated.
+#: per second that they bring, negated, and lie between the first and the second.
 _REFUSED_WEIGHT = 1.0
 _UNREAD_WEIGHT = -1e15
 _PIPELINED_WEIGHT = float("-inf")
