--- a/rhubarbhall/adapters/callers.py
+++ b/rhubarbhall/adapters/callers.py
@@ -43,8 +43,8 @@
 #: Requests that wait on a connection above which no more are read, and their bytes.
 MAX_READ_AHEAD = 16
 MAX_READ_AHEAD_BYTES = 64 * 1024
-#: Bytes of waiting requests on all connections above which the body budget is checked with
-#: each request that has to wait.
+#: Bytes of waiting requests on all connections above which the body budget is checked
+#: with each request that has to wait.
 MAX_UNCHECKED_BYTES = 1 << 20
 #: Time for which a connection may make no progress before it gives way to a new one, in
 #: seconds. A caller on the same VM sends its request within milliseconds.
--- a/rhubarbhall/adapters/peer_stream.py
+++ b/rhubarbhall/adapters/peer_stream.py
@@ -39,8 +39,8 @@
 #: Bytes that are inflated before the frames in them are decoded: a few bytes received
 #: may inflate to a thousand times as many.
 INFLATE_STEP_BYTES = 256 * 1024
-#: Limits of one call: frames decoded of newly received bytes and of bytes left over from
-#: an earlier call, and steps in which newly received bytes are inflated.
+#: Limits of one call: frames decoded of newly received bytes, frames decoded of bytes
+#: left over from an earlier call, and steps in which new bytes are inflated.
 MAX_FRAMES = 4096
 MAX_LATER_FRAMES = 64
 MAX_INFLATE_STEPS = 8
--- a/rhubarbhall/core/traffic/body_budget.py
+++ b/rhubarbhall/core/traffic/body_budget.py
@@ -13,8 +13,8 @@
 #: Share of the process's memory for bodies. While a body is encoded it is held up to
 #: three times, and the program itself takes a fifth.
 BODY_SHARE = 1 / 3
-#: Size up to which a body is taken although the budget is used up, so that large bodies do not
-#: keep out small ones, in bytes.
+#: Size up to which a body is taken although the budget is used up, so that large bodies
+#: do not keep out small ones, in bytes.
 SMALL_BODY_BYTES = 16 * 1024
 #: Bytes above the limit that small bodies may take together.
 SMALL_ROOM_BYTES = 8 << 20
