--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -53,6 +53,7 @@
     "hold_max=10000ms",
     "thaw=300ms",
 ]
+MACHINE_LIMITS = {"cpu_share": 0.86, "cores": 1, "memory_mb": 300, "max_fds": 4100}
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 64 << 20,
@@ -167,7 +168,9 @@
         self.servers: dict[Machine, PlatformTarget] = {}
         for machine in self.machines:
             machine.ports = dict(zip(PORT_NAMES, ports, strict=False))
-            self.servers[machine] = self._server(machine)
+            # Not all at the same moment, as those of real servers.
+            delay_s = 0.3 + 0.11 * machine.number
+            self.servers[machine] = self._server(machine, delay_s)
         self.put_configuration()
         self._thread = threading.Thread(target=self._loop.manager.run, daemon=True)
         self._thread.start()
@@ -180,7 +183,7 @@
     def _fire_due(self) -> None:
         fire_due(self.timers, time.monotonic(), lambda error: None)
 
-    def _server(self, machine: Machine) -> PlatformTarget:
+    def _server(self, machine: Machine, delay_s: float) -> PlatformTarget:
         server = PlatformTarget(
             machine.address("app"),
             machine.service,
@@ -195,11 +198,15 @@
             ),
         )
         self._loop.add(server.port)
-        # Not all at the same moment, as those of real servers.
-        first = time.monotonic() + 0.3 + 0.11 * machine.number
+        first = time.monotonic() + delay_s
         self.timers.at(first, TimerCallback(lambda now: server.begin()))
         return server
 
+    def replace_server(self, machine: Machine) -> PlatformTarget:
+        """Start another run of a crashed server; in the thread of the stand-ins."""
+        self.servers[machine] = self._server(machine, 0.0)
+        return self.servers[machine]
+
     def put_configuration(self) -> None:
         """Write the next version of the operator's configuration."""
         self.version += 1
@@ -321,6 +328,7 @@
         method: str = "GET",
         key: int | None = None,
         timeout_ms: int = 1500,
+        path: str = "x",
     ) -> int | None:
         """Send one request to the router of a machine; return the status, if any."""
         connection = http.client.HTTPConnection(
@@ -334,7 +342,7 @@
         if key is not None:
             headers["Shard-Key"] = str(key)
         try:
-            connection.request(method, f"/{service}/x", headers=headers)
+            connection.request(method, f"/{service}/{path}", headers=headers)
             answer = connection.getresponse()
             answer.read()
             return answer.status
