--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,168 +1,117 @@
-"""Refused requests take memory for good: the router exceeds that of its machine.
+"""A request is sent to a second server although the first one has begun it.
 
-One machine of the service `desk`; the service `gone` has no server at present, so the
-requests for it are refused at once. Two slow uploads inside the limits are received
-meanwhile. With TROUBLE=0 there are the uploads, and no refused requests.
+The router that has sent a request freezes; the router beside the server that works on
+it is killed and started again, and freezes as well for a moment when the first one
+wakes. Two of 18 machines freeze. With TROUBLE=0 none of this happens.
 """
 
 from __future__ import annotations
 
-import multiprocessing
 import os
-import socket
+import signal
 import sys
 import threading
 import time
 import traceback
 from pathlib import Path
 
-from review.standins3.deployment import Deployment, Machine, Record
+from review.standins3.deployment import Deployment, Record
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-#: Memory of the machine, as the settings state it, in MiB.
-MEMORY_MB = 300
-#: Time for which requests are sent, in seconds.
-PRESS_S = 104.0
-#: Connections that send refused requests, and requests that each sends at a time.
-CLIENTS = 4
-PIPELINED = 16
-#: The slow uploads: their number, the length that they announce (the limit is 64 MiB),
-#: what is sent at once, and the bytes that follow each half second.
-UPLOADS = 2
-UPLOAD_BYTES = 60 << 20
-SENT_AT_ONCE_BYTES = 47 << 20
-TRICKLE_BYTES = 32 << 10
-REFUSED = (
-    b"GET /gone/x HTTP/1.1\r\nHost: reviewed.example\r\n"
-    b"Request-Id: %d\r\nTimeout-Ms: 1500\r\n\r\n"
-)
-
-
-def press(address: tuple[str, int], until: float, number: int, counts) -> None:
-    """Send requests that are refused, a few at a time, and read all answers."""
-    sock = socket.create_connection(address, timeout=10.0)
-    sent, refused, first = 0, 0, b""
-    try:
-        while time.monotonic() < until:
-            batch = range(sent, sent + PIPELINED)
-            sock.sendall(b"".join(REFUSED % (number << 32 | each) for each in batch))
-            sent += PIPELINED
-            received = b""
-            while received.count(b"HTTP/1.1 ") < PIPELINED or not received.endswith(
-                b"\r\n\r\n"
-            ):
-                data = sock.recv(65536)
-                if not data:
-                    return
-                received += data
-            refused += received.count(b"HTTP/1.1 503 ")
-            first = first or received[:200]
-    except OSError:
-        return
-    finally:
-        counts.put((sent, refused, first))
+TIMEOUT_MS = 5500
+WORK_S = 0.8
+SETTLE_S = 4.0
+#: Times after the request has been begun, in seconds.
+FREEZE_SENDER_S = 0.05
+KILL_S = 0.1
+START_S = 0.5
+FREEZE_STARTED_S = 1.3
+WAKE_SENDER_S = 1.4
+WAKE_STARTED_S = 3.4
 
 
-class Upload(threading.Thread):
-    """A client that sends a long body slowly."""
-
-    def __init__(self, machine: Machine, number: int, record: Record) -> None:
-        super().__init__(daemon=True)
-        self._machine, self._number, self._record = machine, number, record
-        self.stop = threading.Event()
-
-    def run(self) -> None:
-        """Send the body until it is stopped or refused."""
-        address = (self._machine.host, self._machine.ports["outbound"])
-        sock = socket.create_connection(address, timeout=5.0)
-        head = (
-            f"POST /desk/x HTTP/1.1\r\nHost: reviewed.example\r\n"
-            f"Request-Id: upload-{self._number}\r\n"
-            f"Content-Length: {UPLOAD_BYTES}\r\n\r\n"
-        )
-        try:
-            sock.sendall(head.encode())
-            sock.sendall(bytes(SENT_AT_ONCE_BYTES))
-            self._record(f"upload {self._number}: {SENT_AT_ONCE_BYTES} bytes sent")
-            left = UPLOAD_BYTES - SENT_AT_ONCE_BYTES - 1
-            while left > 0 and not self.stop.wait(0.5):
-                size = min(left, TRICKLE_BYTES)
-                sock.sendall(bytes(size))
-                left -= size
-        except OSError as error:
-            self._record(f"upload {self._number}: ended by {error!r}")
-        finally:
-            sock.close()
-
-
-def memory_mb(machine: Machine) -> float:
-    """Return the resident memory of a router, in MiB."""
-    status = Path(f"/proc/{machine.process.pid}/status").read_text()
-    (line,) = (line for line in status.splitlines() if line.startswith("VmRSS"))
-    return int(line.split()[1]) / 1024
+def at(began_at: float, after_s: float) -> None:
+    """Wait until a time after the request was begun."""
+    time.sleep(max(0.0, began_at + after_s - time.monotonic()))
 
 
 def play(deployment: Deployment, record: Record) -> int:
     """Play the case; return the exit status."""
-    (machine,) = deployment.machines
+    sender = deployment.machines[0]
+    desks = [each for each in deployment.machines if each.service == "desk"]
     if not deployment.wait_ready():
-        record("the router is not ready")
+        record("the routers are not ready")
         return 2
-    if not deployment.wait_until(lambda: deployment.ask(machine, "desk", "a") == 200):
+    served = lambda: deployment.ask(sender, "desk", "a", "POST") == 200  # noqa: E731
+    if not deployment.wait_until(served):
         record("an ordinary request is not answered")
         return 2
-    record(f"memory of the router: {memory_mb(machine):.0f} MiB, of {MEMORY_MB}")
-    uploads = [Upload(machine, number, record) for number in range(UPLOADS)]
-    for upload in uploads:
-        upload.start()
-    time.sleep(3.0)
-    record(f"memory with the uploads: {memory_mb(machine):.0f} MiB")
-    until = time.monotonic() + PRESS_S
-    counts = multiprocessing.Queue()
-    address = (machine.host, machine.ports["outbound"])
-    clients = [
-        multiprocessing.Process(target=press, args=(address, until, number, counts))
-        for number in range(CLIENTS if TROUBLE else 0)
-    ]
-    for client in clients:
-        client.start()
-    highest_mb = 0.0
-    reported_at = time.monotonic()
-    while time.monotonic() < until and highest_mb <= MEMORY_MB:
-        time.sleep(0.2)
-        if machine.process.poll() is not None:
-            record(f"the router has ended with {machine.process.returncode}")
-            return 1
-        highest_mb = max(highest_mb, memory_mb(machine))
-        if time.monotonic() - reported_at > 5.0:
-            reported_at = time.monotonic()
-            record(f"memory of the router: {memory_mb(machine):.0f} MiB")
-    is_over = highest_mb > MEMORY_MB
-    if is_over:
-        record(f"memory of the router: {highest_mb:.0f} MiB; the platform kills it")
-        machine.process.kill()
-        machine.process.wait()
-    for upload in uploads:
-        upload.stop.set()
-    for _ in clients:
-        sent, refused, first = counts.get(timeout=20.0)
-        record(f"client: {sent} requests sent, {refused} answered 503, as {first!r}")
-    for client in clients:
-        client.join()
-    if not is_over:
-        time.sleep(2.0)
-        record(f"memory of the router later: {memory_mb(machine):.0f} MiB")
-    record(f"highest memory {highest_mb:.0f} MiB; the machine has {MEMORY_MB}")
-    return 1 if is_over else 0
+    time.sleep(SETTLE_S)
+    statuses: list[int | None] = []
+
+    def send() -> None:
+        record("client sends POST /desk/x, Request-Id once")
+        status = deployment.ask(sender, "desk", "once", "POST", timeout_ms=TIMEOUT_MS)
+        statuses.append(status)
+        record(f"client gets {status} for once")
+
+    def runs() -> list[str]:
+        return [
+            machine.name
+            for machine in desks
+            for run in list(deployment.servers[machine].executed_requests)
+            if run.request == "once"
+        ]
+
+    client = threading.Thread(target=send)
+    client.start()
+    if not deployment.wait_until(runs, 3.0):
+        record("the request was not begun")
+        return 2
+    began_at = time.monotonic()
+    record(f"the server of {runs()[0]} begins once")
+    (first,) = (each for each in desks if each.name == runs()[0])
+    if TROUBLE:
+        at(began_at, FREEZE_SENDER_S)
+        sender.process.send_signal(signal.SIGSTOP)
+        record(f"{sender.name} freezes")
+        at(began_at, KILL_S)
+        first.process.kill()
+        first.process.wait()
+        record(f"the router of {first.name} is killed")
+        at(began_at, START_S)
+        deployment.start(first)
+        at(began_at, FREEZE_STARTED_S)
+        first.process.send_signal(signal.SIGSTOP)
+        record(f"{first.name} freezes")
+        at(began_at, WAKE_SENDER_S)
+        sender.process.send_signal(signal.SIGCONT)
+        record(f"{sender.name} wakes")
+        at(began_at, WAKE_STARTED_S)
+        first.process.send_signal(signal.SIGCONT)
+        record(f"{first.name} wakes")
+    client.join(TIMEOUT_MS / 1000 + 2.0)
+    time.sleep(2.0)
+    found = runs()
+    record(f"once was begun by the servers of {found}; the client got {statuses}")
+    is_refused = bool(found) and bool(statuses) and statuses[0] in (408, 421, 429, 503)
+    return 1 if len(found) > 1 or is_refused else 0
 
 
 def main() -> int:
     """Play the case with a deployment of its own."""
     record = Record(Path(__file__).parent / "record.txt")
-    kinds = {"desk": "non_idempotent", "gone": "idempotent"}
+    kinds = {"desk": "non_idempotent", "front": "idempotent", "till": "idempotent"}
     deployment = None
     try:
-        deployment = Deployment(record, [("desk", "r1")], set(), kinds)
+        services = [
+            (service, region)
+            for service in ("front", "desk", "till")
+            for region in ("r1", "r2", "r3") * 2
+        ]
+        deployment = Deployment(
+            record, services, set(), kinds, work_s=WORK_S, route={"timeout": "6000ms"}
+        )
         return play(deployment, record)
     except Exception:
         record(traceback.format_exc())
