Require all fields of a heartbeat, and free keys only on proof that a run has ended

Cause: something was believed because nothing contradicted it. Fields that every target sends had defaults: without `born` a heartbeat was one of 1970, without `holds` and `freed` it said that nothing is held. Two heartbeats of another run 0.3 s apart were proof that the known run had ended, while a live target is silent for 0.87 or 1.5 s. The keys were then free at once and the run counted as ended for good, so a mistake was never taken back.

Change: a heartbeat that lacks a field is answered with 400; `holds` and `freed` are required where keys are granted in the answers to heartbeats. Another run counts only once the grants of the known one have run out, unless it has a later start, and a later start frees keys at once only by its first heartbeat. A run that goes on while the other one is silent is used again; one that has left is not. `Heartbeat` has a module of its own, which ends a circle of imports.

--- a/rhubarbhall/core/ownership/heartbeat_order.py
+++ b/rhubarbhall/core/ownership/heartbeat_order.py
@@ -1,8 +1,15 @@
 """Tells new heartbeats of the local target from those that were late on their way.
 
-The start of a run, as the target states it, orders the runs. A target whose clock was
-set back states an earlier start than the run before it. Its heartbeats look like late
-ones of a run that has ended, until more of them follow while the known run is silent.
+The start of a run, as the target states it, orders the runs: a later start is that of
+the next run. Any other heartbeat that does not follow the last one may have been late:
+of an earlier run, or of the present one. It is evidence only while the known run is
+silent, so it counts once the keys of that run have run out and more heartbeats have
+followed. A target whose clock was set back, and which therefore states an earlier start
+than the run before it, is used in this way.
+
+No run counts as ended for good by the heartbeats of another one: while that one is
+silent for as long, a run that goes on is used again. Only a run that has said that it
+leaves is not.
 
 A daemon that was started again knows the last run from its own record in the store.
 """
@@ -13,48 +20,34 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhall.core.ownership.heartbeat import split_run
+
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.target_keys import Heartbeat
+    from rhubarbhall.core.ownership.heartbeat import Heartbeat
     from rhubarbhall.types import Seconds
 
-#: Highest sequence of the first heartbeat of a run.
-FIRST_SEQUENCE = 1
-#: Time after which another heartbeat of a run confirms that the run is not an earlier
-#: one, in seconds. Late heartbeats that were held up together arrive together.
+#: Time between two heartbeats that show that a run goes on, in seconds. Late heartbeats
+#: that were held up together arrive together.
 CONFIRMATION_S = 0.3
-#: Number of ended runs that are remembered.
+#: Number of ended runs, of runs that have left and of unconfirmed runs that are
+#: remembered.
 MAX_ENDED_RUNS = 16
+#: Sequence before the first heartbeat of a run.
+_NO_SEQUENCE = -1
 
 
-def run_name(instance: str, born: int) -> str:
-    """Return the identity of one start of a target."""
-    return f"{instance}@{born}"
-
-
-def split_run(run: str) -> tuple[str, int]:
-    """Return the instance and the start, in Unix milliseconds, of a run.
-
-    The start is -1 if the identity names none.
-    """
-    instance, _, born = run.rpartition("@")
-    return (instance, int(born)) if born.isdecimal() and born.isascii() else (run, -1)
-
-
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Unconfirmed:
-    """A run that may be the present one, or one that has ended.
+    """The first heartbeat of a run that may be the present one or have ended.
 
     Parameters
     ----------
-    run : str
-        The run.
     sequence : int
-        Sequence of its first heartbeat that arrived.
+        Its sequence.
     arrived_at : float
-        Arrival of that heartbeat on the local clock, in seconds.
+        Its arrival on the local clock, in seconds.
     """
 
-    run: str
     sequence: int
     arrived_at: Seconds
 
@@ -66,9 +59,13 @@
         #: The last known run; empty if there is none.
         self.run = ""
         self._born = -1
-        self._sequence = -1
+        self._sequence = _NO_SEQUENCE
+        #: Runs that another one has followed.
         self._ended: deque[str] = deque(maxlen=MAX_ENDED_RUNS)
-        self._unconfirmed: _Unconfirmed | None = None
+        #: Runs that have said that they leave.
+        self._departed: deque[str] = deque(maxlen=MAX_ENDED_RUNS)
+        #: Heartbeats that did not follow the last one, since that arrived.
+        self._unconfirmed_by_run: dict[str, _Unconfirmed] = {}
 
     @property
     def instance(self) -> str:
@@ -79,13 +76,19 @@
         """Set the last known run from the record of an earlier process."""
         self.run = run
         self._born = split_run(run)[1]
-        self._sequence = -1
-
-    def record_ended(self, run: str) -> None:
-        """Record that a run has ended, or is not to be used again."""
-        self._ended.append(run)
-
-    def accepts(self, now: Seconds, heartbeat: Heartbeat, run_leaves: bool) -> bool:
+        self._sequence = _NO_SEQUENCE
+
+    def record_departed(self, run: str) -> None:
+        """Record that a run has said that it leaves and is not to be used again."""
+        self._departed.append(run)
+
+    def accepts(
+        self,
+        now: Seconds,
+        heartbeat: Heartbeat,
+        run_leaves: bool,
+        held_until: Seconds,
+    ) -> bool:
         """Return whether a heartbeat is newer than the last one.
 
         Parameters
@@ -93,29 +96,42 @@
         run_leaves : bool
             Whether the known run has said that it leaves, so that another one is
             expected.
+        held_until : float
+            When the keys of the known run will have run out if it stays silent, local
+            clock, in seconds. Until then only a next run takes its place.
         """
-        if heartbeat.run == self.run:
-            return heartbeat.sequence > self._sequence
-        if heartbeat.run in self._ended:
-            return False
-        if not self.run or heartbeat.born > self._born:
+        if heartbeat.run == self.run and heartbeat.sequence > self._sequence:
             return True
-        if run_leaves and heartbeat.sequence <= FIRST_SEQUENCE:
+        if heartbeat.run in self._departed:
+            return False
+        if self._begins_next_run(heartbeat, run_leaves):
             return True
-        return self._is_confirmed(now, heartbeat)
+        return self._goes_on(now, heartbeat) and now > held_until
 
-    def _is_confirmed(self, now: Seconds, heartbeat: Heartbeat) -> bool:
-        earlier = self._unconfirmed
-        if earlier is None or earlier.run != heartbeat.run:
-            self._unconfirmed = _Unconfirmed(heartbeat.run, heartbeat.sequence, now)
+    def _begins_next_run(self, heartbeat: Heartbeat, run_leaves: bool) -> bool:
+        """Return whether a heartbeat is of the run after the known one."""
+        if not self.run:
+            return True
+        if heartbeat.run == self.run or heartbeat.run in self._ended:
+            return False
+        return heartbeat.born > self._born or (run_leaves and heartbeat.is_first)
+
+    def _goes_on(self, now: Seconds, heartbeat: Heartbeat) -> bool:
+        """Return whether a run sends heartbeats while the known run is silent."""
+        earlier = self._unconfirmed_by_run.get(heartbeat.run)
+        if earlier is None:
+            if len(self._unconfirmed_by_run) >= MAX_ENDED_RUNS:
+                del self._unconfirmed_by_run[next(iter(self._unconfirmed_by_run))]
+            first = _Unconfirmed(heartbeat.sequence, now)
+            self._unconfirmed_by_run[heartbeat.run] = first
             return False
-        is_later = heartbeat.sequence > earlier.sequence
-        return is_later and now - earlier.arrived_at >= CONFIRMATION_S
+        is_next = heartbeat.sequence > earlier.sequence
+        return is_next and now - earlier.arrived_at >= CONFIRMATION_S
 
     def record(self, heartbeat: Heartbeat) -> None:
         """Record a heartbeat that was accepted."""
         if self.run and heartbeat.run != self.run:
-            self.record_ended(self.run)
+            self._ended.append(self.run)
         self.run = heartbeat.run
         self._born, self._sequence = heartbeat.born, heartbeat.sequence
-        self._unconfirmed = None
+        self._unconfirmed_by_run.clear()
--- a/rhubarbhall/core/ownership/key_holdings.py
+++ b/rhubarbhall/core/ownership/key_holdings.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rhubarbhall.core.ownership.heartbeat import Heartbeat
     from rhubarbhall.core.ownership.key_table import Span
-    from rhubarbhall.core.ownership.target_keys import Heartbeat
     from rhubarbhall.types import Seconds
 
 #: Longest time for which one grant lets a target hold its keys. Long enough for two
@@ -60,8 +60,14 @@
     def record_rejection(self, now: Seconds, key: int) -> None:
         """Record that the target has answered that it does not hold a key."""
 
-    def reset(self) -> None:
-        """Record that a new run of the target has begun, which holds nothing."""
+    def reset(self, former_hold_end: Seconds) -> None:
+        """Record that a new run of the target has begun, which holds nothing.
+
+        Parameters
+        ----------
+        former_hold_end : float
+            Until when the run before may hold any key, local clock, in seconds.
+        """
 
 
 @dataclass(slots=True)
@@ -173,7 +179,7 @@
             return True
         return any(span.overlaps(first, last) for first, last, _ in heartbeat.holds)
 
-    def reset(self) -> None:
+    def reset(self, former_hold_end: Seconds) -> None:
         """Record that a new run of the target has begun, which holds nothing."""
         self._granted = self._previously_granted = ()
-        self._unknown_until = float("-inf")
+        self._unknown_until = former_hold_end
--- a/rhubarbhall/core/ownership/requested_holdings.py
+++ b/rhubarbhall/core/ownership/requested_holdings.py
@@ -21,8 +21,8 @@
 )
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.heartbeat import Heartbeat
     from rhubarbhall.core.ownership.key_table import Range, Span
-    from rhubarbhall.core.ownership.target_keys import Heartbeat
     from rhubarbhall.types import Seconds
 
 #: Time between two renewals of a grant, in seconds: three fit into the longest grant.
@@ -208,7 +208,7 @@
                 self._rejected.record(now, span)
                 self._renew_at.pop((span.first, span.last, span.fence), None)
 
-    def reset(self) -> None:
+    def reset(self, former_hold_end: Seconds) -> None:
         """Record that a new run of the target has begun, which holds nothing.
 
         A request in flight may reach the new run, so its keys still count as held.
@@ -217,7 +217,7 @@
         self._held = []
         self._renew_at = {}
         self.refused_fences = set()
-        self._unknown_until = float("-inf")
+        self._unknown_until = former_hold_end
 
     def may_work_on(self, now: Seconds, key: int) -> bool:
         """Return whether the target holds a key, as far as is known."""
--- a/rhubarbhall/core/ownership/target_keys.py
+++ b/rhubarbhall/core/ownership/target_keys.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from rhubarbhall.core.ownership.heartbeat_order import HeartbeatOrder, run_name
+from rhubarbhall.core.ownership.heartbeat_order import HeartbeatOrder
 from rhubarbhall.core.ownership.key_holdings import (
     GRANT_MARGIN_S,
     MAX_HOLD_S,
@@ -26,51 +27,12 @@
 )
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.heartbeat import Heartbeat
     from rhubarbhall.core.ownership.key_holdings import KeyHoldings
     from rhubarbhall.core.ownership.key_table import KeyTable, Range, Span
     from rhubarbhall.types import Address, Offset, Seconds
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """The state that a target reports of itself.
-
-    Parameters
-    ----------
-    instance : str
-        Name of the target; it may outlast a restart.
-    born : int
-        Start of the target, in Unix milliseconds.
-    sequence : int
-        Grows with each heartbeat of a run.
-    state : TargetState
-        Whether the target accepts work.
-    slots : int
-        Number of requests that it works on at a time.
-    warmup_left_s : float
-        Remaining time of its warm-up after the start, in seconds.
-    holds : tuple of (int, int, int)
-        Ranges that it holds or still works on: first key, last key, fence.
-    handed_over : mapping of (int, int) to str
-        Ranges that it has released since its last acknowledged heartbeat, with the
-        tokens for the next holder.
-    """
-
-    instance: str
-    born: int
-    sequence: int
-    state: TargetState
-    slots: int
-    warmup_left_s: Seconds = 0.0
-    holds: tuple[tuple[int, int, int], ...] = ()
-    handed_over: Mapping[Range, str] = field(default_factory=dict)
-
-    @property
-    def run(self) -> str:
-        """Identity of this start of the target."""
-        return run_name(self.instance, self.born)
-
-
 @dataclass(frozen=True, slots=True)
 class Grant:
     """The ranges that a target may hold from now on; it releases all others.
@@ -177,8 +139,9 @@
             return
         recorded = HeartbeatOrder()
         recorded.restore(member.run)
-        known = (self.last_contact_at, self._heartbeat, member.has_left_run)
-        if self._heartbeat is not None and recorded.accepts(*known):
+        if self._heartbeat is not None and recorded.accepts(
+            self.last_contact_at, self._heartbeat, member.has_left_run, math.inf
+        ):
             return
         self._order = recorded
         self._heartbeat = None
@@ -195,7 +158,7 @@
         if run == self._order.run:
             self._announced_leaving = True
         else:
-            self._order.record_ended(run)
+            self._order.record_departed(run)
 
     def record_departure(self) -> None:
         """Record that the target has reported that it is gone."""
@@ -212,7 +175,13 @@
 
         A heartbeat that was delayed on its way is not.
         """
-        return self._order.accepts(now, heartbeat, self.leaves)
+        return self._order.accepts(now, heartbeat, self.leaves, self._held_until)
+
+    @property
+    def _held_until(self) -> Seconds:
+        """When the target holds no keys any more if no more heartbeats come."""
+        last_grant_end = grant_end(self.last_contact_at, MAX_HOLD_S)
+        return max(self._grants_end_at, last_grant_end)
 
     def is_new_run(self, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat shows that the run known so far has ended."""
@@ -222,11 +191,13 @@
         """Record a heartbeat; return whether it is from a new run."""
         is_new_run = self.is_new_run(heartbeat)
         if is_new_run:
-            # One target at a time uses the address, so the earlier run has ended.
-            self._holdings.reset()
-            self._grants_end_at = now
+            former_hold_end = self._former_hold_end(now, heartbeat)
+            self._holdings.reset(former_hold_end)
+            self._grants_end_at = max(now, former_hold_end)
             self.tokens = {}
         if heartbeat.run != self._order.run:
+            if self.leaves:
+                self._order.record_departed(self._order.run)
             self._has_left = False
             self._announced_leaving = False
         self._order.record(heartbeat)
@@ -236,6 +207,16 @@
         self._requested_holdings.record_heartbeat()
         return is_new_run
 
+    def _former_hold_end(self, now: Seconds, heartbeat: Heartbeat) -> Seconds:
+        """Return until when the run before a new one may hold keys.
+
+        One target at a time uses the address, so the first heartbeat of a run shows
+        that the run before has ended. A later one may have been late, and of a run that
+        ended before the known one.
+        """
+        has_ended = heartbeat.is_first or now > self._held_until
+        return -math.inf if has_ended else self._grants_end_at
+
     def state(self, now: Seconds) -> TargetState:
         """Return the known state of the target."""
         if self._heartbeat is None or self.is_unresponsive(now):
--- a/rhubarbhall/platform/heartbeats.py
+++ b/rhubarbhall/platform/heartbeats.py
@@ -12,10 +12,12 @@
 from urllib.parse import unquote
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
+from rhubarbhall.core.ownership.heartbeat import Heartbeat
 from rhubarbhall.core.ownership.key_table import KEY_COUNT
 from rhubarbhall.core.ownership.records import MAX_SLOTS, TargetState
-from rhubarbhall.core.ownership.target_keys import Heartbeat, Unacknowledged
+from rhubarbhall.core.ownership.target_keys import Unacknowledged
 from rhubarbhall.core.requests import Response
 from rhubarbhall.decoding import decode
 from rhubarbhall.platform.names import INSTANCES_PATH, format_time, parse_time
@@ -36,17 +38,22 @@
 _JSON = (("Content-Type", "application/json"),)
 
 
+# Targets send all of these fields; a heartbeat that lacks one is of another writer. An
+# absent field must not count as a statement: a target that holds no keys, for example,
+# says so in an empty list.
+
+
 class _TargetInfo(msgspec.Struct, frozen=True):
     service: str
     slots: _Slots
-    zone: str = ""
-    version: str = ""
+    zone: str
+    version: str
 
 
 class _TargetStatus(msgspec.Struct, frozen=True):
     state: str
     sequence: _Number
-    warmup_left: str = "0ms"
+    warmup_left: str
 
 
 class _HeartbeatBody(msgspec.Struct, frozen=True):
@@ -54,11 +61,12 @@
     info: _TargetInfo
     status: _TargetStatus
     #: Start of the target in Unix milliseconds; a whole number in any JSON notation.
-    born: _Number = 0
-    #: First key, last key, fence.
-    holds: list[tuple[int, int, _Number]] = []
+    born: _Number
+    #: First key, last key, fence. Only targets that take keys in the answers to their
+    #: heartbeats send this and the next field.
+    holds: list[tuple[int, int, _Number]] | UnsetType = UNSET
     #: First key, last key, handover token.
-    freed: list[tuple[int, int, str]] = []
+    freed: list[tuple[int, int, str]] | UnsetType = UNSET
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_HeartbeatBody)
@@ -84,6 +92,9 @@
 class TargetEvents(Protocol):
     """Handler for messages from the local target."""
 
+    def takes_keys_by_heartbeat(self) -> bool:
+        """Return whether the target takes keys in the answers to its heartbeats."""
+
     def on_heartbeat(
         self, received: ReceivedHeartbeat, answer: Callable[[HeartbeatAnswer], None]
     ) -> None:
@@ -117,7 +128,9 @@
     return first, last
 
 
-def parse_heartbeat(instance: str, body: bytes) -> ReceivedHeartbeat:
+def parse_heartbeat(
+    instance: str, body: bytes, lists_keys: bool = True
+) -> ReceivedHeartbeat:
     """Decode the body of a heartbeat.
 
     Parameters
@@ -126,6 +139,8 @@
         Name of the target, from the path of the request.
     body : bytes
         JSON of the platform.
+    lists_keys : bool
+        Whether heartbeats of the target list the keys that it holds and has released.
 
     Raises
     ------
@@ -137,9 +152,10 @@
     if message.status.state not in _STATE_BY_NAME:
         allowed = ", ".join(_STATE_BY_NAME)
         raise ValueError(f"state {message.status.state!r}; allowed: {allowed}")
-    holds = tuple(
-        (*_checked_range(first, last), fence) for first, last, fence in message.holds
-    )
+    if lists_keys and UNSET in (message.holds, message.freed):
+        raise ValueError("keys not listed; required: 'holds' and 'freed'")
+    holds = [] if message.holds is UNSET else message.holds
+    freed = [] if message.freed is UNSET else message.freed
     heartbeat = Heartbeat(
         instance=instance,
         born=message.born,
@@ -147,9 +163,11 @@
         state=_STATE_BY_NAME[message.status.state],
         slots=max(1, message.info.slots),
         warmup_left_s=parse_time(message.status.warmup_left),
-        holds=holds,
+        holds=tuple(
+            (*_checked_range(first, last), fence) for first, last, fence in holds
+        ),
         handed_over={
-            _checked_range(first, last): token for first, last, token in message.freed
+            _checked_range(first, last): token for first, last, token in freed
         },
     )
     address = parse_address(message.address)
@@ -223,7 +241,8 @@
         self, instance: str, body: bytes, answer: Callable[[Response], None]
     ) -> None:
         try:
-            announcement = parse_heartbeat(instance, body)
+            lists_keys = self._events.takes_keys_by_heartbeat()
+            announcement = parse_heartbeat(instance, body, lists_keys)
         except ValueError as error:
             self._events.on_bad_heartbeat(str(error))
             answer(Response(HTTPStatus.BAD_REQUEST))
--- a/rhubarbhall/programs/router_target.py
+++ b/rhubarbhall/programs/router_target.py
@@ -23,13 +23,10 @@
 from rhubarbhall.core.traffic.requests import Unknown
 
 if TYPE_CHECKING:
+    from rhubarbhall.core.ownership.heartbeat import Heartbeat
     from rhubarbhall.core.ownership.key_table import KeyTable
     from rhubarbhall.core.ownership.records import Member
-    from rhubarbhall.core.ownership.target_keys import (
-        Grant,
-        Heartbeat,
-        HeartbeatAnswer,
-    )
+    from rhubarbhall.core.ownership.target_keys import Grant, HeartbeatAnswer
     from rhubarbhall.core.traffic.requests import Outcome, TargetNotice
     from rhubarbhall.platform.heartbeats import ReceivedHeartbeat
     from rhubarbhall.programs.routing_daemon import RoutingDaemon
@@ -148,6 +145,10 @@
     _logged_rate: float | None = None
     _logged_cold: bool = False
 
+    def takes_keys_by_heartbeat(self) -> bool:
+        """Return whether the target takes keys in the answers to its heartbeats."""
+        return self.publisher.by_key and not self.target_keys.by_request
+
     def on_heartbeat(
         self, received: ReceivedHeartbeat, answer: Callable[[HeartbeatAnswer], None]
     ) -> None:
@@ -205,7 +206,7 @@
         warmup.record_left(now, heartbeat.run, heartbeat.warmup_left_s)
 
     def _may_wait_for_keys(self) -> bool:
-        if not self.publisher.by_key or self.target_keys.by_request:
+        if not self.takes_keys_by_heartbeat():
             return False
         table = self.local_table()
         return self.target_keys.awaits_release(table) or self._awaits_lease(table)
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -10,6 +10,7 @@
 
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
 from rhubarbhall.core.ownership.follower import TopicFollower
+from rhubarbhall.core.ownership.heartbeat import Heartbeat
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
@@ -45,12 +46,14 @@
     offset_of,
     position,
 )
-from rhubarbhall.core.ownership.target_keys import Grant, Heartbeat, TargetKeys
+from rhubarbhall.core.ownership.target_keys import Grant, TargetKeys
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.types import Offset
 
 SERVICE = "status"
 #: Mean time between two heartbeats of a target, in seconds.
+#: What a target's clock may differ from that of another run of it, in milliseconds.
+CLOCK_STEPS_MS = (-20_000, 0, 20_000)
 HEARTBEAT_S = 0.87
 #: Factor by which a target holds its keys longer because its clock runs slow.
 SLOW_CLOCK = 1.02
@@ -256,6 +259,8 @@
         if not mesh.reuses_ids:
             self.instance += f"-{life}"
         self.born = int(mesh.simulation.now * 1000) + 1
+        if mesh.delivers_former_heartbeats:
+            self.born += mesh.simulation.rng.choice(CLOCK_STEPS_MS)
         self.state = TargetState.READY
         self.held: list[Held] = []
         self.freed: dict[tuple[int, int], str] = {}
@@ -298,12 +303,15 @@
         )
         delay_s = 0.001
         if simulation.rng.random() < self.mesh.late_heartbeats:
-            delay_s = simulation.rng.uniform(0.2, 2.5)
+            longest_s = 8.0 if self.mesh.delivers_former_heartbeats else 2.5
+            delay_s = simulation.rng.uniform(0.2, longest_s)
         simulation.after(delay_s, lambda: self._arrive(heartbeat, sent_at))
 
     def _arrive(self, heartbeat: Heartbeat, sent_at: float) -> None:
         daemon = self.daemon
-        if not daemon.is_running or daemon.target is not self:
+        if not daemon.is_running:
+            return
+        if daemon.target is not self and not self.mesh.delivers_former_heartbeats:
             return
         if daemon.is_frozen:
             self.mesh.simulation.after(0.05, lambda: self._arrive(heartbeat, sent_at))
@@ -694,7 +702,9 @@
     """Simulated daemons and targets that share one log.
 
     With `by_request` the targets take their keys by requests, else from the answers to
-    their heartbeats. With `reuses_ids` a restarted target has the id that it had.
+    their heartbeats. With `reuses_ids` a restarted target has the id that it had. With
+    `delivers_former_heartbeats` late heartbeats arrive also when another run of the
+    target has begun, and the clock of a run may be ahead of that of the next one.
     """
 
     def __init__(
@@ -703,10 +713,12 @@
         count: int = 4,
         by_request: bool = False,
         reuses_ids: bool = False,
+        delivers_former_heartbeats: bool = False,
     ) -> None:
         self.seed = seed
         self.by_request = by_request
         self.reuses_ids = reuses_ids
+        self.delivers_former_heartbeats = delivers_former_heartbeats
         self.simulation = Simulation(seed)
         self.log = FakeLog(self.simulation, seed)
         self.late_heartbeats = 0.0
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -5,6 +5,7 @@
 import unittest
 
 from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.heartbeat import FIRST_SEQUENCE, Heartbeat
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.liveness import Liveness
@@ -34,7 +35,7 @@
     member_key,
     table_key,
 )
-from rhubarbhall.core.ownership.target_keys import MAX_HOLD_S, Heartbeat, TargetKeys
+from rhubarbhall.core.ownership.target_keys import MAX_HOLD_S, TargetKeys
 
 LOCAL, B, C = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
 
@@ -91,7 +92,10 @@
         return self.directory.table_by_service["s"]
 
     def send_heartbeat(self, state=TargetState.READY, born=1, **fields) -> None:
-        sequence = int(self.now * 1000)
+        # The sequences of a run start anew.
+        known = self.target_keys.heartbeat
+        is_new_run = known is not None and known.born != born
+        sequence = FIRST_SEQUENCE if is_new_run else int(self.now * 1000)
         heartbeat = Heartbeat("i", born, sequence, state, 9, **fields)
         self.target_keys.record_heartbeat(self.now, heartbeat)
 
--- a/tests/core/ownership/test_requested_holdings.py
+++ b/tests/core/ownership/test_requested_holdings.py
@@ -132,7 +132,7 @@
 
     def test_a_request_in_flight_may_reach_the_next_run_of_the_target(self):
         (request,) = self.due(span(0, 99))
-        self.holdings.reset()
+        self.holdings.reset(float("-inf"))
         self.assertTrue(self.holdings.may_hold(self.now, span(0, 99), None))
         self.assertFalse(self.holdings.may_work_on(self.now, 5))
 
--- a/tests/core/ownership/test_sole_owner.py
+++ b/tests/core/ownership/test_sole_owner.py
@@ -75,6 +75,39 @@
                 self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
 
 
+class FormerHeartbeatTests(unittest.TestCase):
+    """Late heartbeats of former runs, some of which seem to have started later.
+
+    Guards against: keys of a live target that are freed, or not granted any more, by
+    the heartbeats of a run that has ended.
+    """
+
+    def test_no_key_has_two_holders_and_each_has_one_again(self):
+        for seed in range(15):
+            mesh = OwnershipMesh(seed, delivers_former_heartbeats=True)
+            plan = FaultPlan(mesh)
+            plan.schedule(14, 6.0, RUN_S - CALM_S)
+            self.schedule_restarts(mesh, plan)
+            mesh.simulation.run_until(RUN_S)
+            with self.subTest(seed=seed):
+                self.assertEqual(mesh.overlaps, [], "\n".join(plan.injected))
+                self.assertEqual(sum(mesh.owners().values()), KEY_COUNT)
+
+    @staticmethod
+    def schedule_restarts(mesh: OwnershipMesh, plan: FaultPlan) -> None:
+        """Restart each daemon and each target while half of the heartbeats are late."""
+        rng = mesh.simulation.rng
+        restart, kill = plan._restart_target, plan._kill_daemon
+        for daemon in mesh.daemons:
+            for step in (restart, kill, restart, plan._leave):
+                action = functools.partial(step, daemon, 0.4)
+                mesh.simulation.after(rng.uniform(8.0, 30.0), action)
+        for second in range(8, 36):
+            share = 0.5 if second < 35 else 0.0
+            delay = functools.partial(setattr, mesh, "late_heartbeats", share)
+            mesh.simulation.after(float(second), delay)
+
+
 class FormerFindingsTests(unittest.TestCase):
     """Seeds of runs that once gave a key two holders or none, each with its cause."""
 
--- a/tests/core/ownership/test_target_keys.py
+++ b/tests/core/ownership/test_target_keys.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from rhubarbhall.core.ownership.heartbeat import Heartbeat
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.records import (
     Member,
@@ -13,7 +14,6 @@
 )
 from rhubarbhall.core.ownership.target_keys import (
     MAX_HOLD_S,
-    Heartbeat,
     TargetKeys,
     grant_end,
 )
@@ -86,6 +86,28 @@
         self.assertIs(self.keys.state(self.now), TargetState.READY)
         self.assertEqual(self.keys.run, "i@6")
 
+    # Guards against: heartbeats of a former run that were late on their way and count
+    # as those of a new one after a restart of this daemon, while the live run is silent
+    # between two of its own.
+    def test_heartbeats_of_a_former_run_do_not_follow_those_of_the_recorded_one(self):
+        self.restore(run="i@5")
+        for sequence in range(7, 17):
+            self.now += 0.3
+            self.assertFalse(self.beat(4, sequence))
+        self.assertTrue(self.beat(5, 3))
+        for sequence in range(17, 27):
+            self.now += 0.3
+            self.assertFalse(self.beat(4, sequence))
+        self.assertEqual(self.keys.run, "i@5")
+
+    def test_a_run_that_has_left_is_not_used_again_after_the_next_one_is_silent(self):
+        self.beat(5, 1)
+        self.keys.record_departure()
+        self.beat(6, 1)
+        for sequence in range(2, 8):
+            self.now += MAX_HOLD_S
+            self.assertFalse(self.beat(5, sequence))
+
     def test_records_of_earlier_versions_have_no_such_field(self):
         record = encode_member(Member("s", "d", "r", "i@5", 9, TargetState.LEAVING))
         shortened = b"\x96" + record[1:-1]
@@ -124,6 +146,20 @@
         self.assertGreater(self.keys.grant(now, self.table, 10.0, 5).hold_s, 0.0)
         self.assertEqual(self.relinquished(now + 0.3), [(0, 99)])
 
+    # Guards against: a late heartbeat of a former run, whose clock was ahead, that
+    # frees the keys of the live one. Its sequence shows that it is no first heartbeat.
+    def test_a_later_heartbeat_of_another_run_frees_nothing_before_the_grants_end(self):
+        now = grant_end(self.STARTED_AT, MAX_HOLD_S) + 1.0
+        self.beat(now, 3)
+        self.assertGreater(self.keys.grant(now, self.table, 10.0, 5).hold_s, 0.0)
+        table = self.table.moved([((200, 299), Claim(OTHER, "j@6"))])
+        self.beat(now + 0.5, 7, born=9)
+        end = grant_end(now, MAX_HOLD_S)
+        self.assertEqual(list(self.keys.relinquished(now + 0.6, table)), [])
+        self.assertEqual(list(self.keys.relinquished(end - 0.01, table)), [])
+        freed = list(self.keys.relinquished(end + 0.01, table))
+        self.assertEqual(freed, [(0, 99), (200, 299)])
+
     def test_a_new_run_of_the_target_holds_nothing_of_before(self):
         self.beat(self.STARTED_AT + 0.1, 3)
         self.beat(self.STARTED_AT + 0.5, 1, born=9)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -9,6 +9,7 @@
 import struct
 import unittest
 import zlib
+from collections.abc import Iterator
 
 import msgspec
 
@@ -53,6 +54,25 @@
     return b'{"other":' + NESTED + b"," + message[1:]
 
 
+def every_field(message: dict, *parents: str) -> Iterator[tuple[str, ...]]:
+    """Yield the path of each field of a message, at all depths."""
+    for name, value in message.items():
+        yield (*parents, name)
+        if isinstance(value, dict):
+            yield from every_field(value, *parents, name)
+
+
+def without(message: dict, *paths: tuple[str, ...]) -> bytes:
+    """Return the JSON of a message that lacks some fields."""
+    body = msgspec.json.decode(msgspec.json.encode(message))
+    for path in paths:
+        parent = body
+        for name in path[:-1]:
+            parent = parent[name]
+        del parent[path[-1]]
+    return msgspec.json.encode(body)
+
+
 class HeartbeatTests(unittest.TestCase):
     def assert_rejected(self, body: bytes):
         with self.assertRaises(ValueError):
@@ -84,6 +104,31 @@
             with self.subTest(address=text):
                 self.assert_rejected(changed(HEARTBEAT, "address", text))
 
+    # Guards against: an absent field that counts as a statement of the target, so that
+    # another writer ends the grants of a live one, or frees the keys that it holds.
+    def test_absent_fields(self):
+        for path in every_field(HEARTBEAT):
+            with self.subTest(path=path):
+                self.assert_rejected(without(HEARTBEAT, path))
+
+    def test_targets_without_grants_by_heartbeat_list_no_keys(self):
+        body = without(HEARTBEAT, ("holds",), ("freed",))
+        heartbeat = parse_heartbeat("i-1", body, lists_keys=False).heartbeat
+        self.assertEqual((heartbeat.holds, heartbeat.handed_over), ((), {}))
+        for path in every_field(msgspec.json.decode(body)):
+            with self.subTest(path=path), self.assertRaises(ValueError):
+                parse_heartbeat("i-1", without(HEARTBEAT, path), lists_keys=False)
+
+    def test_fields_without_a_value(self):
+        for path in every_field(HEARTBEAT):
+            body = msgspec.json.decode(msgspec.json.encode(HEARTBEAT))
+            parent = body
+            for name in path[:-1]:
+                parent = parent[name]
+            parent[path[-1]] = None
+            with self.subTest(path=path):
+                self.assert_rejected(msgspec.json.encode(body))
+
     def test_durations(self):
         for text in ("9" * 400 + "s", "9" * 13 + "s", "1." + "9" * 400 + "s"):
             with self.subTest(text=text[:20]), self.assertRaises(ValueError):
--- a/tests/programs/test_router_target.py
+++ b/tests/programs/test_router_target.py
@@ -6,9 +6,10 @@
 from types import SimpleNamespace
 
 from rhubarbhall.core.errors import ErrorKind
+from rhubarbhall.core.ownership.heartbeat import Heartbeat
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.records import TargetState
-from rhubarbhall.core.ownership.target_keys import Heartbeat, TargetKeys
+from rhubarbhall.core.ownership.target_keys import TargetKeys
 from rhubarbhall.core.timers import TimerService
 from rhubarbhall.core.traffic.admission_queue import AdmissionQueue
 from rhubarbhall.core.traffic.lost_runs import LostRuns
