Report a request as not run only in the session that it was sent in

Cause: a router concluded "not run" from the absence of a number in a session that was continued. That only follows if the session was there when the request was sent. Its first `Resume` was answered as unknown; if that answer was lost, the second `Resume` was answered as not run. Besides, a connection that the sender had given up could be read after the next one, and requests on it begun that had been reported as not run.

Change: `Hello` names the lowest number that a request on its connection or a later one can have; a session reports only requests from there on as not run. `Hello` also numbers the connections of a process, and one that is older than the newest known of its peer is closed unread. Routers of earlier builds name neither and get "unknown"; they ignore the new fields (both directions are tested). Event 315 logs what peers are told of missing requests.

A request that never arrived in the session that continues is reported as not run as before.

--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -35,6 +35,23 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class MissingRequests:
+    """Requests that a peer awaits after its connection broke, and nobody knows here.
+
+    Parameters
+    ----------
+    not_run : tuple of int
+        The peer's numbers for those that it was told have not run, as they were sent in
+        this session and never arrived.
+    unknown : tuple of int
+        Its numbers for those that may have run, here or at an earlier process.
+    """
+
+    not_run: tuple[int, ...]
+    unknown: tuple[int, ...]
+
+
 class PeerEvents(Protocol):
     """Handles the messages of other daemons and the state of the connections to them.
 
@@ -67,6 +84,9 @@
     def on_withdraw(self, ticket: int) -> None:
         """Refuse a request for the local target as not run, if it still waits."""
 
+    def on_missing_requests(self, address: Address, missing: MissingRequests) -> None:
+        """Record what a daemon was told of requests that are not known here."""
+
     def on_contact(self, address: Address) -> None:
         """Record that a daemon has sent something."""
 
--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -23,11 +23,20 @@
     session : int
         Number that each process draws anew. Connections with the same number follow
         each other.
+    connection : int
+        Number of the connection among all that the process has opened; 0 from daemons
+        of earlier builds, which do not number them.
+    first_number : int
+        Lowest number of a request that can be sent over this connection or a later one:
+        those with lower numbers were sent before, perhaps to another process. Daemons
+        without this field do not say it.
     """
 
     address: str
     service: str
     session: int
+    connection: int = 0
+    first_number: int = 0
 
 
 class Resume(msgspec.Struct, frozen=True, array_like=True, tag=15):
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -160,9 +160,11 @@
         self._clock = clock
         self._session = session
         self._traffic = traffic or PeerTraffic()
-        #: Never reused within a session, so that a late answer cannot be taken for that
-        #: of another request.
-        self._numbers = itertools.count(1)
+        #: Number of the next request. Never reused within a session, so that a late
+        #: answer cannot be taken for that of another request.
+        self._next_number = 1
+        #: Numbers of the connections to all peers.
+        self._connections = itertools.count(1)
         self.dialer = _Dialer(f"links-{local_address}", self)
         self._region = ""
         self._region_by_address: Mapping[Address, str] = {}
@@ -441,7 +443,14 @@
         link.is_open = link.has_been_open = True
         now = self._clock()
         link.last_contact_at = now
-        self._send(link, Hello(self._local_address, self.service, self._session))
+        hello = Hello(
+            self._local_address,
+            self.service,
+            self._session,
+            next(self._connections),
+            self._next_number,
+        )
+        self._send(link, hello)
         link.broken_at = None
         self._send(link, Resume(list(link.ticket_by_number)))
         for number in sorted(link.withdrawn):
@@ -487,7 +496,8 @@
         link = self._open_link_to(address)
         if link is None or link.is_shutting_down:
             return False
-        number = next(self._numbers)
+        number = self._next_number
+        self._next_number += 1
         link.add(number, ticket)
         # The receiver gets the remaining times less the round trip, so that the answer
         # arrives here in time.
--- a/rhubarbhall/adapters/peer_session.py
+++ b/rhubarbhall/adapters/peer_session.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from rhubarbhall.adapters.connection_order import PeerRun
     from rhubarbhall.adapters.peer_frames import Frame
     from rhubarbhall.types import Address, Seconds
 
@@ -38,8 +39,12 @@
         Highest number of a request that arrived.
     broken_at : float
         When the last connection ended.
-    is_resumed : bool
-        Whether the present connection continues an earlier one.
+    connection_number : int
+        The peer's number for the present connection, or for the last one.
+    first_number : int, optional
+        Lowest number of a request that was sent in this session. The peer sent those
+        with lower numbers before, perhaps to an earlier process. None if it does not
+        say so.
     last_contact_at, received_at : float
         When bytes were last received, by the clock of the sessions and by the monotonic
         clock.
@@ -55,6 +60,23 @@
     undelivered: dict[int, Frame] = field(default_factory=dict)
     last_number: int = 0
     broken_at: Seconds = 0.0
-    is_resumed: bool = False
+    connection_number: int = 0
+    first_number: int | None = None
     last_contact_at: Seconds = 0.0
     received_at: Seconds = 0.0
+
+    @property
+    def peer(self) -> PeerRun:
+        """The run of the peer."""
+        return self.address, self.session_number
+
+    def never_received(self, number: int) -> bool:
+        """Return whether a request of the peer certainly never arrived.
+
+        That is known only if the request was sent in this session: the session is lost
+        with its process, and some time after a connection has ended. The connection
+        that it was sent on must have been closed.
+        """
+        if self.first_number is None or number < self.first_number:
+            return False
+        return number > self.last_number
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -3,7 +3,8 @@
 A connection may break while both daemons run. Its requests then continue for
 `ORPHAN_TIMEOUT_S`; the sender connects again, names the requests whose outcome it still
 awaits, and receives their outcomes. For a request that never arrived it learns that it
-has not run, which only the receiver can know.
+has not run. Only the receiver can know that, and only of requests that were sent in the
+session that it remembers: of all others nothing is known, whoever received them.
 """
 
 from __future__ import annotations
@@ -12,8 +13,13 @@
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
+from rhubarbhall.adapters.connection_order import (
+    NOT_NUMBERED,
+    ConnectionOrder,
+    PeerRun,
+)
 from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
-from rhubarbhall.adapters.peer_events import Origin, PeerEvents
+from rhubarbhall.adapters.peer_events import MissingRequests, Origin, PeerEvents
 from rhubarbhall.adapters.peer_frames import (
     Cancel,
     ConfigurationPush,
@@ -164,7 +170,8 @@
         )
         self._budget = self.acceptor.budget = budget or BodyBudget()
         self._session_by_sock: dict[socket.socket, Session] = {}
-        self._broken_by_peer: dict[tuple[Address, int], Session] = {}
+        self._broken_by_peer: dict[PeerRun, Session] = {}
+        self._connection_order = ConnectionOrder()
         #: When each connection without a `Hello` was opened, the oldest first.
         self._opened_by_unintroduced: dict[socket.socket, Seconds] = {}
         self._is_shutting_down = False
@@ -183,6 +190,7 @@
             if now - session.broken_at > ORPHAN_TIMEOUT_S:
                 del self._broken_by_peer[key]
                 self._cancel_requests_except(session, set())
+        self._connection_order.forget_ended(now)
         self._close_unintroduced(now)
 
     def _close_unintroduced(self, now: Seconds) -> None:
@@ -324,7 +332,10 @@
         # The codecs of a connection are of no use for the next one, and take memory.
         session.reader, session.writer = FrameReader(), FrameWriter()
         session.broken_at = self._clock()
-        self._broken_by_peer[session.address, session.session_number] = session
+        self._broken_by_peer[session.peer] = session
+        self._connection_order.record_ended(
+            session.broken_at, session.peer, session.connection_number
+        )
 
     def receive(self, sock: socket.socket, data: bytes) -> None:
         """Handle received bytes; close the connection if they are not valid frames."""
@@ -438,49 +449,69 @@
         if session.address:
             raise ValueError(f"a second Hello, of {hello.address!r}; allowed: one")
         parse_address(hello.address)
-        key = (hello.address, hello.session)
+        peer = (hello.address, hello.session)
+        if self._connection_order.is_given_up(peer, hello.connection):
+            self.acceptor.drop(session.sock)
+            return
         for sock, other in list(self._session_by_sock.items()):
-            if (other.address, other.session_number) == key:
+            if other.peer == peer:
                 # The peer has abandoned this connection; bytes still on it are
                 # not read.
                 self.acceptor.drop(sock)
-        earlier = self._broken_by_peer.pop(key, None)
+        self._connection_order.record_opened(peer, hello.connection)
+        session = self._continued(session, hello)
+        self._opened_by_unintroduced.pop(session.sock, None)
+        session.connection_number = hello.connection
+        if self._is_shutting_down:
+            self._send(session, ShutdownNotice())
+
+    def _continued(self, session: Session, hello: Hello) -> Session:
+        """Return the session that a connection is of, an earlier one or its own."""
+        earlier = self._broken_by_peer.pop((hello.address, hello.session), None)
         if earlier is not None:
             earlier.sock = session.sock
             earlier.reader, earlier.writer = session.reader, session.writer
-            earlier.is_resumed = True
-            session = self._session_by_sock[session.sock] = earlier
-        self._opened_by_unintroduced.pop(session.sock, None)
+            self._session_by_sock[session.sock] = earlier
+            return earlier
         session.address, session.service = hello.address, hello.service
         session.session_number = hello.session
-        if self._is_shutting_down:
-            self._send(session, ShutdownNotice())
+        if hello.connection != NOT_NUMBERED:
+            session.first_number = hello.first_number
+        return session
 
     def _on_resume(self, session: Session, resume: Resume) -> None:
         """Send the outcomes of requests that were sent over an earlier connection."""
         wanted = set(resume.numbers)
         self._cancel_requests_except(session, wanted)
         undelivered, session.undelivered = session.undelivered, {}
+        missing: list[int] = []
         for number in sorted(wanted - set(session.ticket_by_number)):
-            self._send(
-                session,
-                undelivered.get(number)
-                or self._missing_request_outcome(session, number),
-            )
+            if number in undelivered:
+                self._send(session, undelivered[number])
+            else:
+                missing.append(number)
+        if missing:
+            self._report_missing(session, missing)
 
-    def _missing_request_outcome(self, session: Session, number: int) -> Frame:
-        """Return the outcome of a request of which nothing is recorded here.
+    def _report_missing(self, session: Session, missing: list[int]) -> None:
+        """Send the outcomes of requests of which nothing is recorded here.
 
-        It has not run if it never arrived; otherwise its outcome is unknown.
+        One that was sent in this session and never arrived has not run: the connection
+        that it was sent on is closed, so it cannot arrive any more. The outcome of any
+        other is unknown.
         """
-        if session.is_resumed and number > session.last_number:
-            # The request never arrived, and the connection that it was sent on is
-            # closed, so it cannot arrive any more.
-            not_run = NotRun(ErrorKind.OWNER_UNREACHABLE)
-            return encode_outcome(number, not_run, self._handler.local_load())
-        return encode_outcome(
-            number, Unknown(ErrorKind.ANSWER_LOST), self._handler.local_load()
-        )
+        load = self._handler.local_load()
+        not_run, unknown = [], []
+        for number in missing:
+            if session.never_received(number):
+                not_run.append(number)
+                outcome: Outcome = NotRun(ErrorKind.OWNER_UNREACHABLE)
+            else:
+                unknown.append(number)
+                outcome = Unknown(ErrorKind.ANSWER_LOST)
+            self._send(session, encode_outcome(number, outcome, load))
+        report = MissingRequests(tuple(not_run), tuple(unknown))
+        self._handler.on_missing_requests(session.address, report)
 
     # Requests
 
--- a/rhubarbhall/core/log_events.py
+++ b/rhubarbhall/core/log_events.py
@@ -169,6 +169,13 @@
         "The router exits; the requests counted have no outcome yet.",
         ("in_flight", "running", "waiting"),
     ),
+    315: LogEventSpec(
+        "requests_missing",
+        "A peer awaits requests after its connection broke that are not known here. "
+        "`not_run` are its numbers for those that have not run: they were sent in this "
+        "session and never arrived. Of the others nothing is known.",
+        ("peer", "not_run", "unknown"),
+    ),
     401: LogEventSpec("intent_in_force", "A new intent is in force.", ("version",)),
     402: LogEventSpec(
         "record_void",
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -31,7 +31,7 @@
 from rhubarbhall.programs.router_store import NO_VERSION
 
 if TYPE_CHECKING:
-    from rhubarbhall.adapters.peer_events import Origin
+    from rhubarbhall.adapters.peer_events import MissingRequests, Origin
     from rhubarbhall.core.traffic.requests import Load, Outcome, RoutedRequest
     from rhubarbhall.types import Address, Offset, Seconds
 
@@ -135,6 +135,15 @@
         """Refuse a peer's request as not run, if it still waits for the target."""
         self.admission_queue.withdraw(self._advance_timers(), ticket)
 
+    def on_missing_requests(self, address: Address, missing: MissingRequests) -> None:
+        """Log what a peer was told of requests that are not known here."""
+        fields = {
+            "peer": address,
+            "not_run": list(missing.not_run),
+            "unknown": list(missing.unknown),
+        }
+        self.log_event(LogEvent(315, fields))
+
     def on_contact(self, address: Address) -> None:
         """Record contact with a daemon."""
         self.liveness.record_contact(self._advance_timers(), address)
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -11,8 +11,11 @@
 from dataclasses import replace
 from unittest import mock
 
+import msgspec
+
 from rhubarbhall.adapters import peer_links, peer_sessions
-from rhubarbhall.adapters.peer_frames import RequestFailed
+from rhubarbhall.adapters.peer_events import MissingRequests
+from rhubarbhall.adapters.peer_frames import Hello, RequestFailed
 from rhubarbhall.adapters.peer_links import (
     CHECK_INTERVAL_S,
     LINK_IDLE_TIMEOUT_S,
@@ -58,6 +61,7 @@
         self.to_receiver: list[bytes] = []
         self.to_sender: list[bytes] = []
         self.is_open = False
+        self.is_accepted = False
 
 
 class FakeDialer:
@@ -127,6 +131,7 @@
     def __init__(self):
         self.origin_by_id: dict[str, object] = {}
         self.cancelled: list[int] = []
+        self.missing: list[MissingRequests] = []
 
     def local_load(self):
         return Load()
@@ -142,6 +147,9 @@
     def on_renewal_request(self, owner):
         return True
 
+    def on_missing_requests(self, address, missing):
+        self.missing.append(missing)
+
     def on_contact(self, address):
         pass
 
@@ -443,6 +451,182 @@
         self.assertEqual(self.outcomes(2), [])
 
 
+class LostSessionTests(ResumeCase):
+    """Requests that were sent in another session than the one that continues.
+
+    Guards against: a request that has run, at an earlier process or in a session that
+    was forgotten, and is reported as not run, so that it runs again elsewhere.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.forward(1)
+        self.deliver()
+
+    def assert_unknown(self, ticket: int) -> None:
+        self.deliver()
+        self.assertEqual(self.outcomes(ticket), [Unknown(ErrorKind.ANSWER_LOST)])
+
+    def lose_answers(self) -> None:
+        """Let the receiver read all that was sent, and break before it is answered."""
+        for data in self.take_all(self.wire.to_receiver):
+            self.sessions.receive(self.wire, data)
+        self.cut()
+
+    def test_an_answer_to_a_resume_that_is_lost_after_a_restart(self):
+        self.cut()
+        self.restart_receiver()
+        self.connect()
+        self.lose_answers()
+        self.connect()
+        self.assert_unknown(1)
+
+    def test_a_hello_without_the_resume_that_follows_it(self):
+        self.cut()
+        self.restart_receiver()
+        self.connect()
+        hello = self.wire.to_receiver.pop(0)
+        self.sessions.receive(self.wire, hello)
+        self.cut()
+        self.connect()
+        self.assert_unknown(1)
+
+    def test_a_session_that_was_forgotten_and_begun_anew(self):
+        # The receiver sees the connection break before the sender does.
+        self.sessions.connection_closed(self.wire)
+        self.now += ORPHAN_TIMEOUT_S + CHECK_INTERVAL_S
+        self.sessions.cancel_orphans()
+        self.links.connection_closed(self.wire, False)
+        self.connect()
+        self.lose_answers()
+        self.connect()
+        self.assert_unknown(1)
+        self.assertEqual(self.receiver.cancelled, [1])
+
+    def test_two_restarts_and_lost_answers(self):
+        for _ in range(2):
+            self.cut()
+            self.restart_receiver()
+            self.connect()
+            self.lose_answers()
+            self.connect()
+            self.lose_answers()
+            self.connect()
+        self.assert_unknown(1)
+
+    def test_a_withdrawn_request_is_unknown_too(self):
+        self.links.withdraw(RECEIVER, 1)
+        self.cut()
+        self.restart_receiver()
+        self.connect()
+        self.lose_answers()
+        self.connect()
+        self.assert_unknown(1)
+
+    def test_a_request_of_the_new_session_that_never_arrived_has_not_run(self):
+        self.cut()
+        self.restart_receiver()
+        self.connect()
+        self.deliver()
+        self.forward(2)
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(2), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+        reports = [MissingRequests((), (1,)), MissingRequests((2,), ())]
+        self.assertEqual(self.receiver.missing, reports)
+
+
+class GivenUpConnectionTests(ResumeCase):
+    """Bytes of a connection that its peer gave up, read after those of the next one.
+
+    Guards against: a request that is begun after its sender was told that it never
+    arrived, and that by then runs elsewhere.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.deliver()
+        # The receiver has not read anything of this connection.
+        self.cut()
+        wire, on_open = self.links.dialer.pending.pop()
+        wire.is_open = True
+        self.given_up = wire
+        on_open()
+        self.wire = wire
+        self.forward(1)
+        self.sent = self.take_all(wire.to_receiver)
+        self.links.connection_closed(wire, False)
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+
+    def read_given_up(self) -> None:
+        self.sessions.connection_accepted(self.given_up)
+        for data in self.sent:
+            self.sessions.receive(self.given_up, data)
+
+    def test_it_is_not_read_beside_the_next_one(self):
+        self.read_given_up()
+        self.assertEqual(self.receiver.origin_by_id, {})
+        self.assertTrue(self.forward(2))
+        self.deliver()
+        self.assertEqual(list(self.receiver.origin_by_id), ["q2"])
+
+    def test_it_is_not_read_after_the_session_was_forgotten(self):
+        self.cut()
+        self.pass_time(ORPHAN_TIMEOUT_S + CHECK_INTERVAL_S)
+        self.read_given_up()
+        self.assertEqual(self.receiver.origin_by_id, {})
+
+
+class EarlierHello(msgspec.Struct, frozen=True, array_like=True, tag=0):
+    """The `Hello` of daemons that do not number their connections."""
+
+    address: str
+    service: str
+    session: int
+
+
+class EarlierBuildTests(ResumeCase):
+    """Daemons of two versions beside each other, as in an upgrade."""
+
+    def greet_as_earlier_build(self):
+        def hello(*fields):
+            return EarlierHello(*fields[:3])
+
+        patch = mock.patch.object(peer_links, "Hello", hello)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.cut()
+        self.connect()
+        self.deliver()
+
+    def test_an_earlier_build_reads_the_present_hello(self):
+        hello = Hello(SENDER, "own", 77, 4, 12)
+        known = msgspec.msgpack.decode(msgspec.msgpack.encode(hello), type=EarlierHello)
+        self.assertEqual(known, EarlierHello(SENDER, "own", 77))
+
+    def test_requests_of_an_earlier_build_are_answered_and_resumed(self):
+        self.greet_as_earlier_build()
+        self.forward(1)
+        self.deliver()
+        self.cut()
+        self.connect()
+        self.answer(1)
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
+
+    # Such a sender does not say which requests it sent before the session began.
+    def test_a_request_of_an_earlier_build_is_never_reported_as_not_run(self):
+        self.greet_as_earlier_build()
+        self.forward(1)
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+
+
 class WithdrawalTests(ResumeCase):
     """Requests that their sender withdraws before the deadline.
 
@@ -598,6 +782,84 @@
         self.assertEqual(self.sender.renewed, [0.0])
 
 
+class RandomRestartsTests(ResumeCase):
+    """Restarts, forgotten sessions and connections that are read late, at random."""
+
+    def test_no_request_runs_that_was_reported_as_not_run(self):
+        for seed in range(300):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.begun: set[str] = set()
+                self.given_up: list[Wire] = []
+                self.run_random_steps(random.Random(seed))
+
+    def run_random_steps(self, rng: random.Random) -> None:
+        ticket = 0
+        for _ in range(60):
+            step = rng.random()
+            if step < 0.3:
+                ticket += self.forward(ticket + 1)
+            elif step < 0.45:
+                self.deliver()
+            elif step < 0.55:
+                self.break_connection(rng)
+            elif step < 0.65 and self.given_up:
+                self.read_late(self.given_up.pop(rng.randrange(len(self.given_up))))
+            elif step < 0.7:
+                self.now += ORPHAN_TIMEOUT_S * rng.uniform(0.2, 1.5)
+                self.sessions.cancel_orphans()
+            elif step < 0.75:
+                self.restart_receiver()
+                self.given_up.clear()
+                self.cut(seen_by_receiver=False)
+                self.connect()
+            self.check_outcomes(ticket)
+        for wire in self.given_up:
+            self.read_late(wire)
+        self.deliver()
+        self.check_outcomes(ticket)
+
+    def break_connection(self, rng: random.Random) -> None:
+        """Break it after a part of what was sent has been read, or read it later."""
+        wire = self.wire
+        read = rng.randint(0, len(wire.to_receiver)) if wire.is_accepted else 0
+        for _ in range(read):
+            self.sessions.receive(wire, wire.to_receiver.pop(0))
+        is_seen = rng.random() < 0.5
+        self.cut(seen_by_receiver=is_seen)
+        if not is_seen:
+            self.given_up.append(wire)
+        self.connect(is_accepted=rng.random() < 0.7)
+
+    def connect(self, is_accepted: bool = True) -> None:
+        wire, on_open = self.links.dialer.pending.pop()
+        wire.is_open = True
+        self.wire = wire
+        if is_accepted:
+            self.accept(wire)
+        on_open()
+
+    def accept(self, wire: Wire) -> None:
+        if not wire.is_accepted:
+            wire.is_accepted = True
+            self.sessions.connection_accepted(wire)
+
+    def deliver(self) -> None:
+        self.accept(self.wire)
+        super().deliver()
+
+    def read_late(self, wire: Wire) -> None:
+        self.accept(wire)
+        for data in self.take_all(wire.to_receiver):
+            self.sessions.receive(wire, data)
+
+    def check_outcomes(self, last_ticket: int) -> None:
+        for ticket in range(1, last_ticket + 1):
+            self.assertLessEqual(len(self.outcomes(ticket)), 1)
+            if any(isinstance(each, NotRun) for each in self.outcomes(ticket)):
+                self.assertNotIn(f"q{ticket}", self.receiver.origin_by_id)
+
+
 class RandomCutsTests(ResumeCase):
     """Connections cut at random: each request gets one outcome, and a true one."""
 
