Draw all ports of the test deployment together

What was seen: 28 tests of tests/untrusted could fail in setUp, two of them did once: 'near is not ready', OSError 98.

Change: Ports.draw draws all of them with one call, which holds every probe until the last one is bound.

--- a/tests/untrusted/deployment.py
+++ b/tests/untrusted/deployment.py
@@ -12,7 +12,7 @@
 import tempfile
 import threading
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from rhubarbhall.adapters.client import SWEEP_INTERVAL_S, HttpClient
@@ -41,6 +41,8 @@
 #: Service of each VM. The clients are connected to the first one, so the target of the
 #: second one is behind a peer.
 SERVICES = ("near", "far")
+#: Names of the ports on a VM: those of its router, and that of its target.
+PORT_NAMES = ("inbound", "outbound", "ready", "control", "app")
 #: Time for the routers to become ready, and for one ordinary request, in seconds.
 READY_TIMEOUT_S = 30.0
 ANSWER_TIMEOUT_S = 30.0
@@ -57,6 +59,37 @@
         return [probe.getsockname()[1] for probe in probes]
 
 
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Ports of a deployment, all of them different.
+
+    Parameters
+    ----------
+    store : int
+        Port of the store.
+    by_service : dict of str to dict of str to int
+        Ports on the VM of each service, by their name in `PORT_NAMES`.
+    """
+
+    store: int
+    by_service: dict[str, dict[str, int]]
+
+    @classmethod
+    def draw(cls) -> Ports:
+        """Return ports that are free on loopback.
+
+        They are drawn together: a port that is free now may be drawn once more before
+        it is used.
+        """
+        count = len(PORT_NAMES)
+        store, *others = free_ports(1 + count * len(SERVICES))
+        by_service = {
+            service: dict(zip(PORT_NAMES, others[index * count :], strict=False))
+            for index, service in enumerate(SERVICES)
+        }
+        return cls(store, by_service)
+
+
 def configuration() -> bytes:
     """Return a configuration with a route to each service."""
     resources: list[dict] = [
@@ -92,15 +125,13 @@
     """One VM: the addresses on it and its router process."""
 
     def __init__(
-        self, service: str, folder: Path, store: str, memory_mb: int, max_fds: int
+        self, service: str, folder: Path, ports: Ports, memory_mb: int, max_fds: int
     ) -> None:
-        names = ("inbound", "outbound", "ready", "control", "app")
-        ports = free_ports(len(names))
         self.service = service
-        self.port = dict(zip(names, ports, strict=True))
+        self.port = ports.by_service[service]
         self._path = folder / f"{service}.json"
         self._log = open(folder / f"{service}.log", "wb")
-        listen = {name: self.address(name) for name in names[:-1]}
+        listen = {name: self.address(name) for name in PORT_NAMES if name != "app"}
         settings = {
             "node_name": service,
             "zone": f"zone-{service}",
@@ -108,7 +139,7 @@
             "listen": listen,
             "app_addr": self.address("app"),
             "service": service,
-            "platform": {"address": store},
+            "platform": {"address": f"{HOST}:{ports.store}"},
             "limits": {"memory_mb": memory_mb, "max_fds": max_fds},
         }
         self._path.write_text(json.dumps(settings))
@@ -157,12 +188,12 @@
     def __init__(self, memory_mb: int = MEMORY_MB, max_fds: int = MAX_FDS) -> None:
         self.memory_mb, self.max_fds = memory_mb, max_fds
         self._folder = tempfile.TemporaryDirectory()
-        (store_port,) = free_ports(1)
-        self.store = PlatformStore((HOST, store_port))
+        ports = Ports.draw()
+        self.store = PlatformStore((HOST, ports.store))
         self.store.put("keyed.op", "config", configuration())
-        folder, store = Path(self._folder.name), f"{HOST}:{store_port}"
+        folder = Path(self._folder.name)
         self.vms = [
-            Vm(service, folder, store, memory_mb, max_fds) for service in SERVICES
+            Vm(service, folder, ports, memory_mb, max_fds) for service in SERVICES
         ]
         self._loop = Loop()
         self._timers = TimerService()
