Return no ticket for a request that was answered at once

Cause: RequestRouter.submit returned a ticket also when it had called reply before. The CallerSink stored it after reply had removed the request, and nothing removed it later. The port for peers has the same order and checks for it.

Change: submit returns a ticket only while the outcome is pending, as the sink's interface says.

--- a/rhubarbhall/core/traffic/request_router.py
+++ b/rhubarbhall/core/traffic/request_router.py
@@ -199,7 +199,7 @@
         Returns
         -------
         int or None
-            Ticket for `caller_gone`; None if the request was refused before routing.
+            Ticket for `caller_gone`; None if the outcome is known already.
         """
         if self.routing is None or self._rules.evacuated_domains is None:
             reply(NotRun(ErrorKind.NO_CONFIGURATION, NO_OWNER_RETRY_AFTER_S))
@@ -220,7 +220,7 @@
         on_deadline = TimerCallback(lambda later: self._on_deadline(later, pending))
         pending.deadline_timer = self._timers.at(request.deadline, on_deadline)
         self._send_to_next(now, pending)
-        return pending.ticket
+        return ticket if ticket in self._pending_by_ticket else None
 
     def _routed_request(
         self,
--- a/tests/core/traffic/test_request_router.py
+++ b/tests/core/traffic/test_request_router.py
@@ -177,6 +177,15 @@
             self.submit(path)
         self.assertEqual({r.kind for r in self.replies}, {ErrorKind.NO_ROUTE})
 
+    # Guards against: tickets of requests that have ended, which their holders keep for
+    # good, as nothing more is reported of them.
+    def test_a_request_that_is_refused_at_once_has_no_ticket(self):
+        self.peers.down |= {NEAR, FAR}
+        self.assertIsNone(self.submit("/look/1"))
+        self.assertEqual(len(self.replies), 1)
+        self.peers.down.clear()
+        self.assertIsNotNone(self.submit("/look/1"))
+
     def test_target_in_the_local_region_is_preferred(self):
         self.submit("/look/1")
         self.assertEqual(self.peers.sent[0][0], NEAR)
