Believe a receiver of an earlier build only once about missing requests

Change: such a report is believed only in answer to the first Resume that names the request. The session of the receiver may have begun with an earlier one, whose answer was lost; if it began later, an earlier build answers 'unknown' itself. Receivers of this build add never_received to RequestFailed, which earlier builds ignore, and are believed.

Cost: one byte in each RequestFailed before compression.

--- a/rhubarbhall/adapters/peer_frames.py
+++ b/rhubarbhall/adapters/peer_frames.py
@@ -163,6 +163,10 @@
         failure domain; `kind` then is one that daemons of earlier builds know.
     slowdown
         As in `Reply`.
+    never_received : bool
+        Whether the sender knows that the request never arrived, as it was sent in the
+        session that continues. Daemons of earlier builds, without this field, report
+        requests as not run also if they were sent before the session.
     """
 
     number: int
@@ -177,6 +181,7 @@
     is_cold: bool = False
     slowdown: int = 0
     is_ineligible: bool = False
+    never_received: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/rhubarbhall/adapters/peer_link.py
+++ b/rhubarbhall/adapters/peer_link.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from rhubarbhall.adapters.peer_frames import RequestFailed, Resume
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter
+from rhubarbhall.core.errors import ErrorKind
 
 if TYPE_CHECKING:
     import socket
 
+    from rhubarbhall.adapters.peer_frames import Reply
     from rhubarbhall.types import Address, Seconds
 
 
@@ -47,6 +50,8 @@
         Number of bytes that were given to the present connection.
     start_by_number : dict of int to int
         Value of `queued_bytes` before each request on the present connection.
+    resumes_by_number : dict of int to int
+        For how many connections each awaited request was named in a `Resume`.
     withdrawn : set of int
         Requests that were withdrawn and have no outcome yet.
     broken_at : float, optional
@@ -86,6 +91,7 @@
     number_by_ticket: dict[int, int] = field(default_factory=dict)
     queued_bytes: int = 0
     start_by_number: dict[int, int] = field(default_factory=dict)
+    resumes_by_number: dict[int, int] = field(default_factory=dict)
     withdrawn: set[int] = field(default_factory=set)
     broken_at: Seconds | None = None
     dialed_at: Seconds = float("-inf")
@@ -108,11 +114,32 @@
         """Forget a request and return its ticket; None if it is not awaited."""
         ticket = self.ticket_by_number.pop(number, None)
         self.start_by_number.pop(number, None)
+        self.resumes_by_number.pop(number, None)
         self.withdrawn.discard(number)
         if ticket is not None:
             del self.number_by_ticket[ticket]
         return ticket
 
+    def resume(self) -> Resume:
+        """Return the frame that requests the outcomes of all awaited requests."""
+        for number in self.ticket_by_number:
+            self.resumes_by_number[number] = self.resumes_by_number.get(number, 0) + 1
+        return Resume(list(self.ticket_by_number))
+
+    def is_doubtful(self, frame: Reply | RequestFailed) -> bool:
+        """Return whether a request that is reported as not run may have run.
+
+        A receiver of an earlier build reports a request that it does not know in this
+        way also if its session has begun with an earlier `Resume` that names it.
+        """
+        return (
+            isinstance(frame, RequestFailed)
+            and frame.not_run
+            and frame.kind == ErrorKind.OWNER_UNREACHABLE
+            and not frame.never_received
+            and self.resumes_by_number.get(frame.number, 0) > 1
+        )
+
     def end_connection(self, unsent_bytes: int) -> list[int]:
         """Forget the bytes of the present connection, which has ended.
 
--- a/rhubarbhall/adapters/peer_links.py
+++ b/rhubarbhall/adapters/peer_links.py
@@ -31,7 +31,6 @@
     ReplacementVote,
     Reply,
     RequestFailed,
-    Resume,
     ShutdownNotice,
     SuspectsPush,
     SyncEntry,
@@ -452,7 +451,7 @@
         )
         self._send(link, hello)
         link.broken_at = None
-        self._send(link, Resume(list(link.ticket_by_number)))
+        self._send(link, link.resume())
         for number in sorted(link.withdrawn):
             self._send(link, Cancel(number, withdraws=True))
         self._handler.on_contact(link.address)
@@ -640,6 +639,8 @@
     def _on_outcome_frame(self, link: PeerLink, frame: Reply | RequestFailed) -> None:
         # Decoded first: an invalid frame must not count as the outcome of its request.
         outcome = decode_outcome(frame)
+        if link.is_doubtful(frame):
+            outcome = Unknown(ErrorKind.ANSWER_LOST)
         ticket = link.pop_ticket(frame.number)
         if ticket is not None:
             load = decode_load(frame)
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from rhubarbhall.adapters.connection_order import (
     NOT_NUMBERED,
     ConnectionOrder,
@@ -505,11 +507,14 @@
         for number in missing:
             if session.never_received(number):
                 not_run.append(number)
-                outcome: Outcome = NotRun(ErrorKind.OWNER_UNREACHABLE)
+                outcome = NotRun(ErrorKind.OWNER_UNREACHABLE)
+                frame = encode_outcome(number, outcome, load)
+                frame = msgspec.structs.replace(frame, never_received=True)
             else:
                 unknown.append(number)
                 outcome = Unknown(ErrorKind.ANSWER_LOST)
-            self._send(session, encode_outcome(number, outcome, load))
+                frame = encode_outcome(number, outcome, load)
+            self._send(session, frame)
         report = MissingRequests(tuple(not_run), tuple(unknown))
         self._handler.on_missing_requests(session.address, report)
 
--- a/tests/adapters/test_peer_resume.py
+++ b/tests/adapters/test_peer_resume.py
@@ -22,6 +22,7 @@
     RESUME_TIMEOUT_S,
     PeerLinks,
 )
+from rhubarbhall.adapters.peer_session import Session
 from rhubarbhall.adapters.peer_sessions import ORPHAN_TIMEOUT_S, PeerSessions
 from rhubarbhall.core.errors import ErrorKind
 from rhubarbhall.core.traffic.requests import (
@@ -617,6 +618,44 @@
         self.deliver()
         self.assertEqual(self.outcomes(1), [Answered(200, (), b"a1")])
 
+    def receive_as_earlier_build(self):
+        """Let the receiver report all unknown requests as not run, as it once did."""
+        for patch in (
+            mock.patch.object(Session, "never_received", lambda session, number: True),
+            mock.patch.object(
+                msgspec.structs, "replace", lambda frame, **fields: frame
+            ),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def test_what_a_receiver_of_an_earlier_build_reports_first_is_believed(self):
+        self.receive_as_earlier_build()
+        self.forward(1)
+        self.cut()
+        self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+
+    # Its session may have begun with the first of the two.
+    def test_what_it_reports_after_a_second_resume_is_not_believed(self):
+        self.receive_as_earlier_build()
+        self.forward(1)
+        for _ in range(2):
+            self.cut()
+            self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [Unknown(ErrorKind.ANSWER_LOST)])
+
+    def test_what_a_receiver_of_this_build_reports_then_is_believed(self):
+        self.deliver()
+        self.forward(1)
+        for _ in range(2):
+            self.cut()
+            self.connect()
+        self.deliver()
+        self.assertEqual(self.outcomes(1), [NotRun(ErrorKind.OWNER_UNREACHABLE)])
+
     # Such a sender does not say which requests it sent before the session began.
     def test_a_request_of_an_earlier_build_is_never_reported_as_not_run(self):
         self.greet_as_earlier_build()
