Give store entries and the eviction of peers' connections modules of their own

Change: Entry and Rejected are in ownership/entries.py; which connections of peers give way is in adapters/session_eviction.py. Code moved without a change of behaviour.

--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,7 +20,6 @@
     ConnectionOrder,
     PeerRun,
 )
-from rhubarbhall.adapters.eviction import Candidate, EvictionOrder
 from rhubarbhall.adapters.peer_events import MissingRequests, Origin, PeerEvents
 from rhubarbhall.adapters.peer_frames import (
     Cancel,
@@ -44,13 +43,10 @@
 from rhubarbhall.adapters.peer_session import Session
 from rhubarbhall.adapters.peer_stream import FrameReader, FrameWriter, stored_body
 from rhubarbhall.adapters.peer_traffic import PeerTraffic
+from rhubarbhall.adapters.session_eviction import SessionEviction
 from rhubarbhall.adapters.sockets import Listener
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.traffic.body_budget import (
-    SMALL_BODY_BYTES,
-    YIELD_TO_BODY_S,
-    BodyBudget,
-)
+from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyBudget
 from rhubarbhall.core.traffic.requests import (
     Load,
     NotRun,
@@ -72,9 +68,6 @@
 MAX_CONNECTIONS = 1000
 #: Time after which a connection without a `Hello` is closed, in seconds.
 HELLO_TIMEOUT_S = 5.0
-#: Time without received bytes after which the connection of a peer may give way to a
-#: new one, in seconds: longer than the time between two pings of a peer that watches.
-SILENCE_S = 10.0
 _MS_PER_S = 1000
 
 
@@ -177,8 +170,7 @@
         #: When each connection without a `Hello` was opened, the oldest first.
         self._opened_by_unintroduced: dict[socket.socket, Seconds] = {}
         self._is_shutting_down = False
-        self._order_by_bytes = EvictionOrder(self._byte_holders, self._holds_bytes)
-        self._order_by_use = EvictionOrder(self._replaceable, self._is_replaceable)
+        self._eviction = SessionEviction(self.acceptor, self._session_by_sock, clock)
         self.rejected = 0
         self.yielded = 0
 
@@ -253,7 +245,7 @@
         At the limit the connection gives way that is of the least use.
         """
         if len(self._session_by_sock) >= self._max_connections:
-            replaced = self._order_by_use.next(self._clock(), 0.0)
+            replaced = self._eviction.next_replaceable()
             if replaced is None:
                 self.acceptor.drop(sock)
                 return
@@ -265,20 +257,6 @@
         self._session_by_sock[sock] = Session(sock, reader, last_contact_at=now)
         self._opened_by_unintroduced[sock] = now
 
-    def _replaceable(self, now: Seconds) -> Iterator[Candidate]:
-        """Yield the connections that bring nothing, those without a `Hello` first."""
-        for sock, session in self._session_by_sock.items():
-            if self._is_replaceable(sock):
-                since = session.last_contact_at
-                yield Candidate(sock, since, now - since if session.address else now)
-
-    def _is_replaceable(self, sock: socket.socket) -> bool:
-        session = self._session_by_sock.get(sock)
-        if session is None:
-            return False
-        is_silent = self._clock() - session.last_contact_at > SILENCE_S
-        return not session.address or (is_silent and not session.ticket_by_number)
-
     def relieve(self, age_s: Seconds) -> bool:
         """Close the connection that holds the most bytes for the longest time.
 
@@ -297,33 +275,13 @@
         bool
             Whether a connection was closed.
         """
-        if age_s:
-            age_s = max(age_s, YIELD_TO_BODY_S)
-        sock = self._order_by_bytes.next(time.monotonic(), age_s)
+        sock = self._eviction.next_byte_holder(age_s)
         if sock is None:
             return False
         self.yielded += 1
         self.acceptor.drop(sock)
         return True
 
-    def _byte_holders(self, now: Seconds) -> Iterator[Candidate]:
-        for sock, session in self._session_by_sock.items():
-            size, since = self._held(sock, session)
-            if size > SMALL_BODY_BYTES:
-                yield Candidate(sock, since, size * (now - since))
-
-    def _holds_bytes(self, sock: socket.socket) -> bool:
-        session = self._session_by_sock.get(sock)
-        return session is not None and self._held(sock, session)[0] > SMALL_BODY_BYTES
-
-    def _held(self, sock: socket.socket, session: Session) -> tuple[int, Seconds]:
-        """Return how many bytes a connection holds, and since when."""
-        unsent = self.acceptor.unsent(sock)
-        received = session.reader.buffered_bytes
-        if unsent is not None and unsent.size >= received:
-            return unsent.size, unsent.progress_at
-        return received, session.received_at
-
     def connection_closed(self, sock: socket.socket) -> None:
         """Keep the session of an ended connection, so that the peer can resume it."""
         self._opened_by_unintroduced.pop(sock, None)
--- a/rhubarbhall/core/ownership/directory.py
+++ b/rhubarbhall/core/ownership/directory.py
@@ -10,9 +10,9 @@
 
 from bisect import insort
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from rhubarbhall.core.ownership.entries import Entry, Rejected
 from rhubarbhall.core.ownership.member_order import MemberOrder
 from rhubarbhall.core.ownership.records import (
     DEPARTURE_PREFIX,
@@ -39,41 +39,6 @@
     from rhubarbhall.types import Address, Offset, StoreEpoch
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """One record of the store.
-
-    Parameters
-    ----------
-    offset : int
-        Position in the log; of two records with the same key, the higher one counts.
-    key : str
-        Key that the record is stored under.
-    value : bytes
-        Content; empty if the key was deleted.
-    """
-
-    offset: Offset
-    key: str
-    value: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """A record that cannot be decoded; the value before it stays in force.
-
-    Parameters
-    ----------
-    entry : Entry
-        The record.
-    reason : str
-        Why it cannot be decoded.
-    """
-
-    entry: Entry
-    reason: str
-
-
 class KeyDirectory:
     """The members and the key tables, built from the records of the store.
 
--- a/rhubarbhall/core/ownership/follower.py
+++ b/rhubarbhall/core/ownership/follower.py
@@ -19,7 +19,7 @@
 from rhubarbhall.core.timers import TimerCallback
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.directory import Entry
+    from rhubarbhall.core.ownership.entries import Entry
     from rhubarbhall.core.ownership.store_port import Store
     from rhubarbhall.core.timers import TimerService
     from rhubarbhall.types import Offset, Seconds
--- a/rhubarbhall/core/ownership/member_order.py
+++ b/rhubarbhall/core/ownership/member_order.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.directory import Entry
+    from rhubarbhall.core.ownership.entries import Entry
     from rhubarbhall.core.ownership.records import MemberVersion
 
 
--- a/rhubarbhall/core/ownership/publisher.py
+++ b/rhubarbhall/core/ownership/publisher.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.records import (
     MemberVersion,
     boot_key,
--- a/rhubarbhall/core/ownership/store_port.py
+++ b/rhubarbhall/core/ownership/store_port.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.directory import Entry
+    from rhubarbhall.core.ownership.entries import Entry
     from rhubarbhall.types import Offset, Seconds, StoreEpoch
 
 #: Bits of a position that hold the offset; the epoch is above them.
--- a/rhubarbhall/platform/store.py
+++ b/rhubarbhall/platform/store.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from rhubarbhall.adapters.client import Failed
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.store_port import (
     ANSWER_TIMEOUT_S,
     Appended,
--- a/rhubarbhall/programs/router_peers.py
+++ b/rhubarbhall/programs/router_peers.py
@@ -21,7 +21,7 @@
 from rhubarbhall.adapters.peer_stream import inflate_value
 from rhubarbhall.core.commands import LogEvent
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.key_load import TargetLoad
 from rhubarbhall.core.ownership.store_port import epoch_of
 from rhubarbhall.core.traffic.body_budget import SMALL_BODY_BYTES, BodyReservation
--- a/rhubarbhall/programs/router_store.py
+++ b/rhubarbhall/programs/router_store.py
@@ -29,7 +29,7 @@
 from rhubarbhall.platform.operator import parse_configuration, read_version
 
 if TYPE_CHECKING:
-    from rhubarbhall.core.ownership.directory import Entry, Rejected
+    from rhubarbhall.core.ownership.entries import Entry, Rejected
     from rhubarbhall.core.traffic.routes import RoutingTable
     from rhubarbhall.types import Address, Offset, Seconds, StoreEpoch
 
--- a/rhubarbhall/programs/store_view.py
+++ b/rhubarbhall/programs/store_view.py
@@ -8,7 +8,8 @@
 from rhubarbhall.adapters.client import SWEEP_INTERVAL_S, HttpClient
 from rhubarbhall.adapters.clock import TimerRunner
 from rhubarbhall.adapters.loop import Loop
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.key_table import KeyTable
 from rhubarbhall.core.ownership.publisher import directory_topic
 from rhubarbhall.core.ownership.store_port import NewestPage, ReadResult, Unavailable
--- a/tests/adapters/test_peer_sessions.py
+++ b/tests/adapters/test_peer_sessions.py
@@ -13,7 +13,6 @@
 from rhubarbhall.adapters.peer_frames import Cancel, Forward, Frame, Hello, Ping, Pong
 from rhubarbhall.adapters.peer_sessions import (
     HELLO_TIMEOUT_S,
-    SILENCE_S,
     PeerSessions,
 )
 from rhubarbhall.adapters.peer_stream import (
@@ -23,6 +22,7 @@
     FrameWriter,
 )
 from rhubarbhall.adapters.poller import MAX_DEFERRED_HANDLED
+from rhubarbhall.adapters.session_eviction import SILENCE_S
 from rhubarbhall.core.traffic.body_budget import BodyBudget
 from tests.untrusted.deployment import free_ports
 
--- a/tests/core/ownership/mesh.py
+++ b/tests/core/ownership/mesh.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.heartbeat import Heartbeat
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
--- a/tests/core/ownership/test_directory.py
+++ b/tests/core/ownership/test_directory.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.records import (
     Member,
     MemberVersion,
--- a/tests/core/ownership/test_follower.py
+++ b/tests/core/ownership/test_follower.py
@@ -5,7 +5,8 @@
 import random
 import unittest
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.follower import MAX_BACKOFF_S, TopicFollower
 from rhubarbhall.core.ownership.store_port import (
     NO_WAIT,
--- a/tests/core/ownership/test_loss_reports.py
+++ b/tests/core/ownership/test_loss_reports.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.liveness import SAME_REGION_TIMEOUT_S, Liveness
 from rhubarbhall.core.ownership.loss_reports import DISTANCE_DELAY_S, LossReports
 from rhubarbhall.core.ownership.records import (
--- a/tests/core/ownership/test_reconciler.py
+++ b/tests/core/ownership/test_reconciler.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.heartbeat import FIRST_SEQUENCE, Heartbeat
 from rhubarbhall.core.ownership.key_load import KeyLoadSampler
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
--- a/tests/core/ownership/test_table_restore.py
+++ b/tests/core/ownership/test_table_restore.py
@@ -6,7 +6,8 @@
 import unittest
 from types import SimpleNamespace
 
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.key_table import FENCE_BITS, Claim, KeyTable
 from rhubarbhall.core.ownership.publisher import (
     BOOT_READ_DELAY_S,
--- a/tests/core/traffic/test_eligibility.py
+++ b/tests/core/traffic/test_eligibility.py
@@ -12,7 +12,7 @@
 
 from rhubarbhall.adapters.peer_outcomes import decode_outcome, encode_outcome
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.records import (
     Member,
--- a/tests/core/traffic/test_target_chooser.py
+++ b/tests/core/traffic/test_target_chooser.py
@@ -5,7 +5,8 @@
 import unittest
 
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.liveness import Liveness
 from rhubarbhall.core.ownership.records import (
     Member,
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from rhubarbhall.adapters.peer_stream import FrameReader
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory, Rejected
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry, Rejected
 from rhubarbhall.core.ownership.key_table import Claim, KeyTable
 from rhubarbhall.core.ownership.publisher import TOPIC
 from rhubarbhall.core.ownership.records import (
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 
 from rhubarbhall.adapters.client import Failed
 from rhubarbhall.core.errors import ErrorKind
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.store_port import (
     NO_WAIT,
     Appended,
--- a/tests/programs/test_router_configuration.py
+++ b/tests/programs/test_router_configuration.py
@@ -15,7 +15,8 @@
 )
 from rhubarbhall.adapters.peer_stream import deflate_value, inflate_value
 from rhubarbhall.core.commands import LogEvent
-from rhubarbhall.core.ownership.directory import Entry, KeyDirectory
+from rhubarbhall.core.ownership.directory import KeyDirectory
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.core.ownership.evacuations import Evacuations
 from rhubarbhall.core.ownership.follower import TopicFollower
 from rhubarbhall.core.ownership.peer_selection import RelayedLimits
--- a/tests/programs/test_router_evacuations.py
+++ b/tests/programs/test_router_evacuations.py
@@ -14,7 +14,7 @@
     SyncRequest,
     SyncResponse,
 )
-from rhubarbhall.core.ownership.directory import Entry
+from rhubarbhall.core.ownership.entries import Entry
 from rhubarbhall.platform.names import EVACUATION_PREFIX
 from rhubarbhall.programs.router_peers import PUSH_GRACE_S
 from tests.platform.test_path import configuration
