--- a/rhubarbhall/adapters/peer_events.py
+++ b/rhubarbhall/adapters/peer_events.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MissingRequests:
-    """Requests that a peer awaits after its connection broke, and nobody knows here.
+    """Requests that a peer awaits and that its session does not know.
 
     Parameters
     ----------
--- a/rhubarbhall/adapters/peer_sessions.py
+++ b/rhubarbhall/adapters/peer_sessions.py
@@ -415,8 +415,8 @@
             return
         for sock, other in list(self._session_by_sock.items()):
             if other.peer == peer:
-                # The peer has abandoned this connection; bytes still on it are
-                # not read.
+                # The peer has given up this connection; bytes still on it are not
+                # read.
                 self.acceptor.drop(sock)
         self._connection_order.record_opened(peer, hello.connection)
         session = self._continued(session, hello)
